--- a/cmd/fulmarloft/main.go
+++ b/cmd/fulmarloft/main.go
@@ -31,6 +31,7 @@
 		bundleCommands,
 		keyCommands,
 		operatorCommands,
+		platformCommands,
 	} {
 		cmds = append(cmds, add(app)...)
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -5,14 +5,17 @@
 	"sort"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// Clock tells the time in milliseconds since the Unix epoch and runs timers; a real clock never goes backwards within a process.
+// Clock tells the time in milliseconds since the Unix epoch and runs timers; a real clock never goes backwards within a process and counts the time for which the machine was suspended.
 type Clock struct {
 	mu     sync.Mutex
 	fake   bool
 	now    int64
 	start  time.Time
+	boot   int64
 	seq    int64
 	timers []*timer
 }
@@ -23,9 +26,18 @@
 	fn  func()
 }
 
-// New returns a clock that follows the machine's monotonic clock, anchored at the wall time of the call.
+// New returns a clock that follows the machine's time since boot, anchored at the wall time of the call.
 func New() *Clock {
-	return &Clock{start: time.Now()}
+	return &Clock{start: time.Now(), boot: sinceBoot()}
+}
+
+// sinceBoot returns the milliseconds since boot, or -1 where the machine has no such clock.
+func sinceBoot() int64 {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return -1
+	}
+	return ts.Nano() / int64(time.Millisecond)
 }
 
 // NewFake returns a clock that stands at the given millisecond until Advance moves it.
@@ -36,13 +48,21 @@
 // Now returns the current time in milliseconds.
 func (ck *Clock) Now() int64 {
 	if !ck.fake {
-		return ck.start.UnixMilli() + time.Since(ck.start).Milliseconds()
+		return ck.start.UnixMilli() + ck.elapsed()
 	}
 	ck.mu.Lock()
 	defer ck.mu.Unlock()
 	return ck.now
 }
 
+func (ck *Clock) elapsed() int64 {
+	now := sinceBoot()
+	if now < 0 || ck.boot < 0 {
+		return time.Since(ck.start).Milliseconds()
+	}
+	return now - ck.boot
+}
+
 // AfterFunc runs fn once after the given number of milliseconds and returns a function that cancels it, which reports whether it was still pending.
 func (ck *Clock) AfterFunc(ms int64, fn func()) func() bool {
 	if !ck.fake {
--- /dev/null
+++ b/internal/intake/doc.go
@@ -0,0 +1,2 @@
+// Package intake stores the jobs that callers submit or cancel and tells their states.
+package intake
--- /dev/null
+++ b/internal/jobcontrol/controller.go
@@ -0,0 +1,234 @@
+package jobcontrol
+
+import (
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// Controller holds all jobs and VMs of one ownership; it isn't safe for concurrent use.
+type Controller struct {
+	ck    *clock.Clock
+	lg    *event.Log
+	token int64
+	// runLeaseMS is the lease that runs get with each start and look.
+	runLeaseMS int64
+	startedMS  int64
+
+	rules  *rulesindex.Index
+	caps   map[string]size.Size
+	jobs   map[string]*job
+	active map[string]*job
+	vms    map[string]*vm
+	used   map[string]size.Size
+	dirty  []*job
+	outbox []*workpb.Order
+}
+
+const (
+	// slowestRatePercent is the rate of the slowest VM's clock.
+	slowestRatePercent = 98
+	// leaseMarginMS is added when a lease is waited out.
+	leaseMarginMS = 200
+	// PredecessorMS is how long an owner may go on renewing the leases of runs after its own lease began.
+	PredecessorMS = 5000
+	// doubtMS is how long after an unanswered order it may still be executed.
+	doubtMS = 13000
+)
+
+// New returns a controller without jobs for an ownership's fencing token; runLeaseMS is the lease that runs are given.
+func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
+	return &Controller{
+		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
+		caps: map[string]size.Size{}, jobs: map[string]*job{}, active: map[string]*job{},
+		vms: map[string]*vm{}, used: map[string]size.Size{},
+	}
+}
+
+// SetRules takes up a version of the operators' rules.
+func (ct *Controller) SetRules(ix *rulesindex.Index) {
+	ct.rules = ix
+	clear(ct.caps)
+	for _, tm := range ix.Rules().GetTeams() {
+		ct.caps[tm.GetName()] = size.New(tm.GetCapCpuMilli(), tm.GetCapMemoryMb(), tm.GetCapAccelerators())
+	}
+}
+
+// Restore takes up a job with its stored progress, which is nil for a job that nothing was stored of.
+func (ct *Controller) Restore(row *workpb.Job, pg *workpb.Progress) {
+	if pg.GetState() == workpb.State_COMPLETED {
+		return
+	}
+	jb := ct.add(row)
+	if pg == nil {
+		return
+	}
+	jb.state = pg.GetState()
+	for _, tr := range pg.GetTasks() {
+		ct.restoreTask(jb, tr)
+	}
+	if jb.ended() {
+		ct.stopAll(jb)
+		delete(ct.active, row.GetId())
+	}
+}
+
+func (ct *Controller) restoreTask(jb *job, tr *workpb.Task) {
+	tk := jb.task(nameOf(jb, tr))
+	if tk == nil {
+		ct.lg.Info("stored-task-unknown", "job", jb.row.GetId(), "step", tr.GetStep(), "index", tr.GetIndex())
+		return
+	}
+	tk.run = tr.GetRun()
+	tk.failures = tr.GetFailures()
+	tk.checkpoint = tr.GetCheckpoint()
+	tk.st.failures = max(tk.st.failures, tr.GetFailures())
+	switch tr.GetPhase() {
+	case workpb.Phase_DONE:
+		tk.done = true
+		tk.st.done++
+	case workpb.Phase_INTENDED:
+		ct.reserve(ct.vmOf(tr.GetVm()), tk, phaseDoubtful).token = 0
+	case workpb.Phase_WAITING:
+	}
+}
+
+// Submit takes up an accepted job; a job that is known already stays as it is.
+func (ct *Controller) Submit(row *workpb.Job) {
+	if _, ok := ct.jobs[row.GetId()]; !ok {
+		ct.add(row)
+	}
+}
+
+func (ct *Controller) add(row *workpb.Job) *job {
+	jb := newJob(row)
+	ct.jobs[row.GetId()] = jb
+	ct.active[row.GetId()] = jb
+	jb.open(ct.ck.Now())
+	return jb
+}
+
+// Cancel ends a job whose cancellation is stored.
+func (ct *Controller) Cancel(id string) {
+	jb, ok := ct.jobs[id]
+	if !ok || jb.ended() {
+		return
+	}
+	ct.lg.Info("job-cancelled", "job", id)
+	ct.end(jb, workpb.State_CANCELLED)
+}
+
+func (ct *Controller) end(jb *job, st workpb.State) {
+	jb.state = st
+	ct.touch(jb)
+	ct.stopAll(jb)
+	delete(ct.active, jb.row.GetId())
+	if st == workpb.State_COMPLETED {
+		delete(ct.jobs, jb.row.GetId())
+	}
+}
+
+func (ct *Controller) stopAll(jb *job) {
+	jb.tasks(func(tk *task) {
+		if tk.cur != nil {
+			ct.stop(tk.cur)
+		}
+	})
+}
+
+// touch notes that a job's stored progress is out of date.
+func (ct *Controller) touch(jb *job) {
+	if !jb.dirty {
+		jb.dirty = true
+		ct.dirty = append(ct.dirty, jb)
+	}
+}
+
+func (ct *Controller) vmOf(id string) *vm {
+	if got, ok := ct.vms[id]; ok {
+		return got
+	}
+	got := newVM(id)
+	got.leaseUntilMS = ct.startedMS + PredecessorMS + ct.outwaitMS()
+	ct.vms[id] = got
+	return got
+}
+
+// outwaitMS is how long after a renewal everything on a VM has surely ended.
+func (ct *Controller) outwaitMS() int64 {
+	return ct.runLeaseMS*fullPercent/slowestRatePercent + leaseMarginMS
+}
+
+// reserve gives a task's present run room on a VM.
+func (ct *Controller) reserve(on *vm, tk *task, ph phase) *run {
+	rn := &run{
+		key: runKey{tk.name().String(), tk.run}, vm: on, task: tk, team: tk.job().row.GetTeam(),
+		need: tk.st.need(), demand: tk.st.demand(), phase: ph, token: ct.token, sinceMS: ct.ck.Now(), progressMS: ct.ck.Now(), paceSet: fullPercent,
+	}
+	tk.cur = rn
+	ct.hold(rn)
+	return rn
+}
+
+func (ct *Controller) hold(rn *run) {
+	rn.vm.runs[rn.key] = rn
+	rn.vm.used = rn.vm.used.Plus(rn.need)
+	ct.used[rn.team] = ct.used[rn.team].Plus(rn.demand)
+}
+
+// release gives the run's room back and detaches it from its task, which it returns.
+func (ct *Controller) release(rn *run) *task {
+	if _, ok := rn.vm.runs[rn.key]; !ok {
+		return nil
+	}
+	delete(rn.vm.runs, rn.key)
+	rn.vm.used = rn.vm.used.Minus(rn.need)
+	ct.used[rn.team] = ct.used[rn.team].Minus(rn.demand)
+	tk := rn.task
+	rn.task = nil
+	if tk == nil || tk.cur != rn {
+		return nil
+	}
+	tk.cur = nil
+	ct.touch(tk.job())
+	return tk
+}
+
+// stop asks for the end of a run; its room stays taken until the VM lists the end.
+func (ct *Controller) stop(rn *run) {
+	if rn.phase == phasePlanned {
+		return
+	}
+	rn.phase = phaseStopping
+	ct.sendStop(rn)
+}
+
+func (ct *Controller) sendStop(rn *run) {
+	if rn.vm.reg.GetAddress() == "" {
+		return
+	}
+	rn.stopSentMS = ct.ck.Now()
+	ct.outbox = append(ct.outbox, &workpb.Order{
+		Verb: workpb.Verb_STOP, Vm: rn.vm.id, Address: rn.vm.reg.GetAddress(), Task: rn.key.task, Run: rn.key.run, Token: ct.token,
+	})
+}
+
+// Outbox returns the orders that need nothing stored before they are sent, and empties the list.
+func (ct *Controller) Outbox() []*workpb.Order {
+	out := ct.outbox
+	ct.outbox = nil
+	return out
+}
+
+// Pending counts the jobs of each queue for which no task has started.
+func (ct *Controller) Pending() *workpb.Pending {
+	pd := &workpb.Pending{Waiting: map[string]int32{}}
+	for _, jb := range ct.active {
+		if jb.state == workpb.State_QUEUED {
+			pd.Waiting[jb.row.GetQueue()]++
+		}
+	}
+	return pd
+}
--- /dev/null
+++ b/internal/jobcontrol/end.go
@@ -0,0 +1,180 @@
+package jobcontrol
+
+import "github.com/fulmarloft/fulmarloft/internal/workpb"
+
+const (
+	// failedPauseMS is the pause before a failed task's next run, for each failure so far.
+	failedPauseMS = 100
+	// maxAvoided bounds the VMs that a task avoids.
+	maxAvoided = 3
+)
+
+// endRun takes up the end of a run: its room is free, and its task is done, failed or waits for its next run.
+func (ct *Controller) endRun(rn *run, how workpb.End, checkpoint string) {
+	tk := rn.task
+	if how == workpb.End_END_FAILED {
+		ct.suspect(rn)
+	}
+	if ct.release(rn) == nil {
+		return
+	}
+	if checkpoint != "" {
+		tk.checkpoint = checkpoint
+	}
+	if len(tk.avoid) > maxAvoided {
+		tk.avoid = tk.avoid[len(tk.avoid)-maxAvoided:]
+	}
+	jb := tk.job()
+	if jb.ended() {
+		return
+	}
+	switch how {
+	case workpb.End_END_DONE:
+		rn.vm.trust.Succeed()
+		ct.taskDone(tk)
+	case workpb.End_END_FAILED:
+		ct.taskFailed(tk)
+	default:
+		ct.lg.Info("run-ended", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "end", how.String())
+	}
+	if tk.st.row.GetGang() && how != workpb.End_END_DONE {
+		ct.breakGang(tk.st, rn.key.run)
+	}
+}
+
+func (ct *Controller) taskDone(tk *task) {
+	if tk.st.row.GetLasting() {
+		return
+	}
+	if tk.st.row.GetGang() {
+		for _, member := range tk.st.tasks {
+			ct.markDone(member)
+		}
+	} else {
+		ct.markDone(tk)
+	}
+	jb := tk.job()
+	if jb.complete() {
+		ct.lg.Info("job-completed", "job", jb.row.GetId(), "age-ms", ct.ck.Now()-jb.row.GetAcceptedMs())
+		ct.end(jb, workpb.State_COMPLETED)
+	}
+}
+
+func (ct *Controller) markDone(tk *task) {
+	if !tk.done {
+		tk.done = true
+		tk.st.done++
+	}
+}
+
+func (ct *Controller) taskFailed(tk *task) {
+	nowMS := ct.ck.Now()
+	st := tk.st
+	tk.notBeforeMS = nowMS + failedPauseMS*int64(tk.failures+1)
+	if st.row.GetLasting() {
+		return
+	}
+	if st.row.GetGang() {
+		if st.failedRun == tk.run {
+			return
+		}
+		st.failedRun = tk.run
+		st.failures++
+		for _, member := range st.tasks {
+			member.failures = st.failures
+		}
+	} else {
+		tk.failures++
+	}
+	jb := tk.job()
+	limit := ct.queueOf(jb).GetMaxAttempts()
+	if limit > 0 && tk.failures >= limit {
+		ct.lg.Info("job-failed", "job", jb.row.GetId(), "task", tk.name().String(), "failures", tk.failures)
+		ct.end(jb, workpb.State_FAILED)
+	}
+}
+
+// breakGang stops the other members of a gang's run.
+func (ct *Controller) breakGang(st *step, number int64) {
+	for _, member := range st.tasks {
+		if member.cur != nil && member.run == number && member.cur.phase != phaseStopping {
+			ct.stop(member.cur)
+		}
+	}
+}
+
+// queueOf returns the queue of a job, as it was at acceptance if it was removed since.
+func (ct *Controller) queueOf(jb *job) *workpb.Queue {
+	if ct.rules != nil {
+		if qu, ok := ct.rules.Queue(jb.row.GetQueue()); ok {
+			return qu
+		}
+	}
+	return jb.row.GetAcceptedUnder()
+}
+
+// Answered takes up what became of an order.
+func (ct *Controller) Answered(od *workpb.Order, vd workpb.Verdict) {
+	on, ok := ct.vms[od.GetVm()]
+	if !ok {
+		return
+	}
+	rn, ok := on.runs[runKey{od.GetTask(), od.GetRun()}]
+	if !ok {
+		return
+	}
+	switch od.GetVerb() {
+	case workpb.Verb_START:
+		ct.startAnswered(rn, vd)
+	case workpb.Verb_STOP:
+		if vd == workpb.Verdict_ACCEPTED {
+			rn.stoppedMS = ct.ck.Now()
+		}
+	case workpb.Verb_PACE:
+	}
+}
+
+func (ct *Controller) startAnswered(rn *run, vd workpb.Verdict) {
+	if vd == workpb.Verdict_IN_DOUBT {
+		ct.lg.Info("start-in-doubt", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run)
+		if rn.phase == phaseOrdered {
+			rn.phase = phaseDoubtful
+		}
+		return
+	}
+	if vd == workpb.Verdict_ACCEPTED {
+		if rn.phase == phaseOrdered {
+			rn.phase = phaseRunning
+			rn.sinceMS = ct.ck.Now()
+			rn.progressMS = rn.sinceMS
+			ct.began(rn)
+		}
+		return
+	}
+	ct.lg.Info("start-refused", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "verdict", vd.String())
+	ct.afterRefusal(rn, vd)
+}
+
+// afterRefusal handles a start that certainly wasn't and won't be executed.
+func (ct *Controller) afterRefusal(rn *run, vd workpb.Verdict) {
+	nowMS := ct.ck.Now()
+	on := rn.vm
+	switch vd {
+	case workpb.Verdict_LEASE_PASSED, workpb.Verdict_OTHER_VM:
+		on.synced = false
+		on.nextLookMS = nowMS
+	case workpb.Verdict_NOT_SENT:
+		on.silent = true
+		on.nextLookMS = min(on.nextLookMS, nowMS+lostLookMS)
+	case workpb.Verdict_OVERLOADED:
+		ct.suspect(rn)
+	case workpb.Verdict_NO_ROOM, workpb.Verdict_NO_TICKET, workpb.Verdict_MALFORMED:
+		if rn.task != nil {
+			rn.task.notBeforeMS = nowMS + failedPauseMS
+		}
+	default:
+	}
+	if rn.phase == phaseStopping || rn.phase == phaseOrdered {
+		ct.endRun(rn, workpb.End_END_STOPPED, "")
+	}
+}
--- /dev/null
+++ b/internal/jobcontrol/evacuate.go
@@ -0,0 +1,35 @@
+package jobcontrol
+
+// Cordon keeps new work from a VM, or admits it again.
+func (ct *Controller) Cordon(id string, cordoned bool) {
+	if on, ok := ct.vms[id]; ok {
+		on.cordoned = cordoned
+	}
+}
+
+// Load returns the runs on a VM; it is 0 for one that isn't known.
+func (ct *Controller) Load(id string) int {
+	on, ok := ct.vms[id]
+	if !ok {
+		return 0
+	}
+	return len(on.runs)
+}
+
+// Evacuate moves lasting tasks off a cordoned VM as their disruption budgets allow, lets the others end, and reports whether nothing runs there any more.
+func (ct *Controller) Evacuate(id string) bool {
+	on, ok := ct.vms[id]
+	if !ok || len(on.runs) == 0 {
+		return true
+	}
+	for _, rn := range on.runs {
+		if rn.phase != phaseRunning || !rn.lasting() {
+			continue
+		}
+		if !rn.task.atWork() || rn.task.st.unavailable(rn.task) < int(rn.task.st.row.GetDisruptionBudget()) {
+			ct.lg.Info("run-evacuated", "vm", id, "task", rn.key.task, "run", rn.key.run)
+			ct.stop(rn)
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/jobcontrol/job.go
@@ -0,0 +1,244 @@
+package jobcontrol
+
+import (
+	"slices"
+
+	"github.com/fulmarloft/fulmarloft/internal/intake"
+	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/taskname"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// job is one accepted job that hasn't ended, or whose runs haven't.
+type job struct {
+	row         *workpb.Job
+	state       workpb.State
+	occurrences []*occurrence
+	// tails holds for each step the longest chain of estimates from its start to the job's end, in milliseconds.
+	tails []int64
+	dirty bool
+}
+
+// occurrence is one time that a job's steps run.
+type occurrence struct {
+	jb     *job
+	number int
+	dueMS  int64
+	steps  []*step
+}
+
+type step struct {
+	oc       *occurrence
+	row      *workpb.Step
+	number   int
+	tasks    []*task
+	done     int
+	failures int32
+	// failedRun is the gang run whose failure was counted last.
+	failedRun int64
+}
+
+type task struct {
+	st          *step
+	index       int
+	done        bool
+	run         int64
+	failures    int32
+	checkpoint  string
+	notBeforeMS int64
+	cur         *run
+	avoid       []string
+}
+
+const (
+	stepEstimateFloorMS = 50
+	onceOnly            = 1
+)
+
+func newJob(row *workpb.Job) *job {
+	jb := &job{row: row, state: workpb.State_QUEUED}
+	jb.tails = tails(row.GetSteps())
+	return jb
+}
+
+// tails returns for each step the longest chain of estimates that begins with it.
+func tails(steps []*workpb.Step) []int64 {
+	out := make([]int64, len(steps))
+	for at := len(steps) - 1; at >= 0; at-- {
+		out[at] += max(steps[at].GetEstimateMs(), stepEstimateFloorMS)
+		for _, before := range steps[at].GetAfter() {
+			out[before] = max(out[before], out[at])
+		}
+	}
+	return out
+}
+
+// total returns how many occurrences the job has.
+func (jb *job) total() int { return max(int(jb.row.GetOccurrences()), onceOnly) }
+
+// timed reports whether the job's occurrences have a time.
+func (jb *job) timed() bool { return jb.row.GetOccurrences() > 0 }
+
+// dueMS returns when an occurrence may start.
+func (jb *job) dueMS(number int) int64 {
+	if !jb.timed() {
+		return jb.row.GetAcceptedMs()
+	}
+	return jb.row.GetFirstDueMs() + int64(number)*jb.row.GetPeriodMs()
+}
+
+// open creates the occurrences that are due, and those up to a number that has stored progress.
+func (jb *job) open(nowMS int64) {
+	for len(jb.occurrences) < jb.total() {
+		number := len(jb.occurrences)
+		if jb.timed() && jb.dueMS(number) > nowMS {
+			return
+		}
+		jb.add(number)
+	}
+}
+
+func (jb *job) add(number int) {
+	oc := &occurrence{jb: jb, number: number, dueMS: jb.dueMS(number)}
+	for at, row := range jb.row.GetSteps() {
+		st := &step{oc: oc, row: row, number: at}
+		for index := range int(row.GetCount()) {
+			st.tasks = append(st.tasks, &task{st: st, index: index})
+		}
+		oc.steps = append(oc.steps, st)
+	}
+	jb.occurrences = append(jb.occurrences, oc)
+}
+
+// task returns a task by its place, or nil if there is none.
+func (jb *job) task(nm taskname.Name) *task {
+	for nm.Occurrence() >= len(jb.occurrences) && len(jb.occurrences) < jb.total() {
+		jb.add(len(jb.occurrences))
+	}
+	if nm.Occurrence() >= len(jb.occurrences) || nm.Step() >= len(jb.row.GetSteps()) {
+		return nil
+	}
+	st := jb.occurrences[nm.Occurrence()].steps[nm.Step()]
+	if nm.Index() >= len(st.tasks) {
+		return nil
+	}
+	return st.tasks[nm.Index()]
+}
+
+// complete reports whether all tasks of all occurrences are done.
+func (jb *job) complete() bool {
+	if len(jb.occurrences) < jb.total() {
+		return false
+	}
+	for _, oc := range jb.occurrences {
+		for _, st := range oc.steps {
+			if st.done < len(st.tasks) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (jb *job) ended() bool { return intake.Final(jb.state) }
+
+// tasks calls fn with each task of the opened occurrences.
+func (jb *job) tasks(fn func(*task)) {
+	for _, oc := range jb.occurrences {
+		for _, st := range oc.steps {
+			for _, tk := range st.tasks {
+				fn(tk)
+			}
+		}
+	}
+}
+
+// progress returns what is stored of the job.
+func (jb *job) progress() *workpb.Progress {
+	pg := &workpb.Progress{Id: jb.row.GetId(), State: jb.state}
+	if jb.state == workpb.State_COMPLETED {
+		return pg
+	}
+	jb.tasks(func(tk *task) {
+		if row := tk.stored(); row != nil {
+			pg.Tasks = append(pg.Tasks, row)
+		}
+	})
+	return pg
+}
+
+// ready reports whether the tasks of the steps before are done.
+func (st *step) ready() bool {
+	for _, before := range st.row.GetAfter() {
+		if prev := st.oc.steps[before]; prev.done < len(prev.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// tailMS returns the longest chain of estimates from the step's start to the end of the job.
+func (st *step) tailMS() int64 { return st.oc.jb.tails[st.number] }
+
+// unavailable counts the tasks that aren't at work, leaving one out.
+func (st *step) unavailable(except *task) int {
+	count := 0
+	for _, tk := range st.tasks {
+		if tk != except && !tk.atWork() {
+			count++
+		}
+	}
+	return count
+}
+
+// need returns the room that one task of the step takes on a VM.
+func (st *step) need() size.Size {
+	if st.row.GetFills() {
+		return size.New(0, st.row.GetMemoryMb(), st.row.GetAccelerators())
+	}
+	return st.demand()
+}
+
+// demand returns what one task of the step takes of its team's cap.
+func (st *step) demand() size.Size {
+	return size.New(st.row.GetCpuMilli(), st.row.GetMemoryMb(), st.row.GetAccelerators())
+}
+
+func (tk *task) name() taskname.Name {
+	return taskname.New(tk.st.oc.jb.row.GetId(), tk.st.oc.number, tk.st.number, tk.index)
+}
+
+func (tk *task) job() *job { return tk.st.oc.jb }
+
+// waiting reports whether the task may be given a run.
+func (tk *task) waiting(nowMS int64) bool {
+	return !tk.done && tk.cur == nil && tk.notBeforeMS <= nowMS
+}
+
+// atWork reports whether a lasting task serves its users.
+func (tk *task) atWork() bool {
+	return tk.cur != nil && tk.cur.phase == phaseRunning && tk.cur.percent >= fullPercent
+}
+
+func (tk *task) stored() *workpb.Task {
+	if tk.run == 0 {
+		return nil
+	}
+	row := &workpb.Task{
+		Occurrence: int32(tk.st.oc.number), Step: int32(tk.st.number), Index: int32(tk.index),
+		Run: tk.run, Failures: tk.failures,
+	}
+	switch {
+	case tk.done:
+		row.Phase = workpb.Phase_DONE
+	case tk.cur != nil:
+		row.Phase = workpb.Phase_INTENDED
+		row.Vm = tk.cur.vm.id
+		row.Checkpoint = tk.checkpoint
+	default:
+		row.Checkpoint = tk.checkpoint
+	}
+	return row
+}
+
+func (tk *task) avoids(vm string) bool { return slices.Contains(tk.avoid, vm) }
--- /dev/null
+++ b/internal/jobcontrol/look.go
@@ -0,0 +1,298 @@
+package jobcontrol
+
+import (
+	"github.com/fulmarloft/fulmarloft/internal/taskname"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+const (
+	// busyLookMS is the pause between looks at a VM where something runs; ends that come together are then listed together.
+	busyLookMS = 120
+	// busyWaitMS is how long a VM waits for an end before it answers a look.
+	busyWaitMS = 600
+	// idleLookMS is the pause between looks at a VM where nothing runs.
+	idleLookMS = 1500
+	// lostLookMS is the pause before the next look at a VM that didn't answer.
+	lostLookMS = 300
+	// stopRetryMS is the pause between stops of a run that doesn't end.
+	stopRetryMS = 500
+	// stalledMS is how long a run may show no progress.
+	stalledMS = 3000
+)
+
+func nameOf(jb *job, tr *workpb.Task) taskname.Name {
+	return taskname.New(jb.row.GetId(), int(tr.GetOccurrence()), int(tr.GetStep()), int(tr.GetIndex()))
+}
+
+// SetVM takes up a VM's registration.
+func (ct *Controller) SetVM(reg *workpb.VM) {
+	on, known := ct.vms[reg.GetId()]
+	if !known {
+		on = newVM(reg.GetId())
+		on.leaseUntilMS = ct.startedMS + PredecessorMS + ct.outwaitMS()
+		ct.vms[reg.GetId()] = on
+	}
+	if on.bornMS != 0 && reg.GetBornMs() != 0 && reg.GetBornMs() > on.bornMS {
+		ct.newLife(on, reg.GetBornMs())
+	}
+	if !on.registered || on.reg.GetDraining() != reg.GetDraining() {
+		ct.lg.Info("vm-registered", "vm", reg.GetId(), "service", reg.GetService(), "draining", reg.GetDraining())
+	}
+	on.reg = reg
+	on.registered = true
+}
+
+// DropVM takes up that a VM isn't registered any more.
+func (ct *Controller) DropVM(id string) {
+	if on, ok := ct.vms[id]; ok && on.registered {
+		ct.lg.Info("vm-unregistered", "vm", id, "runs", len(on.runs))
+		on.registered = false
+	}
+}
+
+// newLife takes up that a VM started anew: nothing of its earlier life runs, its counts begin at 0 and no order of before may still count.
+func (ct *Controller) newLife(on *vm, bornMS int64) {
+	ct.lg.Info("vm-restarted", "vm", on.id, "born", bornMS, "runs", len(on.runs))
+	on.bornMS = bornMS
+	on.processed, on.stored = 0, 0
+	on.synced = false
+	on.pace = fullPercent
+	ct.loseRuns(on)
+}
+
+// loseRuns ends all runs of a VM whose life or leases have ended, but for orders that may yet be executed in its next life.
+func (ct *Controller) loseRuns(on *vm) {
+	nowMS := ct.ck.Now()
+	for _, rn := range on.runs {
+		if rn.phase == phasePlanned {
+			continue
+		}
+		unanswered := rn.phase == phaseOrdered || rn.phase == phaseDoubtful
+		if unanswered && rn.token == ct.token && nowMS-rn.sinceMS < doubtMS && on.registered {
+			rn.phase = phaseStopping
+			rn.stoppedMS = 0
+			continue
+		}
+		ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
+	}
+}
+
+// VMs returns the ids of all VMs in the ledger.
+func (ct *Controller) VMs() []string {
+	ids := make([]string, 0, len(ct.vms))
+	for id := range ct.vms {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// NextLook returns the look that is due at a VM, or nil.
+func (ct *Controller) NextLook(id string) *workpb.LookRequest {
+	on, ok := ct.vms[id]
+	nowMS := ct.ck.Now()
+	if !ok || on.looking || on.reg.GetAddress() == "" || nowMS < on.nextLookMS {
+		return nil
+	}
+	if !on.registered && len(on.runs) == 0 {
+		return nil
+	}
+	on.looking = true
+	req := &workpb.LookRequest{Vm: id, Address: on.reg.GetAddress(), Token: ct.token, Acknowledged: on.stored}
+	if on.synced {
+		req.LeaseUntilMs = ct.lease(on)
+	}
+	if on.synced && len(on.runs) > 0 && on.stored == on.processed && !on.mixed() {
+		req.WaitMs = busyWaitMS
+	}
+	return req
+}
+
+// mixed reports whether filling and serving tasks share the VM, so that the tails must be watched.
+func (vm *vm) mixed() bool { return vm.serving() && vm.filled() }
+
+// lease returns a deadline on the VM's clock for a renewal that is sent now.
+func (ct *Controller) lease(on *vm) int64 {
+	nowMS := ct.ck.Now()
+	on.leaseUntilMS = max(on.leaseUntilMS, nowMS+ct.outwaitMS())
+	return on.clock(nowMS) + ct.runLeaseMS
+}
+
+// Looked takes up the answer to a look that was sent at sentMS.
+func (ct *Controller) Looked(id string, sentMS int64, lk *workpb.Look, vd workpb.Verdict) {
+	on, ok := ct.vms[id]
+	if !ok {
+		return
+	}
+	on.looking = false
+	nowMS := ct.ck.Now()
+	if vd != workpb.Verdict_ACCEPTED {
+		ct.lookFailed(on, vd)
+		return
+	}
+	if on.silent {
+		ct.lg.Info("vm-answers", "vm", id)
+	}
+	on.silent = false
+	on.answeredMS = nowMS
+	if lk.GetBornMs() != 0 && lk.GetBornMs() != on.bornMS {
+		if on.bornMS != 0 {
+			ct.newLife(on, lk.GetBornMs())
+		}
+		on.bornMS = lk.GetBornMs()
+	}
+	on.clockMS, on.clockAtMS = lk.GetClockMs(), nowMS
+	listed := ct.takeRunning(on, lk.GetRunning())
+	ct.takeEnded(on, lk.GetEnded(), listed)
+	ct.review(on, sentMS, listed)
+	on.synced = true
+	ct.pace(on)
+	on.nextLookMS = nowMS + ct.lookPause(on)
+}
+
+func (ct *Controller) lookPause(on *vm) int64 {
+	switch {
+	case on.mixed():
+		return mixedLookMS
+	case len(on.runs) > 0 || on.processed > on.stored:
+		return busyLookMS
+	default:
+		return idleLookMS
+	}
+}
+
+func (ct *Controller) lookFailed(on *vm, vd workpb.Verdict) {
+	if !on.silent {
+		ct.lg.Info("vm-silent", "vm", on.id, "verdict", vd.String(), "runs", len(on.runs))
+	}
+	on.silent = true
+	on.nextLookMS = ct.ck.Now() + lostLookMS
+	if vd == workpb.Verdict_OTHER_VM {
+		// Another VM has the address, so the one that was meant has ended.
+		on.synced = false
+		ct.loseRuns(on)
+	}
+}
+
+// takeRunning takes up the list of runs and returns their keys.
+func (ct *Controller) takeRunning(on *vm, list []*workpb.RunningRun) map[runKey]bool {
+	listed := make(map[runKey]bool, len(list))
+	nowMS := ct.ck.Now()
+	for _, row := range list {
+		key := runKey{row.GetTask(), row.GetRun()}
+		listed[key] = true
+		rn, ok := on.runs[key]
+		if !ok {
+			rn = ct.adopt(on, key)
+		}
+		if rn.phase == phaseOrdered || rn.phase == phaseDoubtful {
+			rn.phase = phaseRunning
+			rn.progressMS = nowMS
+			ct.began(rn)
+		}
+		if row.GetPercent() != rn.percent {
+			rn.progressMS = nowMS
+		}
+		rn.percent, rn.gauge = row.GetPercent(), row.GetGauge()
+		if rn.task != nil && row.GetCheckpoint() != "" {
+			rn.task.checkpoint = row.GetCheckpoint()
+		}
+	}
+	return listed
+}
+
+// adopt takes a run into the ledger that nobody here asked for, to be stopped.
+func (ct *Controller) adopt(on *vm, key runKey) *run {
+	rn := &run{key: key, vm: on, phase: phaseStopping, token: ct.token, sinceMS: ct.ck.Now(), need: on.free(), progressMS: ct.ck.Now()}
+	if nm, err := taskname.Parse(key.task); err == nil {
+		if jb, ok := ct.jobs[nm.Job()]; ok {
+			if tk := jb.task(nm); tk != nil {
+				rn.need, rn.demand, rn.team = tk.st.need(), tk.st.demand(), jb.row.GetTeam()
+			}
+		}
+	}
+	ct.lg.Info("run-unknown", "vm", on.id, "task", key.task, "run", key.run)
+	ct.hold(rn)
+	ct.sendStop(rn)
+	return rn
+}
+
+// began notes that a task of the job has started.
+func (ct *Controller) began(rn *run) {
+	if rn.task == nil {
+		return
+	}
+	jb := rn.task.job()
+	if jb.state == workpb.State_QUEUED {
+		jb.state = workpb.State_RUNNING
+		ct.touch(jb)
+	}
+}
+
+func (ct *Controller) takeEnded(on *vm, list []*workpb.EndedRun, listed map[runKey]bool) {
+	for _, row := range list {
+		if row.GetNumber() <= on.processed {
+			continue
+		}
+		on.processed = row.GetNumber()
+		key := runKey{row.GetTask(), row.GetRun()}
+		delete(listed, key)
+		if rn, ok := on.runs[key]; ok {
+			ct.endRun(rn, row.GetEnd(), row.GetCheckpoint())
+		}
+	}
+}
+
+// review looks after the runs of the ledger that the VM doesn't list, that stall or that don't stop.
+func (ct *Controller) review(on *vm, sentMS int64, listed map[runKey]bool) {
+	nowMS := ct.ck.Now()
+	for key, rn := range on.runs {
+		switch {
+		case listed[key]:
+			ct.reviewListed(rn, nowMS)
+		case rn.phase == phaseRunning && rn.sinceMS < sentMS:
+			ct.lg.Info("run-vanished", "vm", on.id, "task", key.task, "run", key.run)
+			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
+		case rn.phase == phaseDoubtful && rn.token < ct.token:
+			// The VM has seen this owner's token, so an earlier owner's order can't be executed any more.
+			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
+		case rn.phase == phaseDoubtful:
+			ct.stop(rn)
+		case rn.phase == phaseStopping && rn.stoppedMS > 0 && rn.stoppedMS < sentMS:
+			ct.endRun(rn, workpb.End_END_STOPPED, "")
+		case rn.phase == phaseStopping && nowMS-rn.stopSentMS >= stopRetryMS:
+			ct.sendStop(rn)
+		}
+	}
+}
+
+func (ct *Controller) reviewListed(rn *run, nowMS int64) {
+	switch {
+	case rn.phase == phaseStopping && nowMS-rn.stopSentMS >= stopRetryMS:
+		ct.sendStop(rn)
+	case rn.phase == phaseRunning && ct.stalled(rn, nowMS):
+		ct.lg.Info("run-stalled", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "percent", rn.percent)
+		ct.suspect(rn)
+		ct.stop(rn)
+	}
+}
+
+// stalled reports whether a run shows no progress though nothing holds it back.
+func (ct *Controller) stalled(rn *run, nowMS int64) bool {
+	if rn.task == nil || rn.task.st.row.GetGang() || rn.fills() {
+		return false
+	}
+	if rn.percent >= fullPercent {
+		return false
+	}
+	return nowMS-rn.progressMS > max(stalledMS, rn.task.st.row.GetEstimateMs())
+}
+
+func (ct *Controller) suspect(rn *run) {
+	if rn.task == nil {
+		return
+	}
+	rn.task.avoid = append(rn.task.avoid, rn.vm.id)
+	if rn.vm.trust.Fail(ct.ck.Now(), rn.task.job().row.GetId()) {
+		ct.lg.Info("vm-suspected", "vm", rn.vm.id)
+	}
+}
--- /dev/null
+++ b/internal/jobcontrol/vm.go
@@ -0,0 +1,145 @@
+package jobcontrol
+
+import (
+	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/suspicion"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// vm is the ledger of one VM: what it offers and all that may run there.
+type vm struct {
+	id  string
+	reg *workpb.VM
+	// registered is false for a VM that isn't or is no longer in the registry.
+	registered bool
+	// synced is true once its lists were seen under this owner's token in its present life.
+	synced bool
+	bornMS int64
+	// clockMS is the VM's clock when it answered at clockAtMS of our clock.
+	clockMS   int64
+	clockAtMS int64
+	runs      map[runKey]*run
+	used      size.Size
+	// processed is the highest end that was taken up, stored the highest whose effect is stored.
+	processed int64
+	stored    int64
+	// leaseUntilMS is when everything there has surely ended unless a lease is renewed.
+	leaseUntilMS int64
+	answeredMS   int64
+	looking      bool
+	nextLookMS   int64
+	silent       bool
+	cordoned     bool
+	reserved     bool
+	trust        *suspicion.Suspicion
+	pace         int64
+}
+
+type runKey struct {
+	task string
+	run  int64
+}
+
+type phase int
+
+const (
+	// phasePlanned: the intent isn't stored yet.
+	phasePlanned phase = iota
+	// phaseOrdered: the start was sent.
+	phaseOrdered
+	// phaseRunning: the VM has confirmed the run.
+	phaseRunning
+	// phaseDoubtful: the start may have been executed or may yet be.
+	phaseDoubtful
+	// phaseStopping: a stop is wanted.
+	phaseStopping
+)
+
+const fullPercent = 100
+
+// run is something that runs or may run on a VM and takes room there.
+type run struct {
+	key runKey
+	vm  *vm
+	// task is nil for a run that belongs to no task any more.
+	task       *task
+	team       string
+	need       size.Size
+	demand     size.Size
+	phase      phase
+	token      int64
+	sinceMS    int64
+	percent    int64
+	progressMS int64
+	gauge      int64
+	// paceSet is the pace that the VM was told last, in percent.
+	paceSet    int64
+	stopSentMS int64
+	stoppedMS  int64
+}
+
+func newVM(id string) *vm {
+	return &vm{id: id, reg: &workpb.VM{Id: id}, runs: map[runKey]*run{}, trust: suspicion.New(), pace: fullPercent}
+}
+
+func (vm *vm) capacity() size.Size {
+	return size.New(vm.reg.GetCpuMilli(), vm.reg.GetMemoryMb(), vm.reg.GetAccelerators())
+}
+
+func (vm *vm) free() size.Size { return vm.capacity().Minus(vm.used) }
+
+// usable reports whether new work may be placed on the VM.
+func (vm *vm) usable(nowMS int64) bool {
+	return vm.registered && vm.synced && !vm.silent && !vm.cordoned && !vm.reg.GetDraining() && vm.trust.Usable(nowMS)
+}
+
+// clock returns a lower bound of the VM's clock; its rate may be 2% slow.
+func (vm *vm) clock(nowMS int64) int64 {
+	return vm.clockMS + (nowMS-vm.clockAtMS)*slowestRatePercent/fullPercent
+}
+
+func (vm *vm) hasLabel(label string) bool {
+	for _, lb := range vm.reg.GetLabels() {
+		if lb == label {
+			return true
+		}
+	}
+	return false
+}
+
+// ofStep counts the runs of a step on the VM.
+func (vm *vm) ofStep(st *step) int {
+	count := 0
+	for _, rn := range vm.runs {
+		if rn.task != nil && rn.task.st == st {
+			count++
+		}
+	}
+	return count
+}
+
+// serving reports whether a task with a tail target runs on the VM.
+func (vm *vm) serving() bool {
+	for _, rn := range vm.runs {
+		if rn.serves() {
+			return true
+		}
+	}
+	return false
+}
+
+// filled reports whether a task runs on the VM that uses what others leave.
+func (vm *vm) filled() bool {
+	for _, rn := range vm.runs {
+		if rn.fills() {
+			return true
+		}
+	}
+	return false
+}
+
+func (rn *run) serves() bool { return rn.task != nil && rn.task.st.row.GetTailTargetMs() > 0 }
+
+func (rn *run) fills() bool { return rn.task != nil && rn.task.st.row.GetFills() }
+
+func (rn *run) lasting() bool { return rn.task != nil && rn.task.st.row.GetLasting() }
--- /dev/null
+++ b/internal/jobrunner/change.go
@@ -0,0 +1,54 @@
+package jobrunner
+
+import (
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarloft/fulmarloft/internal/intake"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+const upkeepTable = "upkeep"
+
+// change is what one commit stores, encoded once so that each try stores the same.
+type change struct {
+	rows []rowstore.Row
+}
+
+func newChange(progress []*workpb.Progress, counts *workpb.Pending, upkeeps []*workpb.Upkeep) (*change, error) {
+	ch := &change{}
+	for _, pg := range progress {
+		if err := ch.add(intake.ProgressTable, pg.GetId(), pg); err != nil {
+			return nil, err
+		}
+	}
+	for _, row := range upkeeps {
+		if err := ch.add(upkeepTable, strconv.FormatInt(row.GetWave(), 10), row); err != nil {
+			return nil, err
+		}
+	}
+	if counts != nil {
+		if err := ch.add(PendingTable, PendingKey, counts); err != nil {
+			return nil, err
+		}
+	}
+	return ch, nil
+}
+
+func (ch *change) add(table, key string, msg proto.Message) error {
+	raw, err := proto.Marshal(msg)
+	if err != nil {
+		return code.Internal.Wrap(err)
+	}
+	ch.rows = append(ch.rows, rowstore.NewRow(table, "", key, raw, 0))
+	return nil
+}
+
+func (ch *change) fill(tx *rowstore.Tx) {
+	for _, rw := range ch.rows {
+		tx.Put(rw.Table(), rw.Key(), rw.Value())
+	}
+}
--- /dev/null
+++ b/internal/jobrunner/follow.go
@@ -0,0 +1,184 @@
+package jobrunner
+
+import (
+	"context"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarloft/fulmarloft/internal/intake"
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+const (
+	// feedWaitMS is how long a feed waits for a change; a silent connection is noticed soon after.
+	feedWaitMS = 1500
+	// feedRetryMS is the pause after a feed failed.
+	feedRetryMS = 100
+	// registryPart is the partition of the registrations.
+	registryPart = ""
+)
+
+// restore reads all that is stored and begins to follow the changes.
+func (rn *Runner) restore(ctx context.Context) error {
+	jobs, since, err := rn.readJobs(ctx)
+	if err != nil {
+		return err
+	}
+	stored, _, err := rn.ln.Store.ReadAll(ctx, intake.ProgressTable, ownership.Part)
+	if err != nil {
+		return err
+	}
+	progress := map[string]*workpb.Progress{}
+	for _, rw := range stored {
+		pg := &workpb.Progress{}
+		if err := proto.Unmarshal(rw.Value(), pg); err != nil {
+			rn.lg.Fail("progress-unreadable", err, "job", rw.Key())
+			continue
+		}
+		progress[rw.Key()] = pg
+	}
+	if err := rn.wv.restore(ctx); err != nil {
+		return err
+	}
+	rn.takeJobs(jobs, progress)
+	registered, registrySince, err := rn.ln.Store.ReadAll(ctx, rn.ln.RegistryTable, registryPart)
+	if err != nil {
+		return err
+	}
+	rn.takeRegistry(registered, true)
+	go rn.follow(ctx, intake.JobsTable, since, rn.readJobs, func(list []rowstore.Row, _ bool) { rn.takeJobs(list, nil) })
+	go rn.follow(ctx, rn.ln.RegistryTable, registrySince, rn.readRegistry, rn.takeRegistry)
+	return nil
+}
+
+func (rn *Runner) readRegistry(ctx context.Context) ([]rowstore.Row, int64, error) {
+	return rn.ln.Store.ReadAll(ctx, rn.ln.RegistryTable, registryPart)
+}
+
+// readJobs reads the jobs of all partitions at once and returns the version from which to follow.
+func (rn *Runner) readJobs(ctx context.Context) ([]rowstore.Row, int64, error) {
+	parts, err := rn.ln.Store.Parts(ctx, intake.JobsTable)
+	if err != nil {
+		return nil, 0, err
+	}
+	var (
+		wg    sync.WaitGroup
+		mu    sync.Mutex
+		all   []rowstore.Row
+		since int64
+		first error
+	)
+	for _, part := range parts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			list, version, err := rn.ln.Store.ReadAll(ctx, intake.JobsTable, part)
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, list...)
+			if since == 0 || version < since {
+				since = version
+			}
+			if err != nil {
+				first = err
+			}
+		}()
+	}
+	wg.Wait()
+	return all, since, first
+}
+
+// follow posts the changes of a table, and all of its rows again after a gap in its history.
+func (rn *Runner) follow(ctx context.Context, table string, after int64, read func(context.Context) ([]rowstore.Row, int64, error), take func([]rowstore.Row, bool)) {
+	failing := false
+	for ctx.Err() == nil {
+		pg, err := rn.ln.Store.Feed(ctx, table, after, feedWaitMS)
+		list, whole, version := pg.Rows(), false, pg.Version()
+		if code.Of(err) == code.HistoryLost {
+			rn.lg.Info("history-lost", "table", table, "after", after)
+			list, version, err = read(ctx)
+			whole = true
+		}
+		if err != nil {
+			rn.noteFeed(&failing, table, err)
+			_ = rn.ck.Sleep(ctx, feedRetryMS)
+			continue
+		}
+		rn.noteFeed(&failing, table, nil)
+		after = max(after, version)
+		if len(list) > 0 || whole {
+			rn.post(ctx, func() { take(list, whole) })
+		}
+	}
+}
+
+// noteFeed writes one line when a feed fails first and one when it works again.
+func (rn *Runner) noteFeed(failing *bool, table string, err error) {
+	switch {
+	case err != nil && !*failing:
+		rn.lg.Fail("feed-lost", err, "table", table)
+	case err == nil && *failing:
+		rn.lg.Info("feed-regained", "table", table)
+	}
+	*failing = err != nil
+}
+
+func (rn *Runner) takeJobs(list []rowstore.Row, progress map[string]*workpb.Progress) {
+	var cancelled []string
+	for _, rw := range list {
+		if rw.Deleted() {
+			continue
+		}
+		if id, ok := intake.CancelledID(rw.Key()); ok {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		jb := &workpb.Job{}
+		if err := proto.Unmarshal(rw.Value(), jb); err != nil {
+			rn.lg.Fail("job-unreadable", err, "job", rw.Key())
+			continue
+		}
+		if jb.GetRefused() {
+			continue
+		}
+		if progress != nil {
+			rn.ct.Restore(jb, progress[jb.GetId()])
+			continue
+		}
+		rn.ct.Submit(jb)
+	}
+	for _, id := range cancelled {
+		rn.ct.Cancel(id)
+	}
+}
+
+// takeRegistry takes up registrations; a whole list also tells which VMs have gone.
+func (rn *Runner) takeRegistry(list []rowstore.Row, whole bool) {
+	known := map[string]bool{}
+	for _, rw := range list {
+		if rw.Deleted() {
+			rn.ct.DropVM(rw.Key())
+			continue
+		}
+		vm, err := rn.ln.DecodeVM(rw.Key(), rw.Value())
+		if err != nil {
+			rn.lg.Fail("registration-ignored", err, "vm", rw.Key())
+			rn.ct.DropVM(rw.Key())
+			continue
+		}
+		known[rw.Key()] = true
+		rn.ct.SetVM(vm)
+	}
+	if !whole {
+		return
+	}
+	for _, id := range rn.ct.VMs() {
+		if !known[id] {
+			rn.ct.DropVM(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobrunner/jobrunner.go
@@ -0,0 +1,233 @@
+package jobrunner
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/jobcontrol"
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+// Links are the calls that a runner makes; an adapter sets them.
+type Links struct {
+	Store *rowstore.Store
+	// Order sends an order to a VM, Look renews the leases there and reads its lists.
+	Order func(ctx context.Context, od *workpb.Order) workpb.Verdict
+	Look  func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict)
+	// DecodeVM decodes a row of the table RegistryTable.
+	RegistryTable string
+	DecodeVM      func(id string, raw []byte) (*workpb.VM, error)
+	// Machines lists the machines, Maintain orders the maintenance of one under a fencing token.
+	Machines func(ctx context.Context) ([]*workpb.Machine, error)
+	Maintain func(ctx context.Context, machine string, wave, token int64) error
+	// WaveStatus tells the operators how far a wave has come.
+	WaveStatus func(ctx context.Context, wave int64, completed bool) error
+	// Rules returns the rules in force, nil before the first ones were read; Waves returns all waves.
+	Rules func() *rulesindex.Index
+	Waves func() []*workpb.Wave
+}
+
+// Runner runs one ownership.
+type Runner struct {
+	ln *Links
+	ck *clock.Clock
+	lg *event.Log
+	ow *ownership.Ownership
+	// machineTurnMS is how long operations on a machine by two owners must lie apart.
+	machineTurnMS int64
+
+	ct      *jobcontrol.Controller
+	events  chan func()
+	outbox  map[string]*mailbox
+	startMS int64
+
+	committing   bool
+	lastCommitMS int64
+	lastPlanMS   int64
+	dirtyEvent   bool
+	lost         bool
+	rules        *rulesindex.Index
+	pendingMS    int64
+	wv           *waves
+}
+
+const (
+	eventBuffer = 4096
+	// planGapMS bounds how often decisions are made and stored; ends and jobs that come together share a commit.
+	planGapMS = 15
+	// tickMS is how often looks and time-outs are checked without an event.
+	tickMS = 30
+	// renewMS is the longest pause between commits; the lease is renewed with each.
+	renewMS = 600
+	// pendingGapMS is how often the counts of waiting jobs are stored.
+	pendingGapMS = 600
+	// retryMS is the pause before a commit that failed is repeated.
+	retryMS = 50
+)
+
+// Names of the row that holds the counts of waiting jobs.
+const (
+	PendingTable = "pending"
+	PendingPart  = ownership.Part
+	PendingKey   = "counts"
+)
+
+// New returns the runner of an ownership that was just taken; runLeaseMS is the lease that runs are given.
+func New(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, runLeaseMS, machineTurnMS int64) *Runner {
+	rn := &Runner{
+		ln: ln, ck: ck, lg: lg, ow: ow, machineTurnMS: machineTurnMS,
+		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
+		events: make(chan func(), eventBuffer), outbox: map[string]*mailbox{},
+		startMS: ck.Now(), lastCommitMS: ck.Now(), dirtyEvent: true,
+	}
+	rn.wv = newWaves(rn)
+	return rn
+}
+
+// Run schedules until the context ends or another entry has become the owner.
+func (rn *Runner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := rn.restore(ctx); err != nil {
+		return err
+	}
+	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.ck.Now()-rn.startMS)
+	tick := time.NewTicker(tickMS * time.Millisecond)
+	defer tick.Stop()
+	for !rn.lost {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case fn := <-rn.events:
+			fn()
+			rn.drainEvents()
+		case <-tick.C:
+		}
+		rn.step(ctx)
+	}
+	return code.LeaseLapsed.New("another entry schedules now")
+}
+
+func (rn *Runner) drainEvents() {
+	for {
+		select {
+		case fn := <-rn.events:
+			fn()
+		default:
+			rn.dirtyEvent = true
+			return
+		}
+	}
+}
+
+// post runs fn on the runner's goroutine.
+func (rn *Runner) post(ctx context.Context, fn func()) {
+	select {
+	case rn.events <- fn:
+	case <-ctx.Done():
+	}
+}
+
+func (rn *Runner) step(ctx context.Context) {
+	if ix := rn.ln.Rules(); ix != rn.rules && ix != nil {
+		rn.rules = ix
+		rn.ct.SetRules(ix)
+	}
+	rn.look(ctx)
+	rn.wv.step(ctx)
+	rn.plan(ctx)
+	rn.send(ctx, rn.ct.Outbox())
+}
+
+// look starts the looks that are due. An owner that can't renew its lease stops them in time for a successor to know when all leases have run out.
+func (rn *Runner) look(ctx context.Context) {
+	if rn.ow.SilentMS() > jobcontrol.PredecessorMS {
+		return
+	}
+	for _, id := range rn.ct.VMs() {
+		if req := rn.ct.NextLook(id); req != nil {
+			go rn.lookAt(ctx, req)
+		}
+	}
+}
+
+func (rn *Runner) lookAt(ctx context.Context, req *workpb.LookRequest) {
+	sentMS := rn.ck.Now()
+	lk, vd := rn.ln.Look(ctx, req)
+	rn.post(ctx, func() {
+		if vd == workpb.Verdict_FENCED {
+			rn.lg.Info("vm-fenced", "vm", req.GetVm(), "token", req.GetToken())
+			rn.lost = true
+			return
+		}
+		rn.ct.Looked(req.GetVm(), sentMS, lk, vd)
+	})
+}
+
+// plan decides and stores; one commit is under way at a time.
+func (rn *Runner) plan(ctx context.Context) {
+	nowMS := rn.ck.Now()
+	if rn.committing || nowMS-rn.lastPlanMS < planGapMS {
+		return
+	}
+	renew := nowMS-rn.lastCommitMS >= renewMS
+	if !rn.dirtyEvent && !renew {
+		return
+	}
+	rn.dirtyEvent = false
+	rn.lastPlanMS = nowMS
+	bt := rn.ct.Plan(rn.ow.Held())
+	counts := rn.pendingCounts(nowMS)
+	upkeeps := rn.wv.unstored()
+	if bt.Empty() && !renew && len(upkeeps) == 0 && counts == nil {
+		return
+	}
+	if len(bt.Rows()) == 0 && !renew && len(upkeeps) == 0 && counts == nil {
+		rn.send(ctx, rn.ct.Stored(bt))
+		return
+	}
+	rn.committing = true
+	rn.lastCommitMS = nowMS
+	go rn.commit(ctx, bt, counts, upkeeps)
+}
+
+// pendingCounts returns the counts of waiting jobs when they are due to be stored, or nil.
+func (rn *Runner) pendingCounts(nowMS int64) *workpb.Pending {
+	if nowMS-rn.pendingMS < pendingGapMS {
+		return nil
+	}
+	rn.pendingMS = nowMS
+	return rn.ct.Pending()
+}
+
+func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, counts *workpb.Pending, upkeeps []*workpb.Upkeep) {
+	ch, err := newChange(bt.Rows(), counts, upkeeps)
+	for err == nil {
+		err = rn.ow.Commit(ctx, ch.fill)
+		if err == nil {
+			break
+		}
+		if code.Of(err) == code.LeaseLapsed || ctx.Err() != nil {
+			break
+		}
+		rn.lg.Fail("commit-failed", err, "rows", len(bt.Rows()), "silent-ms", rn.ow.SilentMS())
+		err = rn.ck.Sleep(ctx, retryMS)
+	}
+	rn.post(ctx, func() {
+		rn.committing = false
+		rn.dirtyEvent = true
+		if err != nil {
+			rn.lg.Fail("scheduling-lost", err, "token", rn.ow.Token())
+			rn.lost = true
+			return
+		}
+		rn.wv.stored(ctx, upkeeps)
+		rn.send(ctx, rn.ct.Stored(bt))
+	})
+}
--- /dev/null
+++ b/internal/jobrunner/mailbox.go
@@ -0,0 +1,85 @@
+package jobrunner
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// mailbox sends one VM its orders, one after the other over one connection.
+type mailbox struct {
+	rn *Runner
+
+	mu      sync.Mutex
+	waiting []*workpb.Order
+	busy    bool
+}
+
+// send hands orders to the mailboxes of their VMs.
+func (rn *Runner) send(ctx context.Context, orders []*workpb.Order) {
+	for _, od := range orders {
+		mb, ok := rn.outbox[od.GetVm()]
+		if !ok {
+			mb = &mailbox{rn: rn}
+			rn.outbox[od.GetVm()] = mb
+		}
+		mb.add(ctx, od)
+	}
+}
+
+func (mb *mailbox) add(ctx context.Context, od *workpb.Order) {
+	mb.mu.Lock()
+	defer mb.mu.Unlock()
+	mb.waiting = append(mb.waiting, od)
+	if !mb.busy {
+		mb.busy = true
+		go mb.run(ctx)
+	}
+}
+
+func (mb *mailbox) run(ctx context.Context) {
+	failed := false
+	for {
+		od := mb.next()
+		if od == nil {
+			return
+		}
+		vd := workpb.Verdict_NOT_SENT
+		if !failed || od.GetVerb() != workpb.Verb_START {
+			vd = mb.rn.order(ctx, od)
+		}
+		failed = vd == workpb.Verdict_NOT_SENT || vd == workpb.Verdict_IN_DOUBT
+		mb.rn.post(ctx, func() { mb.rn.answered(od, vd) })
+	}
+}
+
+func (mb *mailbox) next() *workpb.Order {
+	mb.mu.Lock()
+	defer mb.mu.Unlock()
+	if len(mb.waiting) == 0 {
+		mb.waiting = nil
+		mb.busy = false
+		return nil
+	}
+	od := mb.waiting[0]
+	mb.waiting = mb.waiting[1:]
+	return od
+}
+
+// order sends an order unless the lease that covers it has lapsed.
+func (rn *Runner) order(ctx context.Context, od *workpb.Order) workpb.Verdict {
+	if od.GetVerb() == workpb.Verb_START && !rn.ow.Held() {
+		return workpb.Verdict_NOT_SENT
+	}
+	return rn.ln.Order(ctx, od)
+}
+
+func (rn *Runner) answered(od *workpb.Order, vd workpb.Verdict) {
+	if vd == workpb.Verdict_FENCED {
+		rn.lg.Info("vm-fenced", "vm", od.GetVm(), "token", od.GetToken())
+		rn.lost = true
+		return
+	}
+	rn.ct.Answered(od, vd)
+}
--- /dev/null
+++ b/internal/jobrunner/schedule.go
@@ -0,0 +1,64 @@
+package jobrunner
+
+import (
+	"context"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
+)
+
+// Schedule takes the ownership of scheduling whenever it is free and runs it.
+type Schedule struct {
+	ln            *Links
+	ck            *clock.Clock
+	lg            *event.Log
+	ow            *ownership.Ownership
+	runLeaseMS    int64
+	machineTurnMS int64
+}
+
+const (
+	// pollMS is how often an entry that doesn't own scheduling looks at the ownership.
+	pollMS = 400
+	// runLeaseMS is the lease of runs: longer than an owner's loss and its successor's start take, short enough to restart soon what a lost VM ran.
+	runLeaseMS = 5000
+	// releaseMS bounds the wait for the release at the end.
+	releaseMS = 1500
+)
+
+// NewSchedule returns the schedule of an entry; longestLeaseMS is the longest lease that VMs grant.
+func NewSchedule(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, longestLeaseMS, machineTurnMS int64) *Schedule {
+	lease := int64(runLeaseMS)
+	if longestLeaseMS > 0 {
+		lease = min(lease, longestLeaseMS)
+	}
+	return &Schedule{ln: ln, ck: ck, lg: lg, ow: ow, runLeaseMS: lease, machineTurnMS: machineTurnMS}
+}
+
+// Run polls, and schedules while this entry is the owner, until the context ends; then it releases the ownership.
+func (sc *Schedule) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		owned, err := sc.ow.Poll(ctx)
+		if err == nil && owned {
+			sc.schedule(ctx)
+			continue
+		}
+		_ = sc.ck.Sleep(ctx, pollMS)
+	}
+}
+
+func (sc *Schedule) schedule(ctx context.Context) {
+	rn := New(sc.ln, sc.ck, sc.lg, sc.ow, sc.runLeaseMS, sc.machineTurnMS)
+	sc.lg.Info("ownership-taken", "token", sc.ow.Token())
+	err := rn.Run(ctx)
+	sc.lg.Fail("scheduling-ended", err, "token", sc.ow.Token())
+	if ctx.Err() == nil {
+		return
+	}
+	out, cancel := sc.ck.WithTimeout(context.Background(), releaseMS)
+	defer cancel()
+	if err := sc.ow.Release(out); err != nil {
+		sc.lg.Fail("ownership-unreleased", err)
+	}
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,171 @@
+package ownership
+
+import (
+	"context"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+// Ownership is one entry's view of the ownership row; only Held, SilentMS and Token are safe while another call is under way.
+type Ownership struct {
+	st          *rowstore.Store
+	ck          *clock.Clock
+	entry       string
+	incarnation string
+
+	row         *workpb.Ownership
+	version     int64
+	unchangedMS int64
+	lastReadMS  int64
+	provenMS    atomic.Int64
+	held        atomic.Bool
+	token       atomic.Int64
+}
+
+// Names of the row and of the partition in which all of the owner's rows lie.
+const (
+	Part  = "scheduling"
+	table = "ownership"
+	key   = "owner"
+)
+
+const (
+	// LeaseMS is how long after the start of its last commit an owner may order starts.
+	LeaseMS = 2000
+	// takeoverMS is how long the row must be seen unchanged before another entry takes over; it exceeds the lease by a margin for clock rates.
+	takeoverMS = 2300
+	// readGapMS is the longest pause between reads that still counts as watching.
+	readGapMS = 1000
+)
+
+// New returns the view of an entry, whose incarnation differs at each start of its process.
+func New(st *rowstore.Store, ck *clock.Clock, entry, incarnation string) *Ownership {
+	return &Ownership{st: st, ck: ck, entry: entry, incarnation: incarnation}
+}
+
+// Poll reads the row and takes ownership if it is free; it reports whether this entry is the owner now.
+func (ow *Ownership) Poll(ctx context.Context) (bool, error) {
+	startMS := ow.ck.Now()
+	rw, ok, err := ow.st.Get(ctx, table, Part, key)
+	if err != nil {
+		return false, err
+	}
+	nowMS := ow.ck.Now()
+	row := &workpb.Ownership{}
+	if ok {
+		if err := proto.Unmarshal(rw.Value(), row); err != nil {
+			return false, code.Internal.Wrap(err)
+		}
+	}
+	if ow.row == nil || rw.Version() != ow.version || startMS-ow.lastReadMS > readGapMS {
+		ow.unchangedMS = nowMS
+	}
+	ow.row, ow.version, ow.lastReadMS = row, rw.Version(), nowMS
+	if !ow.free(startMS) {
+		return false, nil
+	}
+	return ow.take(ctx)
+}
+
+// free reports whether the owner has released the row, was an earlier process of this entry, or has let its lease lapse.
+func (ow *Ownership) free(nowMS int64) bool {
+	if ow.version == 0 || ow.row.GetReleased() {
+		return true
+	}
+	if ow.row.GetEntry() == ow.entry {
+		return true
+	}
+	return nowMS-ow.unchangedMS >= takeoverMS
+}
+
+func (ow *Ownership) take(ctx context.Context) (bool, error) {
+	next := &workpb.Ownership{Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.version + 1, Sequence: 1}
+	startMS := ow.ck.Now()
+	version, _, err := ow.write(ctx, rowstore.NewTx(Part), next)
+	if err != nil {
+		return false, err
+	}
+	ow.row, ow.version = next, version
+	ow.provenMS.Store(startMS)
+	ow.token.Store(next.GetToken())
+	ow.held.Store(true)
+	return true, nil
+}
+
+func (ow *Ownership) write(ctx context.Context, tx *rowstore.Tx, next *workpb.Ownership) (int64, []rowstore.Row, error) {
+	raw, err := proto.Marshal(next)
+	if err != nil {
+		return 0, nil, code.Internal.Wrap(err)
+	}
+	return ow.st.Commit(ctx, tx.Require(table, key, ow.version).Put(table, key, raw))
+}
+
+// Commit adds the renewal of the lease to the transaction and applies both.
+//
+// It returns code.LeaseLapsed when another entry owns the row; after any other error the same changes must be given again until they are applied.
+func (ow *Ownership) Commit(ctx context.Context, fill func(*rowstore.Tx)) error {
+	next := &workpb.Ownership{
+		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.row.GetToken(), Sequence: ow.row.GetSequence() + 1,
+	}
+	return ow.commit(ctx, fill, next)
+}
+
+// Release gives the ownership up at once.
+func (ow *Ownership) Release(ctx context.Context) error {
+	next := &workpb.Ownership{
+		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.row.GetToken(), Sequence: ow.row.GetSequence() + 1, Released: true,
+	}
+	ow.held.Store(false)
+	return ow.commit(ctx, func(*rowstore.Tx) {}, next)
+}
+
+func (ow *Ownership) commit(ctx context.Context, fill func(*rowstore.Tx), next *workpb.Ownership) error {
+	startMS := ow.ck.Now()
+	tx := rowstore.NewTx(Part)
+	fill(tx)
+	version, current, err := ow.write(ctx, tx, next)
+	if code.Of(err) == code.Conflict {
+		return ow.explain(current, next, startMS)
+	}
+	if err != nil {
+		return err
+	}
+	ow.row, ow.version = next, version
+	ow.provenMS.Store(startMS)
+	return nil
+}
+
+// explain tells an earlier try of the same commit, whose answer was lost, from a takeover by another entry.
+func (ow *Ownership) explain(current []rowstore.Row, next *workpb.Ownership, startMS int64) error {
+	for _, rw := range current {
+		if rw.Key() != key {
+			continue
+		}
+		row := &workpb.Ownership{}
+		if err := proto.Unmarshal(rw.Value(), row); err != nil {
+			return code.Internal.Wrap(err)
+		}
+		if row.GetIncarnation() == ow.incarnation && row.GetSequence() == next.GetSequence() && row.GetReleased() == next.GetReleased() {
+			ow.row, ow.version = next, rw.Version()
+			ow.provenMS.Store(startMS)
+			return nil
+		}
+	}
+	ow.held.Store(false)
+	return code.LeaseLapsed.New("another entry schedules now")
+}
+
+// Token returns the fencing token of this ownership, which rises from owner to owner.
+func (ow *Ownership) Token() int64 { return ow.token.Load() }
+
+// Held reports whether the lease covers a start that is ordered now.
+func (ow *Ownership) Held() bool { return ow.held.Load() && ow.ck.Now()-ow.provenMS.Load() < LeaseMS }
+
+// SilentMS returns how long ago the last successful commit began.
+func (ow *Ownership) SilentMS() int64 { return ow.ck.Now() - ow.provenMS.Load() }
--- /dev/null
+++ b/internal/rulesindex/doc.go
@@ -0,0 +1,2 @@
+// Package rulesindex finds the queue of a request and the team of a key in one version of the rules.
+package rulesindex
--- /dev/null
+++ b/internal/taskname/doc.go
@@ -0,0 +1,2 @@
+// Package taskname names the tasks of a job.
+package taskname
--- /dev/null
+++ b/internal/taskname/taskname.go
@@ -0,0 +1,57 @@
+package taskname
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+// Name identifies one task of one occurrence of a job.
+type Name struct {
+	job        string
+	occurrence int
+	step       int
+	index      int
+}
+
+const fields = 4
+
+// New returns the name of a task.
+func New(job string, occurrence, step, index int) Name {
+	return Name{job: job, occurrence: occurrence, step: step, index: index}
+}
+
+// Parse returns the name of its text.
+func Parse(text string) (Name, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != fields {
+		return Name{}, code.BodyBroken.New("task name with %d fields", len(parts))
+	}
+	var numbers [fields - 1]int
+	for at := range numbers {
+		val, err := strconv.Atoi(parts[at+1])
+		if err != nil || val < 0 {
+			return Name{}, code.BodyBroken.New("task name with a bad number")
+		}
+		numbers[at] = val
+	}
+	return New(parts[0], numbers[0], numbers[1], numbers[2]), nil
+}
+
+// Job returns the job's id.
+func (nm Name) Job() string { return nm.job }
+
+// Occurrence returns the number of the occurrence, 0 for the first.
+func (nm Name) Occurrence() int { return nm.occurrence }
+
+// Step returns the number of the step, 0 for the first.
+func (nm Name) Step() int { return nm.step }
+
+// Index returns the number of the task within its step, 0 for the first.
+func (nm Name) Index() int { return nm.index }
+
+// String returns the text of the name.
+func (nm Name) String() string {
+	return nm.job + "." + strconv.Itoa(nm.occurrence) + "." + strconv.Itoa(nm.step) + "." + strconv.Itoa(nm.index)
+}
--- /dev/null
+++ b/internal/upkeep/upkeep.go
@@ -0,0 +1,232 @@
+package upkeep
+
+import (
+	"sort"
+
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// Upkeep drives one wave; it isn't safe for concurrent use.
+type Upkeep struct {
+	wave     *workpb.Wave
+	machines map[string]*machine
+	// cordon keeps new work from a VM, evacuate empties it and reports whether it is empty, load counts what runs there.
+	cordon   func(vm string, cordoned bool)
+	evacuate func(vm string) bool
+	load     func(vm string) int
+	done     bool
+}
+
+type state int
+
+const (
+	waiting state = iota
+	// emptying: the machine's VM takes no new work.
+	emptying
+	// intended: the order is to be stored and sent.
+	intended
+	// ordered: the order was accepted.
+	ordered
+	finished
+)
+
+type machine struct {
+	id         string
+	state      state
+	vm         string
+	acceptedMS int64
+	emptyingMS int64
+}
+
+const (
+	// aheadFactor is how many machines for each that may be down are emptied ahead, so that one is ready when another is back.
+	aheadFactor = 2
+	// settleMS is how long after the order the list of machines must have been read to tell that the machine is back.
+	settleMS = 500
+	// patienceMS is how long a VM is given to become empty.
+	patienceMS = 15000
+)
+
+// New returns the driver of a wave.
+func New(wave *workpb.Wave, cordon func(string, bool), evacuate func(string) bool, load func(string) int) *Upkeep {
+	up := &Upkeep{wave: wave, machines: map[string]*machine{}, cordon: cordon, evacuate: evacuate, load: load}
+	for _, id := range wave.GetMachines() {
+		up.machines[id] = &machine{id: id}
+	}
+	return up
+}
+
+// Restore takes up what an earlier owner stored; orders whose outcome isn't stored are given again, which is idempotent.
+func (up *Upkeep) Restore(row *workpb.Upkeep) {
+	for _, id := range row.GetDone() {
+		if mc, ok := up.machines[id]; ok {
+			mc.state = finished
+		}
+	}
+	up.done = row.GetCompleted()
+}
+
+// Row returns what is to be stored.
+func (up *Upkeep) Row() *workpb.Upkeep {
+	row := &workpb.Upkeep{Wave: up.wave.GetNumber(), Completed: up.done}
+	for _, mc := range up.machines {
+		switch mc.state {
+		case intended, ordered:
+			row.Ordered = append(row.Ordered, mc.id)
+		case finished:
+			row.Done = append(row.Done, mc.id)
+		default:
+		}
+	}
+	sort.Strings(row.Ordered)
+	sort.Strings(row.Done)
+	return row
+}
+
+// Done reports whether all machines that still exist had their maintenance.
+func (up *Upkeep) Done() bool { return up.done }
+
+// Step takes up a list of machines that was read from readMS on and returns the machines whose maintenance is to be ordered, once Row is stored.
+func (up *Upkeep) Step(nowMS, readMS int64, list []*workpb.Machine) []string {
+	if up.done {
+		return nil
+	}
+	rows := map[string]*workpb.Machine{}
+	for _, row := range list {
+		rows[row.GetId()] = row
+	}
+	up.observe(readMS, rows)
+	up.empty(nowMS, rows)
+	return up.intend(nowMS, rows)
+}
+
+// observe notes the machines that are back and those that have gone for good.
+func (up *Upkeep) observe(readMS int64, rows map[string]*workpb.Machine) {
+	rest := 0
+	for id, mc := range up.machines {
+		row, ok := rows[id]
+		if !ok {
+			mc.state = finished
+			continue
+		}
+		if row.GetInUpkeep() && mc.state != finished && mc.state != ordered {
+			mc.state = ordered
+			mc.acceptedMS = readMS
+		}
+		if mc.state == ordered && row.GetUp() && readMS >= mc.acceptedMS+settleMS {
+			mc.state = finished
+			up.cordon(mc.vm, false)
+		}
+		if mc.state != finished {
+			rest++
+		}
+	}
+	up.done = rest == 0
+}
+
+// down counts the machines that are or may be down for the wave.
+func (up *Upkeep) down(rows map[string]*workpb.Machine) int {
+	count := 0
+	for id, mc := range up.machines {
+		if mc.state == intended || mc.state == ordered || rows[id].GetInUpkeep() {
+			count++
+		}
+	}
+	return count
+}
+
+func (up *Upkeep) count(st state) int {
+	count := 0
+	for _, mc := range up.machines {
+		if mc.state == st {
+			count++
+		}
+	}
+	return count
+}
+
+// empty begins to empty as many machines as will be needed soon, those with the least load first.
+func (up *Upkeep) empty(nowMS int64, rows map[string]*workpb.Machine) {
+	room := aheadFactor*up.atOnce() - up.count(emptying) - up.down(rows)
+	for _, mc := range up.inOrder(rows) {
+		if room <= 0 {
+			return
+		}
+		row := rows[mc.id]
+		if mc.state != waiting || !row.GetUp() {
+			continue
+		}
+		mc.state = emptying
+		mc.emptyingMS = nowMS
+		mc.vm = row.GetVm()
+		up.cordon(mc.vm, true)
+		room--
+	}
+}
+
+func (up *Upkeep) atOnce() int { return max(int(up.wave.GetAtOnce()), 1) }
+
+// inOrder returns the machines by their load.
+func (up *Upkeep) inOrder(rows map[string]*workpb.Machine) []*machine {
+	list := make([]*machine, 0, len(up.machines))
+	loads := map[string]int{}
+	for id, mc := range up.machines {
+		list = append(list, mc)
+		loads[id] = up.load(rows[id].GetVm())
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if loads[list[i].id] != loads[list[j].id] {
+			return loads[list[i].id] < loads[list[j].id]
+		}
+		return list[i].id < list[j].id
+	})
+	return list
+}
+
+func (up *Upkeep) intend(nowMS int64, rows map[string]*workpb.Machine) []string {
+	var orders []string
+	room := up.atOnce() - up.down(rows)
+	for _, mc := range up.inOrder(rows) {
+		row := rows[mc.id]
+		if mc.state == intended && row.GetUp() {
+			orders = append(orders, mc.id)
+			continue
+		}
+		if mc.state != emptying || !row.GetUp() {
+			continue
+		}
+		if mc.vm != row.GetVm() {
+			mc.vm = row.GetVm()
+			up.cordon(mc.vm, true)
+		}
+		empty := up.evacuate(mc.vm)
+		if room <= 0 || (!empty && nowMS-mc.emptyingMS < patienceMS) {
+			continue
+		}
+		if !empty {
+			// The VM never becomes empty: let the others go first, and begin anew.
+			up.cordon(mc.vm, false)
+			mc.state = waiting
+			continue
+		}
+		mc.state = intended
+		orders = append(orders, mc.id)
+		room--
+	}
+	return orders
+}
+
+// Accepted notes that the platform has accepted a machine's maintenance.
+func (up *Upkeep) Accepted(id string, nowMS int64) {
+	if mc, ok := up.machines[id]; ok && mc.state == intended {
+		mc.state = ordered
+		mc.acceptedMS = nowMS
+	}
+}
+
+// Refused notes that a machine's maintenance certainly didn't begin.
+func (up *Upkeep) Refused(id string) {
+	if mc, ok := up.machines[id]; ok && mc.state == intended {
+		mc.state = emptying
+	}
+}
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -71,6 +71,7 @@
 	WorkerQuarantined Code = 321
 	LeaseHeld         Code = 340
 	ClaimUnwritten    Code = 341
+	HistoryLost       Code = 342
 	Internal          Code = 399
 )
 
@@ -137,6 +138,7 @@
 	JobPoisonous:      {"job-poisonous", http.StatusUnprocessableEntity},
 	WorkerQuarantined: {"worker-quarantined", http.StatusServiceUnavailable},
 	LeaseHeld:         {"lease-held", http.StatusConflict},
+	HistoryLost:       {"history-lost", http.StatusServiceUnavailable},
 	ClaimUnwritten:    {"claim-unwritten", http.StatusServiceUnavailable},
 	Internal:          {"internal", http.StatusInternalServerError},
 }
