Keep completed jobs from starting anew when their rows are read again; give silent VMs no lease

Second cause, found by the new tests: looks at a silent VM carried a lease, so that its end was never reached. Ruled out: a late start order (runs had number 1 and came right after history-lost).

--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -21,10 +21,12 @@
 	caps   map[string]size.Size
 	jobs   map[string]*job
 	active map[string]*job
-	vms    map[string]*vm
-	used   map[string]size.Size
-	dirty  []*job
-	outbox []*workpb.Order
+	// completed holds the ids of jobs that are done, whose rows may be seen again.
+	completed map[string]bool
+	vms       map[string]*vm
+	used      map[string]size.Size
+	dirty     []*job
+	outbox    []*workpb.Order
 }
 
 const (
@@ -42,7 +44,7 @@
 func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
-		caps: map[string]size.Size{}, jobs: map[string]*job{}, active: map[string]*job{},
+		caps: map[string]size.Size{}, jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
 		vms: map[string]*vm{}, used: map[string]size.Size{},
 	}
 }
@@ -59,6 +61,7 @@
 // Restore takes up a job with its stored progress, which is nil for a job that nothing was stored of.
 func (ct *Controller) Restore(row *workpb.Job, pg *workpb.Progress) {
 	if pg.GetState() == workpb.State_COMPLETED {
+		ct.completed[row.GetId()] = true
 		return
 	}
 	jb := ct.add(row)
@@ -97,7 +100,7 @@
 
 // Submit takes up an accepted job; a job that is known already stays as it is.
 func (ct *Controller) Submit(row *workpb.Job) {
-	if _, ok := ct.jobs[row.GetId()]; !ok {
+	if _, ok := ct.jobs[row.GetId()]; !ok && !ct.completed[row.GetId()] {
 		ct.add(row)
 	}
 }
@@ -127,6 +130,7 @@
 	delete(ct.active, jb.row.GetId())
 	if st == workpb.State_COMPLETED {
 		delete(ct.jobs, jb.row.GetId())
+		ct.completed[jb.row.GetId()] = true
 	}
 }
 
--- /dev/null
+++ b/internal/jobcontrol/faults_test.go
@@ -0,0 +1,212 @@
+package jobcontrol_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+func TestFaultsOfOrdersAndVMs(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// disturb is called once while the job runs, and mend after two more seconds.
+		disturb func(fl *fleet)
+		mend    func(fl *fleet)
+		// withinMS is how long the job may take after the disturbance.
+		withinMS int64
+	}{
+		{
+			name:     "owner replaced while tasks run",
+			disturb:  func(fl *fleet) { fl.newOwner() },
+			withinMS: 4000,
+		},
+		{
+			name: "answers to all starts are lost",
+			disturb: func(fl *fleet) {
+				fl.lost = func(od *workpb.Order) bool { return od.GetVerb() == workpb.Verb_START }
+			},
+			mend:     func(fl *fleet) { fl.lost = func(*workpb.Order) bool { return false } },
+			withinMS: 8000,
+		},
+		{
+			name:     "VM silent and back with its runs",
+			disturb:  func(fl *fleet) { fl.silent["a"] = true },
+			mend:     func(fl *fleet) { fl.silent["a"] = false },
+			withinMS: 6000,
+		},
+		{
+			name:     "VM lost for good",
+			disturb:  func(fl *fleet) { fl.silent["a"] = true; fl.ct.DropVM("a") },
+			withinMS: 12000,
+		},
+		{
+			name:     "VM restarts under its id",
+			disturb:  func(fl *fleet) { fl.workers["a"].Restart() },
+			withinMS: 4000,
+		},
+		{
+			name: "owner replaced while a VM is silent",
+			disturb: func(fl *fleet) {
+				fl.silent["a"] = true
+				fl.play(200)
+				fl.newOwner()
+			},
+			withinMS: 16000,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t, vmOf("a"), vmOf("b"))
+			fl.submit(jobOf("j1", stepOf(12), stepOf(4, 0)))
+			fl.play(400)
+			tc.disturb(fl)
+			fl.play(2000)
+			if tc.mend != nil {
+				tc.mend(fl)
+			}
+			fl.play(tc.withinMS - 2000)
+			qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+			qt.Assert(t, len(fl.done), qt.Equals, 16)
+		})
+	}
+}
+
+func TestFailingTaskFailsItsJobAfterMaxAttempts(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	for _, wk := range fl.workers {
+		wk.Behave = func(string, int64) (int64, workpb.End) { return 100, workpb.End_END_FAILED }
+	}
+	fl.submit(jobOf("j1", stepOf(1)))
+	fl.play(4000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_FAILED)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 3)
+}
+
+func TestCancelStopsWhatRunsAndStartsNothing(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	fl.submit(jobOf("j1", stepOf(8), stepOf(8, 0)))
+	fl.play(300)
+	fl.ct.Cancel("j1")
+	fl.play(400)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_CANCELLED)
+	qt.Assert(t, fl.workers["a"].Running(), qt.Equals, 0)
+	fl.newOwner()
+	fl.play(2000)
+	qt.Assert(t, len(fl.starts), qt.Equals, 8)
+}
+
+func TestTeamStaysWithinItsCap(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	for at := range 10 {
+		st := stepOf(2)
+		st.CpuMilli, st.MemoryMb = 100, 1000
+		fl.submit(jobOf(fmt.Sprintf("j%d", at), st))
+	}
+	rules := testRules()
+	rules.Teams[0].CapMemoryMb = 5000
+	fl.setRules(rules)
+	for range 300 {
+		fl.play(stepMS)
+		qt.Assert(t, fl.workers["a"].Running()+fl.workers["b"].Running() <= 5, qt.IsTrue)
+	}
+	qt.Assert(t, len(fl.done), qt.Equals, 20)
+}
+
+func TestRulesOfPlacement(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(st *workpb.Step)
+		check  func(fl *fleet) bool
+	}{
+		{
+			name:   "label",
+			change: func(st *workpb.Step) { st.Label = "b" },
+			check:  func(fl *fleet) bool { return fl.workers["other"].Running() == 4 },
+		},
+		{
+			name:   "data rack",
+			change: func(st *workpb.Step) { st.DataRack = "r2" },
+			check:  func(fl *fleet) bool { return fl.workers["other"].Running() == 4 },
+		},
+		{
+			name:   "most tasks on one VM",
+			change: func(st *workpb.Step) { st.MaxPerVm = 1 },
+			check: func(fl *fleet) bool {
+				return fl.workers["a"].Running() == 1 && fl.workers["b"].Running() == 1 && fl.workers["other"].Running() == 1
+			},
+		},
+		{
+			name:   "gang without room for all",
+			change: func(st *workpb.Step) { st.Gang, st.CpuMilli = true, 6500 },
+			check: func(fl *fleet) bool {
+				return fl.workers["a"].Running()+fl.workers["b"].Running()+fl.workers["other"].Running() == 0
+			},
+		},
+		{
+			name:   "filling tasks take no processor room",
+			change: func(st *workpb.Step) { st.Fills, st.Lasting, st.CpuMilli, st.Count = true, true, 8000, 4 },
+			check: func(fl *fleet) bool {
+				return fl.workers["a"].Running()+fl.workers["b"].Running()+fl.workers["other"].Running() == 4
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			other := vmOf("other")
+			other.Labels, other.Rack = []string{"b", "r2"}, "r2"
+			fl := newFleet(t, vmOf("a"), vmOf("b"), other)
+			st := stepOf(4)
+			tc.change(st)
+			fl.submit(jobOf("j1", st))
+			fl.play(300)
+			qt.Assert(t, tc.check(fl), qt.IsTrue)
+		})
+	}
+}
+
+func TestLastingTaskIsRestartedHoweverItEnds(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	for _, wk := range fl.workers {
+		wk.Behave = func(_ string, run int64) (int64, workpb.End) {
+			if run < 5 {
+				return 100, workpb.End_END_FAILED
+			}
+			return 0, workpb.End_END_UNKNOWN
+		}
+	}
+	st := stepOf(1)
+	st.Lasting = true
+	fl.submit(jobOf("j1", st))
+	fl.play(6000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_RUNNING)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 5)
+}
+
+func TestEvacuationKeepsTheDisruptionBudget(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"), vmOf("c"))
+	for _, wk := range fl.workers {
+		wk.Behave = func(string, int64) (int64, workpb.End) { return 0, workpb.End_END_UNKNOWN }
+	}
+	st := stepOf(2)
+	st.Lasting, st.MaxPerVm, st.DisruptionBudget = true, 1, 1
+	fl.submit(jobOf("j1", st))
+	fl.play(1000)
+	var hosts []string
+	for id, wk := range fl.workers {
+		if wk.Running() == 1 {
+			hosts = append(hosts, id)
+		}
+	}
+	qt.Assert(t, len(hosts), qt.Equals, 2)
+	for _, id := range hosts {
+		fl.ct.Cordon(id, true)
+	}
+	for range 100 {
+		fl.play(stepMS)
+		for _, id := range hosts {
+			fl.ct.Evacuate(id)
+		}
+		qt.Assert(t, len(fl.live) >= 1, qt.IsTrue)
+	}
+}
--- a/internal/jobcontrol/look.go
+++ b/internal/jobcontrol/look.go
@@ -98,10 +98,11 @@
 	}
 	on.looking = true
 	req := &workpb.LookRequest{Vm: id, Address: on.reg.GetAddress(), Token: ct.token, Acknowledged: on.stored}
-	if on.synced {
+	if on.synced && !on.silent {
+		// A VM that doesn't answer gets no new lease, so that the end of the last one can be waited out.
 		req.LeaseUntilMs = ct.lease(on)
 	}
-	if on.synced && len(on.runs) > 0 && on.stored == on.processed && !on.mixed() {
+	if on.synced && !on.silent && len(on.runs) > 0 && on.stored == on.processed && !on.mixed() {
 		req.WaitMs = busyWaitMS
 	}
 	return req
--- /dev/null
+++ b/internal/workertest/workertest.go
@@ -0,0 +1,171 @@
+package workertest
+
+import (
+	"sort"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// Worker is one VM; its fields Behave and Record vary what runs do and who hears of them.
+type Worker struct {
+	ck    *clock.Clock
+	reg   *workpb.VM
+	token int64
+	clock int64
+
+	running map[key]*run
+	ended   []*workpb.EndedRun
+	number  int64
+	highest map[string]int64
+
+	// Behave returns how long a run takes and how it ends.
+	Behave func(task string, run int64) (workMS int64, end workpb.End)
+	// Record hears of each start, and of each end with how it ended.
+	Record func(vm, task string, run int64, started bool, end workpb.End)
+}
+
+type key struct {
+	task string
+	run  int64
+}
+
+type run struct {
+	startMS  int64
+	workMS   int64
+	end      workpb.End
+	leaseMS  int64
+	stopMS   int64
+	stopping bool
+}
+
+const (
+	defaultWorkMS = 800
+	stopMS        = 100
+	percent       = 100
+)
+
+// New returns a VM that registered itself.
+func New(ck *clock.Clock, reg *workpb.VM) *Worker {
+	reg.BornMs = ck.Now()
+	wk := &Worker{ck: ck, reg: reg, clock: ck.Now(), running: map[key]*run{}, highest: map[string]int64{}}
+	wk.Behave = func(string, int64) (int64, workpb.End) { return defaultWorkMS, workpb.End_END_DONE }
+	wk.Record = func(string, string, int64, bool, workpb.End) {}
+	return wk
+}
+
+// VM returns the registration.
+func (wk *Worker) VM() *workpb.VM { return wk.reg }
+
+// Restart ends everything there and begins a new life under the same id.
+func (wk *Worker) Restart() {
+	for ky, rn := range wk.running {
+		wk.Record(wk.reg.GetId(), ky.task, ky.run, false, workpb.End_END_STOPPED)
+		rn.stopping = true
+	}
+	wk.reg.BornMs = wk.ck.Now()
+	wk.clock, wk.token, wk.number = wk.ck.Now(), 0, 0
+	wk.running, wk.ended, wk.highest = map[key]*run{}, nil, map[string]int64{}
+}
+
+// Running returns how many runs there are.
+func (wk *Worker) Running() int {
+	wk.advance()
+	return len(wk.running)
+}
+
+func (wk *Worker) clockMS() int64 { return wk.ck.Now() - wk.clock }
+
+func (wk *Worker) advance() {
+	nowMS := wk.clockMS()
+	keys := make([]key, 0, len(wk.running))
+	for ky := range wk.running {
+		keys = append(keys, ky)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].task < keys[j].task })
+	for _, ky := range keys {
+		rn := wk.running[ky]
+		switch {
+		case rn.stopping && nowMS >= rn.stopMS:
+			wk.finish(ky, workpb.End_END_STOPPED)
+		case nowMS >= rn.leaseMS:
+			wk.finish(ky, workpb.End_END_LEASE_EXPIRED)
+		case rn.end != workpb.End_END_UNKNOWN && nowMS >= rn.startMS+rn.workMS:
+			wk.finish(ky, rn.end)
+		}
+	}
+}
+
+func (wk *Worker) finish(ky key, end workpb.End) {
+	wk.number++
+	wk.ended = append(wk.ended, &workpb.EndedRun{Number: wk.number, Task: ky.task, Run: ky.run, End: end})
+	wk.highest[ky.task] = max(wk.highest[ky.task], ky.run)
+	delete(wk.running, ky)
+	wk.Record(wk.reg.GetId(), ky.task, ky.run, false, end)
+}
+
+// Order executes an order.
+func (wk *Worker) Order(od *workpb.Order) workpb.Verdict {
+	wk.advance()
+	if od.GetToken() < wk.token {
+		return workpb.Verdict_FENCED
+	}
+	wk.token = od.GetToken()
+	ky := key{od.GetTask(), od.GetRun()}
+	switch od.GetVerb() {
+	case workpb.Verb_STOP:
+		wk.highest[ky.task] = max(wk.highest[ky.task], ky.run)
+		if rn, ok := wk.running[ky]; ok && !rn.stopping {
+			rn.stopping, rn.stopMS = true, wk.clockMS()+stopMS
+		}
+		return workpb.Verdict_ACCEPTED
+	case workpb.Verb_START:
+		return wk.start(ky, od)
+	default:
+		return workpb.Verdict_ACCEPTED
+	}
+}
+
+func (wk *Worker) start(ky key, od *workpb.Order) workpb.Verdict {
+	if _, ok := wk.running[ky]; ok {
+		return workpb.Verdict_ACCEPTED
+	}
+	if ky.run <= wk.highest[ky.task] {
+		return workpb.Verdict_STALE_RUN
+	}
+	if od.GetLeaseUntilMs() <= wk.clockMS() {
+		return workpb.Verdict_LEASE_PASSED
+	}
+	workMS, end := wk.Behave(ky.task, ky.run)
+	wk.running[ky] = &run{startMS: wk.clockMS(), workMS: workMS, end: end, leaseMS: od.GetLeaseUntilMs()}
+	wk.Record(wk.reg.GetId(), ky.task, ky.run, true, workpb.End_END_UNKNOWN)
+	return workpb.Verdict_ACCEPTED
+}
+
+// Look renews the leases and returns the lists.
+func (wk *Worker) Look(lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
+	wk.advance()
+	if lr.GetToken() < wk.token {
+		return nil, workpb.Verdict_FENCED
+	}
+	wk.token = lr.GetToken()
+	lk := &workpb.Look{BornMs: wk.reg.GetBornMs(), ClockMs: wk.clockMS()}
+	for ky, rn := range wk.running {
+		rn.leaseMS = max(rn.leaseMS, lr.GetLeaseUntilMs())
+		lk.Running = append(lk.Running, &workpb.RunningRun{Task: ky.task, Run: ky.run, Percent: wk.progress(rn)})
+	}
+	for _, end := range wk.ended {
+		if end.GetNumber() > lr.GetAcknowledged() {
+			lk.Ended = append(lk.Ended, end)
+		}
+	}
+	wk.ended = lk.GetEnded()
+	return lk, workpb.Verdict_ACCEPTED
+}
+
+func (wk *Worker) progress(rn *run) int64 {
+	if rn.end == workpb.End_END_UNKNOWN || rn.workMS == 0 {
+		return percent
+	}
+	return (wk.clockMS() - rn.startMS) * percent / rn.workMS
+}
