--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -94,7 +94,9 @@
 		tk.done = true
 		tk.st.done++
 	case workpb.Phase_INTENDED:
-		ct.reserve(ct.vmOf(tr.GetVm()), tk, phaseDoubtful).token = 0
+		on := ct.vmOf(tr.GetVm())
+		on.reg.Machine = tr.GetMachine()
+		ct.reserve(on, tk, phaseDoubtful).token = 0
 	case workpb.Phase_WAITING:
 	}
 }
@@ -156,6 +158,7 @@
 		return got
 	}
 	got := newVM(id)
+	got.seenMS = ct.ck.Now()
 	got.leaseUntilMS = ct.startedMS + PredecessorMS + ct.outwaitMS()
 	ct.vms[id] = got
 	return got
--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -142,10 +142,10 @@
 	}
 }
 
-// Idle reports whether a VM is known, in the owner's hands, and may be taken away as soon as nothing runs there.
+// Idle reports whether a VM is known, in the owner's hands, and may be taken away as soon as nothing runs there; ends that aren't stored yet are lost with it.
 func (ct *Controller) Idle(id string) bool {
 	on, ok := ct.vms[id]
-	if !ok || !on.synced || on.silent || !on.registered {
+	if !ok || !on.synced || on.silent || !on.registered || on.processed > on.stored {
 		return false
 	}
 	for _, rn := range on.runs {
@@ -155,3 +155,12 @@
 	}
 	return true
 }
+
+// Unusable reports whether a VM is known to take no work for a reason that its pool's size doesn't account for.
+func (ct *Controller) Unusable(id string) bool {
+	on, ok := ct.vms[id]
+	if !ok {
+		return false
+	}
+	return on.silent || on.reg.GetDraining() || !on.registered || !on.trust.Usable(ct.ck.Now())
+}
--- a/internal/jobcontrol/evacuate.go
+++ b/internal/jobcontrol/evacuate.go
@@ -16,12 +16,15 @@
 	return len(on.runs)
 }
 
-// Evacuate moves lasting tasks off a cordoned VM as their disruption budgets allow, lets the others end, and reports whether nothing runs there any more.
+// Evacuate moves lasting tasks off a cordoned VM as their disruption budgets allow, lets the others end, and reports whether nothing runs there any more and all ends are stored.
 func (ct *Controller) Evacuate(id string) bool {
 	on, ok := ct.vms[id]
-	if !ok || len(on.runs) == 0 {
+	if !ok {
 		return true
 	}
+	if len(on.runs) == 0 {
+		return on.processed == on.stored
+	}
 	for _, rn := range on.runs {
 		if rn.phase != phaseRunning || !rn.lasting() {
 			continue
--- a/internal/jobcontrol/job.go
+++ b/internal/jobcontrol/job.go
@@ -234,6 +234,7 @@
 	case tk.cur != nil:
 		row.Phase = workpb.Phase_INTENDED
 		row.Vm = tk.cur.vm.id
+		row.Machine = tk.cur.vm.reg.GetMachine()
 		row.Checkpoint = tk.checkpoint
 	default:
 		row.Checkpoint = tk.checkpoint
--- a/internal/jobcontrol/look.go
+++ b/internal/jobcontrol/look.go
@@ -26,12 +26,7 @@
 
 // SetVM takes up a VM's registration.
 func (ct *Controller) SetVM(reg *workpb.VM) {
-	on, known := ct.vms[reg.GetId()]
-	if !known {
-		on = newVM(reg.GetId())
-		on.leaseUntilMS = ct.startedMS + PredecessorMS + ct.outwaitMS()
-		ct.vms[reg.GetId()] = on
-	}
+	on := ct.vmOf(reg.GetId())
 	if on.bornMS != 0 && reg.GetBornMs() != 0 && reg.GetBornMs() > on.bornMS {
 		ct.newLife(on, reg.GetBornMs())
 	}
@@ -50,6 +45,26 @@
 	}
 }
 
+// SetMachines takes up a list of machines that was read from readMS on: a VM whose machine carries another one, or none since it is being moved or maintained, has ended.
+func (ct *Controller) SetMachines(readMS int64, list []*workpb.Machine) {
+	rows := make(map[string]*workpb.Machine, len(list))
+	for _, row := range list {
+		rows[row.GetId()] = row
+	}
+	for id, on := range ct.vms {
+		row, ok := rows[on.reg.GetMachine()]
+		if !ok || on.seenMS >= readMS || on.answeredMS >= readMS || len(on.runs) == 0 {
+			continue
+		}
+		replaced := row.GetUp() && row.GetVm() != "" && row.GetVm() != id
+		if replaced || row.GetMoving() || row.GetInUpkeep() {
+			ct.lg.Info("vm-ended", "vm", id, "machine", row.GetId(), "runs", len(on.runs))
+			on.synced = false
+			ct.loseRuns(on)
+		}
+	}
+}
+
 // newLife takes up that a VM started anew: nothing of its earlier life runs, its counts begin at 0 and no order of before may still count.
 func (ct *Controller) newLife(on *vm, bornMS int64) {
 	ct.lg.Info("vm-restarted", "vm", on.id, "born", bornMS, "runs", len(on.runs))
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -26,10 +26,12 @@
 	// leaseUntilMS is when everything there has surely ended unless a lease is renewed.
 	leaseUntilMS int64
 	answeredMS   int64
-	looking      bool
-	nextLookMS   int64
-	silent       bool
-	cordoned     bool
+	// seenMS is when the VM was first heard of.
+	seenMS     int64
+	looking    bool
+	nextLookMS int64
+	silent     bool
+	cordoned   bool
 	// shed VMs belong to machines that another pool wants, leaving ones to machines that are being moved.
 	shed     bool
 	leaving  bool
--- a/internal/jobrunner/moves.go
+++ b/internal/jobrunner/moves.go
@@ -82,6 +82,7 @@
 	return out
 }
 
+// hosts returns the machines that are or will be of use in their pools: not those that a wave has in hand or whose VM takes no work.
 func (mv *moves) hosts() []poolsize.Host {
 	var out []poolsize.Host
 	standby := map[string]bool{}
@@ -93,10 +94,10 @@
 			out = append(out, poolsize.NewHost(mc.GetId(), mo.pool, "", mc.GetCpuMilli(), 0, true))
 			continue
 		}
-		if !mc.GetUp() && !mc.GetMoving() {
+		if (!mc.GetUp() && !mc.GetMoving()) || mv.rn.wv.busy(mc.GetId()) || mv.rn.ct.Unusable(mc.GetVm()) {
 			continue
 		}
-		pinned := !mc.GetUp() || mv.rn.wv.busy(mc.GetId()) || (!standby[mc.GetPool()] && !mv.rn.ct.Idle(mc.GetVm()))
+		pinned := !mc.GetUp() || (!standby[mc.GetPool()] && !mv.rn.ct.Idle(mc.GetVm()))
 		out = append(out, poolsize.NewHost(mc.GetId(), mc.GetPool(), mc.GetVm(), mc.GetCpuMilli(), mv.rn.ct.Load(mc.GetVm()), pinned))
 	}
 	return out
--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -116,6 +116,7 @@
 			return
 		}
 		wv.machines, wv.readMS = list, readMS
+		wv.rn.ct.SetMachines(readMS, list)
 		wv.advance()
 	})
 }
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -15,6 +15,7 @@
 	evacuate func(vm string) bool
 	load     func(vm string) int
 	done     bool
+	beganMS  int64
 }
 
 type state int
@@ -39,8 +40,11 @@
 }
 
 const (
-	// aheadFactor is how many machines for each that may be down are emptied ahead, so that one is ready when another is back.
-	aheadFactor = 2
+	// cycleMS is about how long one machine takes from its emptying until it is back.
+	cycleMS = 5000
+	// reservePercent is the part of the wave's time that is left for what goes wrong.
+	reservePercent = 35
+	percent        = 100
 	// settleMS is how long after the order the list of machines must have been read to tell that the machine is back.
 	settleMS = 500
 	// patienceMS is how long a VM is given to become empty.
@@ -91,6 +95,9 @@
 	if up.done {
 		return nil
 	}
+	if up.beganMS == 0 {
+		up.beganMS = nowMS
+	}
 	rows := map[string]*workpb.Machine{}
 	for _, row := range list {
 		rows[row.GetId()] = row
@@ -145,25 +152,38 @@
 	return count
 }
 
-// empty begins to empty as many machines as will be needed soon, those with the least load first.
+// empty begins to empty machines: idle ones as soon as they may go down, busy ones only as fast as the wave's time asks for.
 func (up *Upkeep) empty(nowMS int64, rows map[string]*workpb.Machine) {
-	room := aheadFactor*up.atOnce() - up.count(emptying) - up.down(rows)
+	inHand := up.count(emptying) + up.down(rows)
+	pace := up.pace(nowMS)
 	for _, mc := range up.inOrder(rows) {
-		if room <= 0 {
-			return
-		}
 		row := rows[mc.id]
 		if mc.state != waiting || !row.GetUp() {
 			continue
 		}
+		limit := up.atOnce()
+		if up.load(row.GetVm()) > 0 {
+			limit = min(limit, pace)
+		}
+		if inHand >= limit {
+			return
+		}
 		mc.state = emptying
 		mc.emptyingMS = nowMS
 		mc.vm = row.GetVm()
 		up.cordon(mc.vm, true)
-		room--
+		inHand++
 	}
 }
 
+// pace returns how many machines must be in hand at once for the wave to end in time.
+func (up *Upkeep) pace(nowMS int64) int {
+	rest := len(up.machines) - up.count(finished)
+	left := up.beganMS + up.wave.GetDurationMs()*(percent-reservePercent)/percent - nowMS
+	rounds := max(left/cycleMS, 1)
+	return (rest + int(rounds) - 1) / int(rounds)
+}
+
 func (up *Upkeep) atOnce() int { return max(int(up.wave.GetAtOnce()), 1) }
 
 // inOrder returns the machines by their load.
