--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -63,9 +63,11 @@
 func (ct *Controller) Restore(row *workpb.Job, pg *workpb.Progress) {
 	if pg.GetState() == workpb.State_COMPLETED {
 		ct.completed[row.GetId()] = true
+		ct.noteArrival(newJob(row))
 		return
 	}
 	jb := ct.add(row)
+	ct.noteArrival(jb)
 	if pg == nil {
 		return
 	}
--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -1,10 +1,12 @@
 package jobcontrol
 
 const (
-	// servedWithinMS is how soon the work at hand should be done; it is below the slack that most jobs have.
-	servedWithinMS = 900
+	// leastChainMS bounds the room that is wanted for jobs whose rest is short.
+	leastChainMS = 600
 	// arrivalWindowMS is the time over which the rate of arriving work is taken.
 	arrivalWindowMS = 700
+	// arrivalMemoryMS is how long arrivals are remembered.
+	arrivalMemoryMS = 40000
 )
 
 // arrival is the work that one job brought.
@@ -38,7 +40,7 @@
 			work += int64(row.GetCount()) * row.GetCpuMilli() * max(row.GetEstimateMs(), stepEstimateFloorMS) / milli
 		}
 	}
-	ct.arrivals = append(ct.arrivals, arrival{atMS: ct.ck.Now(), service: qu.GetService(), coreMS: work})
+	ct.arrivals = append(ct.arrivals, arrival{atMS: min(jb.row.GetAcceptedMs(), ct.ck.Now()), service: qu.GetService(), coreMS: work})
 }
 
 const milli = 1000
@@ -54,11 +56,10 @@
 			continue
 		}
 		for _, oc := range jb.occurrences {
+			backlog[qu.GetService()] += oc.wantedMilli()
 			for _, st := range oc.steps {
 				if st.row.GetLasting() {
 					lasting[qu.GetService()] += int64(len(st.tasks)) * st.need().CoresMilli()
-				} else {
-					backlog[qu.GetService()] += st.restCoreMS()
 				}
 				least[qu.GetService()] = max(least[qu.GetService()], st.leastVMs())
 			}
@@ -68,7 +69,7 @@
 	out := map[string]Wanted{}
 	for _, sv := range ct.rules.Rules().GetServices() {
 		name := sv.GetName()
-		cores := lasting[name] + max(backlog[name]*milli/servedWithinMS, rate[name])
+		cores := lasting[name] + max(backlog[name], rate[name])
 		out[name] = Wanted{coresMilli: cores, leastVMs: max(least[name], boolInt(cores > 0))}
 	}
 	return out
@@ -81,6 +82,19 @@
 	return 0
 }
 
+// wantedMilli returns the room in which the rest of an occurrence's work would be done as soon as its order of steps allows.
+func (oc *occurrence) wantedMilli() int64 {
+	work, chain := int64(0), int64(leastChainMS)
+	for _, st := range oc.steps {
+		if st.row.GetLasting() || st.done == len(st.tasks) {
+			continue
+		}
+		work += st.restCoreMS()
+		chain = max(chain, st.tailMS())
+	}
+	return work * milli / chain
+}
+
 // restCoreMS returns the work that is left of the step, in milliseconds of a core.
 func (st *step) restCoreMS() int64 {
 	estimate := max(st.row.GetEstimateMs(), stepEstimateFloorMS)
@@ -108,15 +122,26 @@
 	return (rest + limit - 1) / limit
 }
 
+// Arrived returns the work that arrived for each service after a time and up to another, in milliseconds of a core.
+func (ct *Controller) Arrived(afterMS, untilMS int64) map[string]int64 {
+	work := map[string]int64{}
+	for _, ar := range ct.arrivals {
+		if ar.atMS > afterMS && ar.atMS <= untilMS {
+			work[ar.service] += ar.coreMS
+		}
+	}
+	return work
+}
+
 // arrivalRates returns the work that arrived lately, in thousandths of a core.
 func (ct *Controller) arrivalRates() map[string]int64 {
 	nowMS := ct.ck.Now()
-	for len(ct.arrivals) > 0 && nowMS-ct.arrivals[0].atMS > arrivalWindowMS {
+	for len(ct.arrivals) > 0 && nowMS-ct.arrivals[0].atMS > arrivalMemoryMS {
 		ct.arrivals = ct.arrivals[1:]
 	}
-	rates := map[string]int64{}
-	for _, ar := range ct.arrivals {
-		rates[ar.service] += ar.coreMS * milli / arrivalWindowMS
+	rates := ct.Arrived(nowMS-arrivalWindowMS, nowMS)
+	for service, work := range rates {
+		rates[service] = work * milli / arrivalWindowMS
 	}
 	return rates
 }
--- a/internal/jobrunner/moves.go
+++ b/internal/jobrunner/moves.go
@@ -4,15 +4,20 @@
 	"context"
 
 	"github.com/fulmarloft/fulmarloft/internal/poolsize"
+	"github.com/fulmarloft/fulmarloft/internal/turns"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
 // moves sizes the pools during one ownership.
 type moves struct {
-	rn     *Runner
-	sz     *poolsize.Sizer
-	flying map[string]*move
-	nextMS int64
+	rn *Runner
+	sz *poolsize.Sizer
+	tn *turns.Turns
+	// observedMS is up to when arriving work was taken into the forecast, begunMS when the first came.
+	observedMS int64
+	begunMS    int64
+	flying     map[string]*move
+	nextMS     int64
 }
 
 // move is one machine's move that was ordered.
@@ -29,12 +34,17 @@
 	sizeGapMS = 200
 	// moveRetryMS is the pause before a move without an answer is ordered again.
 	moveRetryMS = 1000
+	// historyMS is how far back a new owner's forecast begins.
+	historyMS = 36000
+	// freshMS is how long after the first job a pool whose queues had no peak yet keeps its machines.
+	freshMS = 15000
+	millis  = 1000
 	// movedMS is how long after a move was accepted the list of machines is believed again.
 	movedMS = 300
 )
 
 func newMoves(rn *Runner) *moves {
-	return &moves{rn: rn, sz: poolsize.New(), flying: map[string]*move{}}
+	return &moves{rn: rn, sz: poolsize.New(), tn: turns.New(), flying: map[string]*move{}}
 }
 
 // step decides on moves once the machines are known and an earlier owner's operations are old enough.
@@ -46,7 +56,12 @@
 	}
 	mv.nextMS = nowMS + sizeGapMS
 	mv.land()
-	pl := mv.sz.Plan(nowMS, mv.demands(), mv.hosts())
+	mv.observe(nowMS)
+	demands, hosts := mv.demands(), mv.hosts()
+	pl := mv.sz.Plan(nowMS, demands, hosts)
+	if len(pl.Moves()) > 0 || len(pl.Shed()) > 0 {
+		rn.lg.Info("pools-sized", "moves", len(pl.Moves()), "shed", len(pl.Shed()), "pools", poolsize.Summary(demands, hosts))
+	}
 	rn.ct.Shed(pl.Shed())
 	for id, pool := range pl.Moves() {
 		mv.order(ctx, id, pool)
@@ -68,16 +83,49 @@
 	}
 }
 
+// observe feeds the forecast with the work that arrived since it was fed last; a new owner begins with what it restored.
+func (mv *moves) observe(nowMS int64) {
+	if mv.observedMS == 0 {
+		mv.observedMS = max(nowMS-historyMS, 0)
+	}
+	for mv.observedMS+sizeGapMS <= nowMS {
+		work := mv.rn.ct.Arrived(mv.observedMS, mv.observedMS+sizeGapMS)
+		mv.observedMS += sizeGapMS
+		if mv.begunMS == 0 && len(work) > 0 {
+			mv.begunMS = mv.observedMS
+		}
+		if mv.begunMS == 0 {
+			continue
+		}
+		rates := map[string]int64{}
+		for _, qu := range mv.rn.rules.Rules().GetQueues() {
+			rates[qu.GetService()] = work[qu.GetService()] * millis / sizeGapMS
+		}
+		mv.tn.Observe(mv.observedMS, sizeGapMS, rates)
+	}
+}
+
+// fresh reports whether a service may still wait for its first turn, so that its pool keeps the machines that it has.
+func (mv *moves) fresh(nowMS int64, service string) bool {
+	return !mv.tn.Surged(service) && (mv.begunMS == 0 || nowMS-mv.begunMS < freshMS)
+}
+
 func (mv *moves) demands() []poolsize.Demand {
 	var out []poolsize.Demand
+	nowMS := mv.rn.ck.Now()
 	wanted := mv.rn.ct.Wanted()
+	next, rate, expected := mv.tn.Next(nowMS)
 	for _, sv := range mv.rn.rules.Rules().GetServices() {
 		if sv.GetStandby() {
 			out = append(out, poolsize.NewStandby(sv.GetName()))
 			continue
 		}
 		wa := wanted[sv.GetName()]
-		out = append(out, poolsize.NewDemand(sv.GetName(), wa.CoresMilli(), wa.LeastVMs()))
+		cores := wa.CoresMilli()
+		if expected && sv.GetName() == next {
+			cores = max(cores, rate)
+		}
+		out = append(out, poolsize.NewDemand(sv.GetName(), cores, wa.LeastVMs(), mv.fresh(nowMS, sv.GetName())))
 	}
 	return out
 }
--- a/internal/poolsize/demand.go
+++ b/internal/poolsize/demand.go
@@ -6,11 +6,12 @@
 	standby    bool
 	coresMilli int64
 	leastVMs   int
+	fresh      bool
 }
 
-// NewDemand returns the demand on a service's pool: the processor room wanted now and the least number of VMs that its tasks must be spread over.
-func NewDemand(service string, coresMilli int64, leastVMs int) Demand {
-	return Demand{service: service, coresMilli: coresMilli, leastVMs: leastVMs}
+// NewDemand returns the demand on a service's pool: the processor room wanted now and the least number of VMs that its tasks must be spread over; a fresh pool may see its first peak soon.
+func NewDemand(service string, coresMilli int64, leastVMs int, fresh bool) Demand {
+	return Demand{service: service, coresMilli: coresMilli, leastVMs: leastVMs, fresh: fresh}
 }
 
 // NewStandby returns the entry of a pool whose machines are off and cost nothing.
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -121,15 +121,15 @@
 	}
 }
 
-// fill moves machines into a pool that lacks some: switched-off ones first, then idle ones of pools with a surplus; where none is idle, busy ones are shed.
+// fill moves machines into a pool that lacks some: switched-off ones first, then idle ones of pools with a surplus, last of those that may need them soon; where none is idle, busy ones are shed.
 func (sz *Sizer) fill(pl Plan, name string, pools map[string]*poolState, names []string) {
 	lack := -pools[name].surplus
 	if pools[name].demand.standby || lack <= 0 {
 		return
 	}
-	for _, standby := range []bool{true, false} {
+	for _, class := range []giver{switchedOff, settled, expecting} {
 		for _, from := range names {
-			if pools[from].demand.standby == standby {
+			if pools[from].demand.giver() == class {
 				lack = sz.take(pl, name, pools[from], lack)
 			}
 		}
@@ -139,6 +139,27 @@
 	}
 }
 
+// giver tells in which order pools give machines away.
+type giver int
+
+const (
+	switchedOff giver = iota
+	settled
+	// expecting pools may need their machines soon.
+	expecting
+)
+
+func (dm Demand) giver() giver {
+	switch {
+	case dm.standby:
+		return switchedOff
+	case dm.fresh:
+		return expecting
+	default:
+		return settled
+	}
+}
+
 // take moves up to lack idle machines out of a pool's surplus and returns the rest of the lack.
 func (sz *Sizer) take(pl Plan, to string, from *poolState, lack int) int {
 	for _, ho := range from.hosts {
@@ -186,7 +207,7 @@
 	for _, name := range names {
 		ps := pools[name]
 		since, spare := sz.surplusMS[name]
-		if ps.demand.standby || !spare || nowMS-since < parkMS {
+		if ps.demand.giver() != settled || !spare || nowMS-since < parkMS {
 			continue
 		}
 		sz.take(pl, standby, ps, ps.surplus)
--- /dev/null
+++ b/internal/turns/turns.go
@@ -0,0 +1,184 @@
+package turns
+
+// Turns learns from the rates of arriving work; it answers demand that rises and falls by turns, faster than machines can follow it.
+type Turns struct {
+	services map[string]*series
+	leader   string
+	rival    string
+	rivalMS  int64
+	onsets   []onset
+}
+
+// series is what is known of one service's arriving work.
+type series struct {
+	mean     float64
+	peak     int64
+	smooth   float64
+	onsetMS  int64
+	hasOnset bool
+}
+
+type onset struct {
+	service string
+	atMS    int64
+}
+
+const (
+	// surgeFactor is how far above its mean a service's rate must be for a turn.
+	surgeFactor = 1.8
+	// shareOfAll is the least part of all arriving work that the service at its peak has.
+	shareOfAll = 0.5
+	// confirmMS is how long a service must lead before its turn counts.
+	confirmMS = 350
+	// meanMS and smoothMS are the times over which the mean and the present rate are taken.
+	meanMS   = 20000
+	smoothMS = 700
+	// toleranceParts: intervals between turns are regular if they differ by less than one part in so many of their sum.
+	toleranceParts = 12
+	// leadMS is how long before a turn its machines should be on their way: a move and the VM's registration.
+	leadMS = 1900
+	// overdueMS is how long after its expected time a turn is still awaited.
+	overdueMS = 1000
+	// leastOnsets is how many turns must have been seen.
+	leastOnsets = 3
+)
+
+// New returns a forecast that has seen nothing.
+func New() *Turns { return &Turns{services: map[string]*series{}} }
+
+// Observe takes up the rates of arriving work, in thousandths of a core, over the time since the last call.
+func (tn *Turns) Observe(nowMS, sinceMS int64, rates map[string]int64) {
+	total := 0.0
+	top := ""
+	for service, rate := range rates {
+		se := tn.series(service)
+		se.mean = blend(se.mean, rate, sinceMS, meanMS)
+		se.smooth = blend(se.smooth, rate, sinceMS, smoothMS)
+		total += se.smooth
+		if top == "" || se.smooth > tn.services[top].smooth || (se.smooth == tn.services[top].smooth && service < top) {
+			top = service
+		}
+	}
+	if top == "" || total <= 0 {
+		return
+	}
+	se := tn.services[top]
+	if se.smooth < shareOfAll*total || (se.smooth < surgeFactor*se.mean && len(tn.onsets) > 0) {
+		tn.rival = ""
+		return
+	}
+	tn.lead(nowMS, top)
+	if tn.leader == top {
+		se.peak = max(se.peak, int64(se.smooth))
+	}
+}
+
+// lead notes that a service has the most arriving work.
+func (tn *Turns) lead(nowMS int64, top string) {
+	if top == tn.leader {
+		tn.rival = ""
+		return
+	}
+	if top != tn.rival {
+		tn.rival, tn.rivalMS = top, nowMS
+	}
+	if nowMS-tn.rivalMS < confirmMS {
+		return
+	}
+	tn.leader, tn.rival = top, ""
+	tn.onsets = append(tn.onsets, onset{service: top, atMS: tn.rivalMS})
+	tn.services[top].onsetMS, tn.services[top].hasOnset = tn.rivalMS, true
+}
+
+func (tn *Turns) series(service string) *series {
+	se, ok := tn.services[service]
+	if !ok {
+		se = &series{}
+		tn.services[service] = se
+	}
+	return se
+}
+
+func blend(old float64, rate, sinceMS, overMS int64) float64 {
+	part := min(float64(sinceMS)/float64(overMS), 1)
+	return old + (float64(rate)-old)*part
+}
+
+// Surged reports whether a service has had a turn.
+func (tn *Turns) Surged(service string) bool {
+	se, ok := tn.services[service]
+	return ok && se.hasOnset
+}
+
+// Next returns the service whose turn is about to come and the rate that it will ask for, or false if none is expected now.
+func (tn *Turns) Next(nowMS int64) (service string, rate int64, ok bool) {
+	interval, ok := tn.interval()
+	if !ok {
+		return "", 0, false
+	}
+	due := tn.onsets[len(tn.onsets)-1].atMS + interval
+	if nowMS < due-leadMS || nowMS > due+overdueMS {
+		return "", 0, false
+	}
+	service, ok = tn.longestAgo()
+	if !ok {
+		return "", 0, false
+	}
+	return service, tn.expected(service), true
+}
+
+// interval returns the time between turns if the last ones were regular.
+func (tn *Turns) interval() (int64, bool) {
+	count := len(tn.onsets)
+	if count < leastOnsets {
+		return 0, false
+	}
+	last := tn.onsets[count-1].atMS - tn.onsets[count-2].atMS
+	before := tn.onsets[count-2].atMS - tn.onsets[count-3].atMS
+	if diff := max(last-before, before-last); diff*toleranceParts > last+before {
+		return 0, false
+	}
+	return (last + before) / 2, true
+}
+
+// longestAgo returns the service whose turn lies back farthest, if that is certain.
+func (tn *Turns) longestAgo() (string, bool) {
+	best := ""
+	never := 0
+	for service, se := range tn.services {
+		if service == tn.leader {
+			continue
+		}
+		if !se.hasOnset {
+			never++
+			best = service
+		}
+	}
+	if never > 0 {
+		return best, never == 1
+	}
+	for service, se := range tn.services {
+		if service != tn.leader && (best == "" || se.onsetMS < tn.services[best].onsetMS) {
+			best = service
+		}
+	}
+	return best, best != ""
+}
+
+// expected returns the rate of a service at its peak: its own of an earlier turn, else the mean of the others'.
+func (tn *Turns) expected(service string) int64 {
+	if own := tn.services[service].peak; own > 0 && tn.services[service].hasOnset {
+		return own
+	}
+	sum, count := int64(0), int64(0)
+	for _, se := range tn.services {
+		if se.hasOnset {
+			sum += se.peak
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / count
+}
