--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -173,12 +173,7 @@
 	if !ok || !on.synced || on.silent || !on.registered || on.processed > on.stored {
 		return false
 	}
-	for _, rn := range on.runs {
-		if rn.lasting() {
-			return false
-		}
-	}
-	return true
+	return !ct.Lasting(id)
 }
 
 // Unusable reports whether a VM is known to take no work for a reason that its pool's size doesn't account for.
--- a/internal/jobcontrol/evacuate.go
+++ b/internal/jobcontrol/evacuate.go
@@ -16,8 +16,8 @@
 	return len(on.runs)
 }
 
-// Evacuate moves lasting tasks off a cordoned VM as their disruption budgets allow, lets the others end, and reports whether nothing runs there any more and all ends are stored.
-func (ct *Controller) Evacuate(id string) bool {
+// Evacuate moves lasting tasks off a cordoned VM as their disruption budgets allow, lets the others end unless they are stopped by force, and reports whether nothing runs there any more and all ends are stored.
+func (ct *Controller) Evacuate(id string, force bool) bool {
 	on, ok := ct.vms[id]
 	if !ok {
 		return true
@@ -26,7 +26,11 @@
 		return on.processed == on.stored
 	}
 	for _, rn := range on.runs {
-		if rn.phase != phaseRunning || !rn.lasting() {
+		if rn.phase != phaseRunning || (!rn.lasting() && !force) {
+			continue
+		}
+		if !rn.lasting() {
+			ct.stop(rn)
 			continue
 		}
 		// A task that didn't serve when it was last looked at may serve by now, so it counts like any other.
@@ -37,3 +41,17 @@
 	}
 	return false
 }
+
+// Lasting reports whether tasks that last run on a VM.
+func (ct *Controller) Lasting(id string) bool {
+	on, ok := ct.vms[id]
+	if !ok {
+		return false
+	}
+	for _, rn := range on.runs {
+		if rn.lasting() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -191,7 +191,7 @@
 	for range 100 {
 		fl.play(stepMS)
 		for _, id := range hosts {
-			fl.ct.Evacuate(id)
+			fl.ct.Evacuate(id, false)
 		}
 		qt.Assert(t, len(fl.live) >= 1, qt.IsTrue)
 	}
@@ -222,7 +222,7 @@
 	fl.silent[hosts[0]] = true
 	fl.play(1500)
 	fl.ct.Cordon(hosts[1], true)
-	fl.ct.Evacuate(hosts[1])
+	fl.ct.Evacuate(hosts[1], false)
 	fl.play(500)
 	qt.Assert(t, fl.workers[hosts[1]].Running(), qt.Equals, 1)
 }
@@ -235,7 +235,7 @@
 	fl.play(1000)
 	for _, id := range hosts {
 		fl.ct.Cordon(id, true)
-		fl.ct.Evacuate(id)
+		fl.ct.Evacuate(id, false)
 	}
 	fl.play(200)
 	qt.Assert(t, len(fl.live), qt.Equals, 2)
--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -20,6 +20,7 @@
 	readMS   int64
 	reading  bool
 	nextMS   int64
+	emptyMS  int64
 }
 
 type drive struct {
@@ -44,6 +45,8 @@
 const (
 	// listGapMS is the pause between reads of the list of machines.
 	listGapMS = 700
+	// emptyGapMS is the pause between steps of emptying VMs.
+	emptyGapMS = 100
 	// tellRetryMS is the pause after the operators couldn't be told.
 	tellRetryMS = 500
 )
@@ -81,12 +84,18 @@
 	}
 	for _, dr := range wv.drivers {
 		wv.tell(ctx, dr)
+		if nowMS >= wv.emptyMS && wv.rn.ow.Held() {
+			dr.up.Empty(nowMS)
+		}
+	}
+	if nowMS >= wv.emptyMS {
+		wv.emptyMS = nowMS + emptyGapMS
 	}
 }
 
 func (wv *waves) begin(wave *workpb.Wave) {
 	ct := wv.rn.ct
-	dr := &drive{wave: wave, up: upkeep.New(wave, ct.Cordon, ct.Evacuate, ct.Load)}
+	dr := &drive{wave: wave, up: upkeep.New(wave, ct.Cordon, ct.Evacuate, ct.Load, ct.Lasting)}
 	if row, ok := wv.restored[wave.GetNumber()]; ok {
 		dr.up.Restore(row)
 		dr.row = row
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -10,12 +10,14 @@
 type Upkeep struct {
 	wave     *workpb.Wave
 	machines map[string]*machine
-	// cordon keeps new work from a VM, evacuate empties it and reports whether it is empty, load counts what runs there.
+	// cordon keeps new work from a VM, evacuate empties it, by force also of work that would end by itself, and reports whether it is empty, load counts what runs there.
 	cordon   func(vm string, cordoned bool)
-	evacuate func(vm string) bool
+	evacuate func(vm string, force bool) bool
 	load     func(vm string) int
-	done     bool
-	beganMS  int64
+	// lasting reports whether tasks that last run on a VM.
+	lasting func(vm string) bool
+	done    bool
+	beganMS int64
 }
 
 type state int
@@ -36,24 +38,25 @@
 	state      state
 	vm         string
 	acceptedMS int64
-	emptyingMS int64
 }
 
 const (
 	// cycleMS is about how long one machine takes from its emptying until it is back.
 	cycleMS = 5000
+	// urgentCycles is how many cycles before the end of its time a wave becomes urgent.
+	urgentCycles = 2
 	// reservePercent is the part of the wave's time that is left for what goes wrong.
 	reservePercent = 35
 	percent        = 100
+	// slowAhead is how many machines with tasks that last are emptied beside the others, since these leave one after the other.
+	slowAhead = 3
 	// settleMS is how long after the order the list of machines must have been read to tell that the machine is back.
 	settleMS = 500
-	// patienceMS is how long a VM is given to become empty.
-	patienceMS = 15000
 )
 
 // New returns the driver of a wave.
-func New(wave *workpb.Wave, cordon func(string, bool), evacuate func(string) bool, load func(string) int) *Upkeep {
-	up := &Upkeep{wave: wave, machines: map[string]*machine{}, cordon: cordon, evacuate: evacuate, load: load}
+func New(wave *workpb.Wave, cordon func(string, bool), evacuate func(string, bool) bool, load func(string) int, lasting func(string) bool) *Upkeep {
+	up := &Upkeep{wave: wave, machines: map[string]*machine{}, cordon: cordon, evacuate: evacuate, load: load, lasting: lasting}
 	for _, id := range wave.GetMachines() {
 		up.machines[id] = &machine{id: id}
 	}
@@ -68,11 +71,12 @@
 		}
 	}
 	up.done = row.GetCompleted()
+	up.beganMS = row.GetBeganMs()
 }
 
 // Row returns what is to be stored.
 func (up *Upkeep) Row() *workpb.Upkeep {
-	row := &workpb.Upkeep{Wave: up.wave.GetNumber(), Completed: up.done}
+	row := &workpb.Upkeep{Wave: up.wave.GetNumber(), Completed: up.done, BeganMs: up.beganMS}
 	for _, mc := range up.machines {
 		switch mc.state {
 		case intended, ordered:
@@ -162,20 +166,36 @@
 			continue
 		}
 		limit := up.atOnce()
-		if up.load(row.GetVm()) > 0 {
+		switch {
+		case up.lasting(row.GetVm()):
+			limit = pace + slowAhead
+		case up.load(row.GetVm()) > 0:
 			limit = min(limit, pace)
 		}
 		if inHand >= limit {
-			return
+			continue
 		}
 		mc.state = emptying
-		mc.emptyingMS = nowMS
 		mc.vm = row.GetVm()
 		up.cordon(mc.vm, true)
 		inHand++
 	}
 }
 
+// Empty goes on emptying the VMs of the machines in hand.
+func (up *Upkeep) Empty(nowMS int64) {
+	for _, mc := range up.machines {
+		if mc.state == emptying {
+			up.evacuate(mc.vm, up.urgent(nowMS))
+		}
+	}
+}
+
+// urgent reports whether the wave's time is so short that work is stopped that would have ended by itself.
+func (up *Upkeep) urgent(nowMS int64) bool {
+	return nowMS > up.beganMS+up.wave.GetDurationMs()-urgentCycles*cycleMS
+}
+
 // pace returns how many machines must be in hand at once for the wave to end in time.
 func (up *Upkeep) pace(nowMS int64) int {
 	rest := len(up.machines) - up.count(finished)
@@ -219,14 +239,7 @@
 			mc.vm = row.GetVm()
 			up.cordon(mc.vm, true)
 		}
-		empty := up.evacuate(mc.vm)
-		if room <= 0 || (!empty && nowMS-mc.emptyingMS < patienceMS) {
-			continue
-		}
-		if !empty {
-			// The VM never becomes empty: let the others go first, and begin anew.
-			up.cordon(mc.vm, false)
-			mc.state = waiting
+		if !up.evacuate(mc.vm, up.urgent(nowMS)) || room <= 0 {
 			continue
 		}
 		mc.state = intended
