--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -1,10 +1,14 @@
 package jobcontrol
 
+import "github.com/fulmarloft/fulmarloft/internal/workpb"
+
 const (
 	// leastChainMS bounds the room that is wanted for jobs whose rest is short.
 	leastChainMS = 600
 	// arrivalWindowMS is the time over which the rate of arriving work is taken.
 	arrivalWindowMS = 700
+	// onsetWindowMS is a shorter one, in which the onset of a peak shows sooner.
+	onsetWindowMS = 350
 	// arrivalMemoryMS is how long arrivals are remembered.
 	arrivalMemoryMS = 40000
 )
@@ -19,12 +23,16 @@
 // Wanted is what the jobs of a service ask of its pool.
 type Wanted struct {
 	coresMilli int64
+	lateMilli  int64
 	leastVMs   int
 }
 
-// CoresMilli returns the processor room wanted now, in thousandths of a core.
+// CoresMilli returns the processor room wanted now for all that can be in time, in thousandths of a core.
 func (wa Wanted) CoresMilli() int64 { return wa.coresMilli }
 
+// LateMilli returns the room wanted beside that for jobs that are late already.
+func (wa Wanted) LateMilli() int64 { return wa.lateMilli }
+
 // LeastVMs returns the least number of VMs that the tasks must be spread over.
 func (wa Wanted) LeastVMs() int { return wa.leastVMs }
 
@@ -47,7 +55,9 @@
 
 // Wanted returns what each service's pool is asked for.
 func (ct *Controller) Wanted() map[string]Wanted {
+	nowMS := ct.ck.Now()
 	backlog := map[string]int64{}
+	late := map[string]int64{}
 	lasting := map[string]int64{}
 	least := map[string]int{}
 	for _, jb := range ct.active {
@@ -56,7 +66,11 @@
 			continue
 		}
 		for _, oc := range jb.occurrences {
-			backlog[qu.GetService()] += oc.wantedMilli()
+			if oc.timely(qu, nowMS) {
+				backlog[qu.GetService()] += oc.wantedMilli()
+			} else {
+				late[qu.GetService()] += oc.wantedMilli()
+			}
 			for _, st := range oc.steps {
 				if st.row.GetLasting() {
 					lasting[qu.GetService()] += int64(len(st.tasks)) * st.need().CoresMilli()
@@ -70,7 +84,7 @@
 	for _, sv := range ct.rules.Rules().GetServices() {
 		name := sv.GetName()
 		cores := lasting[name] + max(backlog[name], rate[name])
-		out[name] = Wanted{coresMilli: cores, leastVMs: max(least[name], boolInt(cores > 0))}
+		out[name] = Wanted{coresMilli: cores, lateMilli: late[name], leastVMs: max(least[name], boolInt(cores+late[name] > 0))}
 	}
 	return out
 }
@@ -82,6 +96,26 @@
 	return 0
 }
 
+// timely reports whether the rest of an occurrence can still be done within its objective.
+func (oc *occurrence) timely(qu *workpb.Queue, nowMS int64) bool {
+	for _, st := range oc.steps {
+		if st.done < len(st.tasks) && !st.row.GetLasting() && st.ready() {
+			return rank(st, qu, nowMS).tier <= tierTimely || st.started()
+		}
+	}
+	return true
+}
+
+// started reports whether a task of the step runs or has run.
+func (st *step) started() bool {
+	for _, tk := range st.tasks {
+		if tk.done || tk.cur != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // wantedMilli returns the room in which the rest of an occurrence's work would be done as soon as its order of steps allows.
 func (oc *occurrence) wantedMilli() int64 {
 	work, chain := int64(0), int64(leastChainMS)
@@ -139,9 +173,11 @@
 	for len(ct.arrivals) > 0 && nowMS-ct.arrivals[0].atMS > arrivalMemoryMS {
 		ct.arrivals = ct.arrivals[1:]
 	}
-	rates := ct.Arrived(nowMS-arrivalWindowMS, nowMS)
-	for service, work := range rates {
-		rates[service] = work * milli / arrivalWindowMS
+	rates := map[string]int64{}
+	for _, window := range []int64{arrivalWindowMS, onsetWindowMS} {
+		for service, work := range ct.Arrived(nowMS-window, nowMS) {
+			rates[service] = max(rates[service], work*milli/window)
+		}
 	}
 	return rates
 }
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -41,8 +41,6 @@
 	ck *clock.Clock
 	lg *event.Log
 	ow *ownership.Ownership
-	// machineTurnMS is how long operations on a machine by two owners must lie apart.
-	machineTurnMS int64
 
 	ct      *jobcontrol.Controller
 	events  chan func()
@@ -67,7 +65,7 @@
 	// tickMS is how often looks and time-outs are checked without an event.
 	tickMS = 30
 	// renewMS is the longest pause between commits; the lease is renewed with each.
-	renewMS = 600
+	renewMS = 450
 	// pendingGapMS is how often the counts of waiting jobs are stored.
 	pendingGapMS = 600
 	// retryMS is the pause before a commit that failed is repeated.
@@ -82,9 +80,9 @@
 )
 
 // New returns the runner of an ownership that was just taken; runLeaseMS is the lease that runs are given.
-func New(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, runLeaseMS, machineTurnMS int64) *Runner {
+func New(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, runLeaseMS int64) *Runner {
 	rn := &Runner{
-		ln: ln, ck: ck, lg: lg, ow: ow, machineTurnMS: machineTurnMS,
+		ln: ln, ck: ck, lg: lg, ow: ow,
 		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
 		events: make(chan func(), eventBuffer), outbox: map[string]*mailbox{},
 		startMS: ck.Now(), lastCommitMS: ck.Now(), dirtyEvent: true,
--- a/internal/jobrunner/moves.go
+++ b/internal/jobrunner/moves.go
@@ -47,11 +47,11 @@
 	return &moves{rn: rn, sz: poolsize.New(), tn: turns.New(), flying: map[string]*move{}}
 }
 
-// step decides on moves once the machines are known and an earlier owner's operations are old enough.
+// step decides on moves once the machines are known.
 func (mv *moves) step(ctx context.Context) {
 	rn := mv.rn
 	nowMS := rn.ck.Now()
-	if nowMS < mv.nextMS || rn.rules == nil || len(rn.wv.machines) == 0 || nowMS-rn.startMS < rn.machineTurnMS || !rn.ow.Held() {
+	if nowMS < mv.nextMS || rn.rules == nil || len(rn.wv.machines) == 0 || !rn.ow.Held() {
 		return
 	}
 	mv.nextMS = nowMS + sizeGapMS
@@ -125,7 +125,7 @@
 		if expected && sv.GetName() == next {
 			cores = max(cores, rate)
 		}
-		out = append(out, poolsize.NewDemand(sv.GetName(), cores, wa.LeastVMs(), mv.fresh(nowMS, sv.GetName())))
+		out = append(out, poolsize.NewDemand(sv.GetName(), cores, wa.LateMilli(), wa.LeastVMs(), mv.fresh(nowMS, sv.GetName())))
 	}
 	return out
 }
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -10,17 +10,16 @@
 
 // Schedule takes the ownership of scheduling whenever it is free and runs it.
 type Schedule struct {
-	ln            *Links
-	ck            *clock.Clock
-	lg            *event.Log
-	ow            *ownership.Ownership
-	runLeaseMS    int64
-	machineTurnMS int64
+	ln         *Links
+	ck         *clock.Clock
+	lg         *event.Log
+	ow         *ownership.Ownership
+	runLeaseMS int64
 }
 
 const (
 	// pollMS is how often an entry that doesn't own scheduling looks at the ownership.
-	pollMS = 400
+	pollMS = 300
 	// runLeaseMS is the lease of runs: longer than an owner's loss and its successor's start take, short enough to restart soon what a lost VM ran.
 	runLeaseMS = 5000
 	// releaseMS bounds the wait for the release at the end.
@@ -28,12 +27,12 @@
 )
 
 // NewSchedule returns the schedule of an entry; longestLeaseMS is the longest lease that VMs grant.
-func NewSchedule(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, longestLeaseMS, machineTurnMS int64) *Schedule {
+func NewSchedule(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, longestLeaseMS int64) *Schedule {
 	lease := int64(runLeaseMS)
 	if longestLeaseMS > 0 {
 		lease = min(lease, longestLeaseMS)
 	}
-	return &Schedule{ln: ln, ck: ck, lg: lg, ow: ow, runLeaseMS: lease, machineTurnMS: machineTurnMS}
+	return &Schedule{ln: ln, ck: ck, lg: lg, ow: ow, runLeaseMS: lease}
 }
 
 // Run polls, and schedules while this entry is the owner, until the context ends; then it releases the ownership.
@@ -49,7 +48,7 @@
 }
 
 func (sc *Schedule) schedule(ctx context.Context) {
-	rn := New(sc.ln, sc.ck, sc.lg, sc.ow, sc.runLeaseMS, sc.machineTurnMS)
+	rn := New(sc.ln, sc.ck, sc.lg, sc.ow, sc.runLeaseMS)
 	sc.lg.Info("ownership-taken", "token", sc.ow.Token())
 	err := rn.Run(ctx)
 	sc.lg.Fail("scheduling-ended", err, "token", sc.ow.Token())
--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -130,10 +130,10 @@
 	})
 }
 
-// advance lets each wave take its next steps; an owner waits until an earlier one's last operations are old enough.
+// advance lets each wave take its next steps.
 func (wv *waves) advance() {
 	nowMS := wv.rn.ck.Now()
-	if nowMS-wv.rn.startMS < wv.rn.machineTurnMS || !wv.rn.ow.Held() {
+	if !wv.rn.ow.Held() {
 		return
 	}
 	for _, dr := range wv.drivers {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -37,9 +37,9 @@
 
 const (
 	// LeaseMS is how long after the start of its last commit an owner may order starts.
-	LeaseMS = 2000
+	LeaseMS = 1400
 	// takeoverMS is how long the row must be seen unchanged before another entry takes over; it exceeds the lease by a margin for clock rates.
-	takeoverMS = 2300
+	takeoverMS = 1650
 	// readGapMS is the longest pause between reads that still counts as watching.
 	readGapMS = 1000
 )
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -39,11 +39,21 @@
 	pools := group(demands, hosts)
 	names := make([]string, 0, len(pools))
 	for name, ps := range pools {
-		ps.surplus = ps.excess()
-		sz.note(nowMS, name, ps)
+		ps.surplus = ps.excess(ps.demand.coresMilli)
 		names = append(names, name)
 	}
-	// The pool that lacks most is served first.
+	sz.fillAll(pl, pools, names)
+	for name, ps := range pools {
+		ps.surplus -= ps.excess(ps.demand.coresMilli) - ps.excess(ps.demand.coresMilli+ps.demand.lateMilli)
+		sz.note(nowMS, name, ps)
+	}
+	sz.fillAll(pl, pools, names)
+	sz.park(nowMS, pl, pools, names)
+	return pl
+}
+
+// fillAll serves the pools that lack machines, the one that lacks most first.
+func (sz *Sizer) fillAll(pl Plan, pools map[string]*poolState, names []string) {
 	sort.Slice(names, func(i, j int) bool {
 		one, other := pools[names[i]], pools[names[j]]
 		if one.surplus != other.surplus {
@@ -54,8 +64,6 @@
 	for _, name := range names {
 		sz.fill(pl, name, pools, names)
 	}
-	sz.park(nowMS, pl, pools, names)
-	return pl
 }
 
 func group(demands []Demand, hosts []Host) map[string]*poolState {
@@ -80,12 +88,12 @@
 	return pools
 }
 
-// excess returns how many machines a pool has beyond its need, negative for a lack.
-func (ps *poolState) excess() int {
+// excess returns how many machines a pool has beyond what some room needs, negative for a lack.
+func (ps *poolState) excess(coresMilli int64) int {
 	if ps.demand.standby {
 		return len(ps.hosts)
 	}
-	want := ps.demand.coresMilli * headroomPercent / percent
+	want := coresMilli * headroomPercent / percent
 	need := 0
 	for _, ho := range ps.hosts {
 		if want <= 0 {
@@ -137,6 +145,7 @@
 	for at := len(names) - 1; at >= 0 && lack > 0; at-- {
 		lack = shed(pl, pools[names[at]], lack)
 	}
+	pools[name].surplus = -lack
 }
 
 // giver tells in which order pools give machines away.
