--- a/cmd/fulmarloft/platform.go
+++ b/cmd/fulmarloft/platform.go
@@ -26,7 +26,7 @@
 	}
 	stop := make(chan struct{})
 	go watchSignals(lg, stop)
-	return edge.New(st, clock.New(), lg).Run(stop)
+	return edge.New(st, clock.NewSuspendAware(), lg).Run(stop)
 }
 
 // watchSignals closes stop at SIGTERM and checks the settings at SIGHUP.
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock tells the time in milliseconds since the Unix epoch and runs timers; a real clock never goes backwards within a process and counts the time for which the machine was suspended.
+// Clock tells the time in milliseconds since the Unix epoch and runs timers; a real clock never goes backwards within a process.
 type Clock struct {
 	mu     sync.Mutex
 	fake   bool
@@ -26,16 +26,24 @@
 	fn  func()
 }
 
-// New returns a clock that follows the machine's time since boot, anchored at the wall time of the call.
+// New returns a clock that follows the machine's monotonic clock, anchored at the wall time of the call.
 func New() *Clock {
+	return &Clock{start: time.Now(), boot: noBoot}
+}
+
+// NewSuspendAware returns a clock like New that also counts the time for which the machine is suspended, so that leases lapse meanwhile.
+func NewSuspendAware() *Clock {
 	return &Clock{start: time.Now(), boot: sinceBoot()}
 }
 
-// sinceBoot returns the milliseconds since boot, or -1 where the machine has no such clock.
+// noBoot stands for the time since boot where it isn't followed.
+const noBoot = -1
+
+// sinceBoot returns the milliseconds since boot, or noBoot where the machine has no such clock.
 func sinceBoot() int64 {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return -1
+		return noBoot
 	}
 	return ts.Nano() / int64(time.Millisecond)
 }
@@ -56,11 +64,10 @@
 }
 
 func (ck *Clock) elapsed() int64 {
-	now := sinceBoot()
-	if now < 0 || ck.boot < 0 {
+	if ck.boot == noBoot {
 		return time.Since(ck.start).Milliseconds()
 	}
-	return now - ck.boot
+	return sinceBoot() - ck.boot
 }
 
 // AfterFunc runs fn once after the given number of milliseconds and returns a function that cancels it, which reports whether it was still pending.
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -35,3 +35,12 @@
 	ck.Advance(1)
 	qt.Assert(t, context.Cause(ctx), qt.Equals, context.DeadlineExceeded)
 }
+
+func TestSuspendAwareClockFollowsTheOrdinaryOne(t *testing.T) {
+	ordinary, aware := clock.New(), clock.NewSuspendAware()
+	for range 1000 {
+		before := ordinary.Now()
+		now := aware.Now()
+		qt.Assert(t, now >= before-1 && now <= ordinary.Now()+1, qt.IsTrue)
+	}
+}
