--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,76 @@
+package admission_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/admission"
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+const withdrawalMS = 5000
+
+func rules(version int64, keys ...string) *rulesindex.Index {
+	return rulesindex.New(&workpb.Rules{
+		Version: version,
+		Queues: []*workpb.Queue{
+			{Name: "wide", Host: "h.example", Prefix: "/a/"},
+			{Name: "narrow", Host: "H.example", Prefix: "/a/b/"},
+			{Name: "open", Host: "h.example", Prefix: "/o/", Public: true},
+		},
+		Teams: []*workpb.Team{{Name: "t", Keys: keys}},
+	})
+}
+
+func TestAdmit(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		host  string
+		path  string
+		key   string
+		ageMS int64
+		queue string
+		rest  string
+		want  code.Code
+	}{
+		{"longest prefix", "h.example", "/a/b/1", "k", 0, "narrow", "1", code.OK},
+		{"shorter prefix, host with port", "h.EXAMPLE:80", "/a/c", "k", 0, "wide", "c", code.OK},
+		{"other host", "x.example", "/a/c", "k", 0, "", "", code.ServiceUnknown},
+		{"other path", "h.example", "/c", "k", 0, "", "", code.ServiceUnknown},
+		{"no key", "h.example", "/a/c", "", 0, "", "", code.KeyMissing},
+		{"unknown key", "h.example", "/a/c", "z", 0, "", "", code.KeyUnknown},
+		{"no proof of freshness", "h.example", "/a/c", "z", withdrawalMS, "", "", code.KeyedWorkPaused},
+		{"public queue without proof", "h.example", "/o/1", "", withdrawalMS, "open", "1", code.OK},
+	} {
+		ck := clock.NewFake(100_000)
+		ad := admission.New(ck, withdrawalMS)
+		_, err := ad.Admit(tc.host, tc.path, tc.key)
+		qt.Check(t, code.Of(err), qt.Equals, code.KeyedWorkPaused, qt.Commentf("%s: before any rules", tc.name))
+		ad.SetRules(rules(1, "k"))
+		ad.Prove(ck.Now())
+		ck.Advance(tc.ageMS)
+		ps, err := ad.Admit(tc.host, tc.path, tc.key)
+		qt.Check(t, code.Of(err), qt.Equals, tc.want, qt.Commentf(tc.name))
+		qt.Check(t, ps.Queue().GetName(), qt.Equals, tc.queue, qt.Commentf(tc.name))
+		qt.Check(t, ps.Rest(), qt.Equals, tc.rest, qt.Commentf(tc.name))
+	}
+}
+
+func TestRulesNeverGoBack(t *testing.T) {
+	ad := admission.New(clock.NewFake(100_000), withdrawalMS)
+	qt.Assert(t, ad.SetRules(rules(2)), qt.IsTrue)
+	qt.Assert(t, ad.SetRules(rules(1, "k")), qt.IsFalse)
+	qt.Assert(t, ad.Rules().Rules().GetVersion(), qt.Equals, int64(2))
+}
+
+func TestProofCountsFromTheStartOfTheRead(t *testing.T) {
+	ck := clock.NewFake(100_000)
+	ad := admission.New(ck, withdrawalMS)
+	ad.Prove(99_000)
+	ad.Prove(98_000)
+	qt.Assert(t, ad.AgeMS(), qt.Equals, int64(1000))
+}
--- /dev/null
+++ b/internal/ownership/ownership_test.go
@@ -0,0 +1,106 @@
+package ownership_test
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+type pair struct {
+	ck  *clock.Clock
+	st  *rowstoretest.Store
+	one *ownership.Ownership
+	two *ownership.Ownership
+}
+
+func newPair() *pair {
+	ck := clock.NewFake(1000)
+	st := rowstoretest.New(ck)
+	return &pair{ck, st, ownership.New(st.Rowstore(), ck, "one", "one.1"), ownership.New(st.Rowstore(), ck, "two", "two.1")}
+}
+
+func poll(t *testing.T, ow *ownership.Ownership) bool {
+	owned, err := ow.Poll(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	return owned
+}
+
+// watch lets an entry poll for some time and returns whether it became the owner.
+func (pr *pair) watch(t *testing.T, ow *ownership.Ownership, forMS int64) bool {
+	for end := pr.ck.Now() + forMS; pr.ck.Now() < end; pr.ck.Advance(300) {
+		if poll(t, ow) {
+			return true
+		}
+	}
+	return false
+}
+
+func put(key string) func(*rowstore.Tx) {
+	return func(tx *rowstore.Tx) { tx.Put("t", key, []byte("x")) }
+}
+
+func TestSuccessorWaitsForTheLease(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	for range 10 {
+		pr.ck.Advance(500)
+		qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNil)
+		qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+	}
+	qt.Assert(t, pr.watch(t, pr.two, ownership.LeaseMS), qt.IsFalse)
+	qt.Assert(t, pr.one.Held(), qt.IsFalse)
+	qt.Assert(t, pr.watch(t, pr.two, 900), qt.IsTrue)
+	qt.Assert(t, pr.two.Token() > pr.one.Token(), qt.IsTrue)
+	err := pr.one.Commit(context.Background(), put("b"))
+	qt.Assert(t, code.Of(err), qt.Equals, code.LeaseLapsed)
+	qt.Assert(t, pr.st.Keys("t"), qt.Equals, "a")
+}
+
+func TestSuccessorCountsOnlyTimeThatItWatched(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+	pr.ck.Advance(9000)
+	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+	qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNil)
+	qt.Assert(t, pr.one.Held(), qt.IsTrue)
+}
+
+func TestReleaseAndRestartAreTakenAtOnce(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	again := ownership.New(pr.st.Rowstore(), pr.ck, "one", "one.2")
+	qt.Assert(t, poll(t, again), qt.IsTrue)
+	qt.Assert(t, again.Token() > pr.one.Token(), qt.IsTrue)
+	qt.Assert(t, again.Release(context.Background()), qt.IsNil)
+	qt.Assert(t, again.Held(), qt.IsFalse)
+	qt.Assert(t, poll(t, pr.two), qt.IsTrue)
+}
+
+func TestCommitsWithoutAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		fate rowstoretest.Fate
+	}{
+		{"applied and lost", rowstoretest.Lost},
+		{"applied late", rowstoretest.Late},
+		{"refused", rowstoretest.Refused},
+	} {
+		pr := newPair()
+		qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+		pr.st.SetFate(func(*rowstore.Tx) rowstoretest.Fate { return tc.fate })
+		qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNotNil, qt.Commentf(tc.name))
+		pr.st.SetFate(func(*rowstore.Tx) rowstoretest.Fate { return rowstoretest.Served })
+		qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNil, qt.Commentf(tc.name))
+		qt.Assert(t, pr.st.ApplyLate(), qt.Equals, 0, qt.Commentf(tc.name))
+		qt.Assert(t, pr.one.Commit(context.Background(), put("b")), qt.IsNil, qt.Commentf(tc.name))
+		qt.Assert(t, pr.st.Keys("t"), qt.Equals, "a b", qt.Commentf(tc.name))
+	}
+}
--- /dev/null
+++ b/internal/poolsize/poolsize_test.go
@@ -0,0 +1,115 @@
+package poolsize_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/poolsize"
+)
+
+const cores = 32_000
+
+// hosts returns machines of a pool, each with the load given.
+func hosts(pool string, loads ...int) []poolsize.Host {
+	var out []poolsize.Host
+	for at, load := range loads {
+		name := fmt.Sprintf("%s%d", pool, at)
+		out = append(out, poolsize.NewHost("m-"+name, pool, "v-"+name, cores, load, false))
+	}
+	return out
+}
+
+func moved(pl poolsize.Plan, to string) []string {
+	var out []string
+	for machine, pool := range pl.Moves() {
+		if pool == to {
+			out = append(out, machine)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func TestPlan(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		demands []poolsize.Demand
+		hosts   []poolsize.Host
+		to      string
+		want    []string
+		shed    int
+	}{
+		{
+			name: "switched-off machines first",
+			demands: []poolsize.Demand{
+				poolsize.NewDemand("a", 80_000, 0, 1, false), poolsize.NewDemand("b", 0, 0, 0, false), poolsize.NewStandby("z"),
+			},
+			hosts: append(append(hosts("a", 1), hosts("b", 0, 0)...), hosts("z", 0, 0)...),
+			to:    "a", want: []string{"m-z0", "m-z1"},
+		},
+		{
+			name: "then idle ones of a settled pool, not of a fresh one",
+			demands: []poolsize.Demand{
+				poolsize.NewDemand("a", 50_000, 0, 1, false), poolsize.NewDemand("b", 0, 0, 0, true), poolsize.NewDemand("c", 0, 0, 0, false),
+			},
+			hosts: append(append(hosts("a", 1), hosts("b", 0, 0)...), hosts("c", 0)...),
+			to:    "a", want: []string{"m-c0"},
+		},
+		{
+			name: "busy ones are shed first",
+			demands: []poolsize.Demand{
+				poolsize.NewDemand("a", 50_000, 0, 1, false), poolsize.NewDemand("b", 10_000, 0, 1, false),
+			},
+			hosts: append(hosts("a", 1), hosts("b", 2, 5)...),
+			to:    "a", want: nil, shed: 1,
+		},
+		{
+			name: "no machine beyond what tasks must be spread over",
+			demands: []poolsize.Demand{
+				poolsize.NewDemand("a", 50_000, 0, 1, false), poolsize.NewDemand("b", 10_000, 0, 3, false),
+			},
+			hosts: append(hosts("a", 1), hosts("b", 0, 0, 0)...),
+			to:    "a", want: nil,
+		},
+		{
+			name: "timely jobs before late ones of another pool",
+			demands: []poolsize.Demand{
+				poolsize.NewDemand("a", 20_000, 500_000, 1, false), poolsize.NewDemand("b", 50_000, 0, 1, false), poolsize.NewStandby("z"),
+			},
+			hosts: append(append(hosts("a", 1), hosts("b", 1)...), hosts("z", 0)...),
+			to:    "b", want: []string{"m-z0"},
+		},
+		{
+			name: "late ones get what is left",
+			demands: []poolsize.Demand{
+				poolsize.NewDemand("a", 20_000, 500_000, 1, false), poolsize.NewDemand("b", 20_000, 0, 1, false), poolsize.NewStandby("z"),
+			},
+			hosts: append(append(hosts("a", 1), hosts("b", 1)...), hosts("z", 0)...),
+			to:    "a", want: []string{"m-z0"},
+		},
+	} {
+		pl := poolsize.New().Plan(1000, tc.demands, tc.hosts)
+		qt.Check(t, moved(pl, tc.to), qt.DeepEquals, tc.want, qt.Commentf(tc.name))
+		qt.Check(t, len(pl.Shed()), qt.Equals, tc.shed, qt.Commentf(tc.name))
+	}
+}
+
+func TestSpareMachinesAreSwitchedOffAfterAWhile(t *testing.T) {
+	sz := poolsize.New()
+	demands := []poolsize.Demand{poolsize.NewDemand("a", 20_000, 0, 1, false), poolsize.NewStandby("z")}
+	list := hosts("a", 1, 0, 0)
+	qt.Assert(t, len(sz.Plan(1000, demands, list).Moves()), qt.Equals, 0)
+	qt.Assert(t, len(sz.Plan(1500, demands, list).Moves()), qt.Equals, 0)
+	qt.Assert(t, moved(sz.Plan(3000, demands, list), "z"), qt.DeepEquals, []string{"m-a1", "m-a2"})
+}
+
+func TestRefusedMoveIsNotRepeated(t *testing.T) {
+	sz := poolsize.New()
+	sz.Refuse("m-z0", "a")
+	demands := []poolsize.Demand{poolsize.NewDemand("a", 50_000, 0, 1, false), poolsize.NewStandby("z")}
+	pl := sz.Plan(1000, demands, append(hosts("a", 1), hosts("z", 0)...))
+	qt.Assert(t, len(pl.Moves()), qt.Equals, 0)
+}
--- /dev/null
+++ b/internal/upkeep/upkeep_test.go
@@ -0,0 +1,151 @@
+package upkeep_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/upkeep"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+const (
+	stepMS     = 100
+	downForMS  = 2000
+	durationMS = 26_000
+)
+
+// site plays machines of a wave: each VM empties some time after it was cordoned.
+type site struct {
+	t        *testing.T
+	wave     *workpb.Wave
+	up       *upkeep.Upkeep
+	nowMS    int64
+	cordoned map[string]int64
+	busyMS   int64
+	down     map[string]int64
+	done     map[string]int
+	// lost orders are executed without an answer.
+	lost bool
+}
+
+func newSite(t *testing.T, machines int, atOnce int32, busyMS int64) *site {
+	si := &site{
+		t: t, wave: &workpb.Wave{Number: 1, AtOnce: atOnce, DurationMs: durationMS}, nowMS: 1000, busyMS: busyMS,
+		cordoned: map[string]int64{}, down: map[string]int64{}, done: map[string]int{},
+	}
+	for at := range machines {
+		si.wave.Machines = append(si.wave.Machines, fmt.Sprintf("m%d", at))
+	}
+	si.newOwner(nil)
+	return si
+}
+
+func (si *site) newOwner(row *workpb.Upkeep) {
+	clear(si.cordoned)
+	si.up = upkeep.New(si.wave, si.cordon, si.evacuate, si.load, func(string) bool { return false })
+	if row != nil {
+		si.up.Restore(row)
+	}
+}
+
+func (si *site) cordon(vm string, on bool) {
+	if _, ok := si.cordoned[vm]; on && !ok {
+		si.cordoned[vm] = si.nowMS
+	}
+	if !on {
+		delete(si.cordoned, vm)
+	}
+}
+
+func (si *site) evacuate(vm string, _ bool) bool { return si.load(vm) == 0 }
+
+func (si *site) load(vm string) int {
+	since, ok := si.cordoned[vm]
+	if ok && si.nowMS-since >= si.busyMS {
+		return 0
+	}
+	return 1
+}
+
+func (si *site) list() []*workpb.Machine {
+	var out []*workpb.Machine
+	for _, id := range si.wave.GetMachines() {
+		_, down := si.down[id]
+		out = append(out, &workpb.Machine{Id: id, Up: !down, InUpkeep: down, Vm: fmt.Sprintf("%s-%d", id, si.done[id])})
+	}
+	return out
+}
+
+// step plays one step and checks that no more machines are down than the wave allows.
+func (si *site) step() {
+	si.nowMS += stepMS
+	for id, since := range si.down {
+		if si.nowMS-since >= downForMS {
+			delete(si.down, id)
+		}
+	}
+	for _, id := range si.up.Step(si.nowMS, si.nowMS, si.list()) {
+		si.order(id)
+	}
+	qt.Assert(si.t, len(si.down) <= int(si.wave.GetAtOnce()), qt.IsTrue)
+}
+
+func (si *site) order(id string) {
+	if si.done[id] == 0 {
+		si.done[id]++
+		si.down[id] = si.nowMS
+	}
+	if si.lost {
+		return
+	}
+	si.up.Accepted(id, si.nowMS)
+}
+
+func TestWaveEndsInTime(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		count   int
+		atOnce  int32
+		busyMS  int64
+		disturb func(si *site)
+	}{
+		{name: "idle machines", count: 22, atOnce: 9},
+		{name: "busy machines", count: 22, atOnce: 9, busyMS: 1500},
+		{name: "one at a time", count: 5, atOnce: 1, busyMS: 500},
+		{name: "answers lost for a while", count: 12, atOnce: 4, busyMS: 500, disturb: func(si *site) { si.lost = si.nowMS < 6000 }},
+		{name: "owner replaced again and again", count: 12, atOnce: 4, busyMS: 500, disturb: func(si *site) {
+			if si.nowMS%3000 == 0 {
+				si.newOwner(si.up.Row())
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			si := newSite(t, tc.count, tc.atOnce, tc.busyMS)
+			for !si.up.Done() && si.nowMS < 1000+durationMS {
+				if tc.disturb != nil {
+					tc.disturb(si)
+				}
+				si.step()
+			}
+			qt.Assert(t, si.up.Done(), qt.IsTrue)
+			qt.Assert(t, len(si.done), qt.Equals, tc.count)
+		})
+	}
+}
+
+func TestBusyMachinesAreTakenNoFasterThanNeeded(t *testing.T) {
+	si := newSite(t, 10, 9, 1500)
+	si.step()
+	qt.Assert(t, len(si.cordoned) <= 5, qt.IsTrue, qt.Commentf("%d", len(si.cordoned)))
+}
+
+func TestMachineThatIsGoneEndsNoWave(t *testing.T) {
+	si := newSite(t, 3, 3, 0)
+	si.wave.Machines = si.wave.Machines[:2]
+	for !si.up.Done() && si.nowMS < 20_000 {
+		si.step()
+	}
+	qt.Assert(t, si.up.Done(), qt.IsTrue)
+}
