--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -96,6 +96,7 @@
 func (rn *Runner) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	rn.takeRules()
 	if err := rn.restore(ctx); err != nil {
 		return err
 	}
@@ -137,10 +138,7 @@
 }
 
 func (rn *Runner) step(ctx context.Context) {
-	if ix := rn.ln.Rules(); ix != rn.rules && ix != nil {
-		rn.rules = ix
-		rn.ct.SetRules(ix)
-	}
+	rn.takeRules()
 	rn.look(ctx)
 	rn.wv.step(ctx)
 	rn.mv.step(ctx)
@@ -148,6 +146,13 @@
 	rn.send(ctx, rn.ct.Outbox())
 }
 
+func (rn *Runner) takeRules() {
+	if ix := rn.ln.Rules(); ix != rn.rules && ix != nil {
+		rn.rules = ix
+		rn.ct.SetRules(ix)
+	}
+}
+
 // look starts the looks that are due. An owner that can't renew its lease stops them in time for a successor to know when all leases have run out.
 func (rn *Runner) look(ctx context.Context) {
 	if rn.ow.SilentMS() > jobcontrol.PredecessorMS {
--- /dev/null
+++ b/internal/jobrunner/jobrunner_test.go
@@ -0,0 +1,338 @@
+package jobrunner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/intake"
+	"github.com/fulmarloft/fulmarloft/internal/jobrunner"
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
+	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/workertest"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+const registryTable = "vms"
+
+// site is a store, VMs and entries in a bubble of virtual time.
+type site struct {
+	t  *testing.T
+	ck *clock.Clock
+	st *rowstoretest.Store
+	in *intake.Intake
+
+	mu       sync.Mutex
+	workers  map[string]*workertest.Worker
+	machines []*workpb.Machine
+	moves    map[string]string
+	tokens   map[string]int64
+	live     map[string]bool
+	done     map[string]bool
+	entries  map[string]*entry
+}
+
+// entry is one process with its own way to the store.
+type entry struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+	mu     sync.Mutex
+	cut    bool
+}
+
+func (en *entry) isCut() bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.cut
+}
+
+func (en *entry) setCut(cut bool) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.cut = cut
+}
+
+func play(t *testing.T, run func(si *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		ck := clock.New()
+		si := &site{
+			t: t, ck: ck, st: rowstoretest.New(ck), workers: map[string]*workertest.Worker{}, moves: map[string]string{},
+			tokens: map[string]int64{}, live: map[string]bool{}, done: map[string]bool{}, entries: map[string]*entry{},
+		}
+		si.in = intake.New(si.st.Rowstore())
+		for at := range 4 {
+			si.addVM(fmt.Sprintf("vm-%d", at))
+		}
+		run(si)
+		for _, en := range si.entries {
+			en.cancel()
+			<-en.ended
+		}
+	})
+}
+
+func (si *site) addVM(id string) {
+	vm := &workpb.VM{Id: id, Service: "s", Address: id, CpuMilli: 8000, MemoryMb: 8000, Machine: "m-" + id}
+	wk := workertest.New(si.ck, vm)
+	wk.Record = si.record
+	si.workers[id] = wk
+	si.machines = append(si.machines, &workpb.Machine{Id: "m-" + id, Pool: "s", Up: true, Vm: id, CpuMilli: 8000})
+	raw, err := proto.Marshal(vm)
+	qt.Assert(si.t, err, qt.IsNil)
+	_, _, err = si.st.Rowstore().Commit(context.Background(), rowstore.NewTx("").Put(registryTable, id, raw))
+	qt.Assert(si.t, err, qt.IsNil)
+}
+
+// record checks that no task runs twice at once or after it was done; the site's lock is held.
+func (si *site) record(vm, task string, run int64, started bool, end workpb.End) {
+	if !started {
+		delete(si.live, task)
+		si.done[task] = si.done[task] || end == workpb.End_END_DONE
+		return
+	}
+	if si.live[task] || si.done[task] {
+		si.t.Errorf("task %s run %d starts on %s, running %v, done %v", task, run, vm, si.live[task], si.done[task])
+	}
+	si.live[task] = true
+}
+
+func (si *site) start(name string) {
+	ctx, cancel := context.WithCancel(si.t.Context())
+	en := &entry{cancel: cancel, ended: make(chan struct{})}
+	si.entries[name] = en
+	st := si.storeOf(en)
+	ow := ownership.New(st, si.ck, name, fmt.Sprintf("%s.%d", name, si.ck.Now()))
+	ln := &jobrunner.Links{
+		Store: st, Order: si.order, Look: si.look, RegistryTable: registryTable, DecodeVM: decodeVM,
+		Machines: si.list, Maintain: si.maintain, Move: si.move,
+		WaveStatus: func(context.Context, int64, bool) error { return nil },
+		Rules:      rules(), Waves: func() []*workpb.Wave { return nil },
+	}
+	sc := jobrunner.NewSchedule(ln, si.ck, event.Discard(), ow, 0)
+	go func() {
+		sc.Run(ctx)
+		close(en.ended)
+	}()
+}
+
+// kill ends an entry without its release reaching the store.
+func (si *site) kill(name string) {
+	si.entries[name].setCut(true)
+	si.entries[name].cancel()
+	<-si.entries[name].ended
+	delete(si.entries, name)
+}
+
+func (si *site) storeOf(en *entry) *rowstore.Store {
+	inner := si.st.Rowstore()
+	cut := func() error {
+		if en.isCut() {
+			return code.TableUnavailable.New("cut")
+		}
+		return nil
+	}
+	return &rowstore.Store{
+		Read: func(ctx context.Context, table, part, from, to string) (rowstore.Page, error) {
+			if err := cut(); err != nil {
+				return rowstore.Page{}, err
+			}
+			return inner.Read(ctx, table, part, from, to)
+		},
+		Parts: func(ctx context.Context, table string) ([]string, error) {
+			if err := cut(); err != nil {
+				return nil, err
+			}
+			return inner.Parts(ctx, table)
+		},
+		Commit: func(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+			if err := cut(); err != nil {
+				return 0, nil, err
+			}
+			return inner.Commit(ctx, tx)
+		},
+		Feed: func(ctx context.Context, table string, after, waitMS int64) (rowstore.Page, error) {
+			if err := cut(); err != nil {
+				return rowstore.Page{}, err
+			}
+			return inner.Feed(ctx, table, after, waitMS)
+		},
+	}
+}
+
+func decodeVM(_ string, raw []byte) (*workpb.VM, error) {
+	vm := &workpb.VM{}
+	return vm, proto.Unmarshal(raw, vm)
+}
+
+func rules() func() *rulesindex.Index {
+	ix := rulesindex.New(&workpb.Rules{
+		Version:  1,
+		Queues:   []*workpb.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 1.6, TargetMs: 600}},
+		Services: []*workpb.Service{{Name: "s"}, {Name: "z", Standby: true}},
+	})
+	return func() *rulesindex.Index { return ix }
+}
+
+func (si *site) order(_ context.Context, od *workpb.Order) workpb.Verdict {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return si.workers[od.GetVm()].Order(od)
+}
+
+func (si *site) look(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
+	_ = si.ck.Sleep(ctx, min(lr.GetWaitMs(), 50))
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return si.workers[lr.GetVm()].Look(lr)
+}
+
+func (si *site) list(context.Context) ([]*workpb.Machine, error) {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	var out []*workpb.Machine
+	for _, mc := range si.machines {
+		out = append(out, proto.Clone(mc).(*workpb.Machine))
+	}
+	return out, nil
+}
+
+func (si *site) maintain(context.Context, string, int64, int64) error { return nil }
+
+// move checks that no machine with work is moved and that its tokens never fall.
+func (si *site) move(_ context.Context, machine, pool string, token int64) error {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	if token < si.tokens[machine] {
+		return code.LeaseLapsed.New("token %d after %d", token, si.tokens[machine])
+	}
+	si.tokens[machine] = token
+	si.moves[machine] = pool
+	for _, mc := range si.machines {
+		if mc.GetId() != machine {
+			continue
+		}
+		if running := si.workers[mc.GetVm()].Running(); running > 0 {
+			si.t.Errorf("machine %s moves with %d runs", machine, running)
+		}
+		mc.Pool = pool
+	}
+	return nil
+}
+
+func (si *site) submit(id string, tasks int32) {
+	jb := &workpb.Job{Id: id, Queue: "q", AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{
+		{Count: tasks, CpuMilli: 2000, MemoryMb: 100, EstimateMs: 800},
+		{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 800, After: []int32{0}},
+	}}
+	qt.Assert(si.t, si.in.Submit(context.Background(), jb), qt.IsNil)
+}
+
+func (si *site) wait(forMS int64) { time.Sleep(time.Duration(forMS) * time.Millisecond) }
+
+func (si *site) state(id string) workpb.State {
+	st, err := si.in.State(context.Background(), id)
+	qt.Assert(si.t, err, qt.IsNil)
+	return st
+}
+
+func TestJobsRunThroughChangesOfOwner(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		disturb func(si *site)
+	}{
+		{"undisturbed", func(*site) {}},
+		{"owner killed", func(si *site) { si.kill("one") }},
+		{"owner stopped in order", func(si *site) { si.entries["one"].cancel() }},
+		{"owner cut off from the store", func(si *site) { si.entries["one"].setCut(true) }},
+		{"all killed and started anew", func(si *site) {
+			si.kill("one")
+			si.kill("two")
+			si.wait(1500)
+			si.start("one")
+			si.start("two")
+		}},
+		{"store down for four seconds", func(si *site) {
+			si.st.SetDown(true)
+			si.wait(4000)
+			si.st.SetDown(false)
+		}},
+		{"history dropped", func(si *site) { si.st.DropHistory() }},
+		{"each third commit loses its answer", func(si *site) {
+			count := 0
+			si.st.SetFate(func(*rowstore.Tx) rowstoretest.Fate {
+				count++
+				if count%3 == 0 {
+					return rowstoretest.Lost
+				}
+				return rowstoretest.Served
+			})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			play(t, func(si *site) {
+				si.start("one")
+				si.wait(500)
+				si.start("two")
+				si.wait(500)
+				for at := range 10 {
+					si.submit(fmt.Sprintf("%015d%d", 0, at), 4)
+				}
+				si.wait(300)
+				tc.disturb(si)
+				si.wait(14_000)
+				for at := range 10 {
+					qt.Check(t, si.state(fmt.Sprintf("%015d%d", 0, at)), qt.Equals, workpb.State_COMPLETED)
+				}
+			})
+		})
+	}
+}
+
+func TestPlannedHandoverIsFast(t *testing.T) {
+	play(t, func(si *site) {
+		si.start("one")
+		si.wait(500)
+		si.start("two")
+		si.wait(500)
+		si.entries["one"].cancel()
+		si.submit("00000000000000aa", 1)
+		si.wait(800)
+		qt.Assert(t, si.state("00000000000000aa"), qt.Equals, workpb.State_RUNNING)
+	})
+}
+
+func TestLostOwnerIsReplacedWithinThreeSeconds(t *testing.T) {
+	play(t, func(si *site) {
+		si.start("one")
+		si.wait(500)
+		si.start("two")
+		si.wait(500)
+		si.kill("one")
+		si.submit("00000000000000aa", 1)
+		si.wait(3000)
+		qt.Assert(t, si.state("00000000000000aa"), qt.Equals, workpb.State_RUNNING)
+	})
+}
+
+func TestSpareMachinesAreSwitchedOff(t *testing.T) {
+	play(t, func(si *site) {
+		si.start("one")
+		si.submit("00000000000000aa", 2)
+		si.wait(40_000)
+		qt.Assert(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+		si.mu.Lock()
+		defer si.mu.Unlock()
+		qt.Assert(t, len(si.moves) >= 3, qt.IsTrue, qt.Commentf("%v", si.moves))
+	})
+}
--- a/internal/operatorfeed/operatorfeed_test.go
+++ b/internal/operatorfeed/operatorfeed_test.go
@@ -1,7 +1,6 @@
 package operatorfeed_test
 
 import (
-	"bytes"
 	"context"
 	"strconv"
 	"strings"
@@ -46,7 +45,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ck := clock.New()
 		rg := &rig{st: rowstoretest.New(ck), ad: admission.New(ck, 5000)}
-		rg.fd = operatorfeed.New(rg.st.Rowstore(), ck, event.New(&bytes.Buffer{}), names(), rg.ad)
+		rg.fd = operatorfeed.New(rg.st.Rowstore(), ck, event.Discard(), names(), rg.ad)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
