Leave the ownership of scheduling to the strongest entries

Cause: on the grown sites 36 of 42 entries have 0.192 of a core and links of 10 Mbit/s; after the loss of the first owner such a one took over, needed 1.0 s to restore and fell behind (half of the jobs started after 2.6 s). Entries tell their strength in the store and defer to stronger classes by 0.35 s each.

--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -112,7 +112,7 @@
 	en := &entry{cancel: cancel, ended: make(chan struct{})}
 	si.entries[name] = en
 	st := si.storeOf(en)
-	ow := ownership.New(st, si.ck, name, fmt.Sprintf("%s.%d", name, si.ck.Now()))
+	ow := ownership.New(st, si.ck, name, fmt.Sprintf("%s.%d", name, si.ck.Now()), 1)
 	ln := &jobrunner.Links{
 		Store: st, Order: si.order, Look: si.look, RegistryTable: registryTable, DecodeVM: decodeVM,
 		Machines: si.list, Maintain: si.maintain, Move: si.move,
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -20,6 +20,8 @@
 const (
 	// pollMS is how often an entry that doesn't own scheduling looks at the ownership.
 	pollMS = 300
+	// registerTries bounds how often an entry tries to tell of itself before it goes on without.
+	registerTries = 3
 	// runLeaseMS is the lease of runs: longer than an owner's loss and its successor's start take, short enough to restart soon what a lost VM ran.
 	runLeaseMS = 5000
 	// releaseMS bounds the wait for the release at the end.
@@ -37,6 +39,7 @@
 
 // Run polls, and schedules while this entry is the owner, until the context ends; then it releases the ownership.
 func (sc *Schedule) Run(ctx context.Context) {
+	sc.register(ctx)
 	for ctx.Err() == nil {
 		owned, err := sc.ow.Poll(ctx)
 		if err == nil && owned {
@@ -47,6 +50,18 @@
 	}
 }
 
+// register tells the others of this entry, and gives those that start at the same time a moment to do so.
+func (sc *Schedule) register(ctx context.Context) {
+	for range registerTries {
+		err := sc.ow.Register(ctx)
+		_ = sc.ck.Sleep(ctx, pollMS)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		sc.lg.Fail("registration-failed", err)
+	}
+}
+
 func (sc *Schedule) schedule(ctx context.Context) {
 	rn := New(sc.ln, sc.ck, sc.lg, sc.ow, sc.runLeaseMS)
 	sc.lg.Info("ownership-taken", "token", sc.ow.Token())
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -21,11 +21,15 @@
 
 	row         *workpb.Ownership
 	version     int64
+	strength    int64
 	unchangedMS int64
-	lastReadMS  int64
-	provenMS    atomic.Int64
-	held        atomic.Bool
-	token       atomic.Int64
+	// freeMS is since when the row may be taken, 0 while it may not, and deferMS how long this entry then leaves it to stronger ones.
+	freeMS     int64
+	deferMS    int64
+	lastReadMS int64
+	provenMS   atomic.Int64
+	held       atomic.Bool
+	token      atomic.Int64
 }
 
 // Names of the row and of the partition in which all of the owner's rows lie.
@@ -33,6 +37,9 @@
 	Part  = "scheduling"
 	table = "ownership"
 	key   = "owner"
+
+	candidatesPart  = "candidates"
+	candidatesTable = "candidates"
 )
 
 const (
@@ -40,13 +47,46 @@
 	LeaseMS = 1400
 	// takeoverMS is how long the row must be seen unchanged before another entry takes over; it exceeds the lease by a margin for clock rates.
 	takeoverMS = 1650
+	// deferStepMS is how long an entry leaves the row to each class of stronger ones; it exceeds the pause between their polls.
+	deferStepMS = 350
+	// maxClasses bounds the classes that are waited for.
+	maxClasses = 3
 	// readGapMS is the longest pause between reads that still counts as watching.
 	readGapMS = 1000
 )
 
-// New returns the view of an entry, whose incarnation differs at each start of its process.
-func New(st *rowstore.Store, ck *clock.Clock, entry, incarnation string) *Ownership {
-	return &Ownership{st: st, ck: ck, entry: entry, incarnation: incarnation}
+// New returns the view of an entry, whose incarnation differs at each start of its process; its strength compares its machine with those of other entries.
+func New(st *rowstore.Store, ck *clock.Clock, entry, incarnation string, strength int64) *Ownership {
+	return &Ownership{st: st, ck: ck, entry: entry, incarnation: incarnation, strength: strength}
+}
+
+// Register tells the other entries how strong this one is, so that weaker ones leave the ownership to it.
+func (ow *Ownership) Register(ctx context.Context) error {
+	raw, err := proto.Marshal(&workpb.Candidate{Strength: ow.strength})
+	if err != nil {
+		return code.Internal.Wrap(err)
+	}
+	_, _, err = ow.st.Commit(ctx, rowstore.NewTx(candidatesPart).Put(candidatesTable, ow.entry, raw))
+	return err
+}
+
+// deferral returns how long this entry leaves a free row to stronger ones.
+func (ow *Ownership) deferral(ctx context.Context) (int64, error) {
+	list, _, err := ow.st.ReadAll(ctx, candidatesTable, candidatesPart)
+	if err != nil {
+		return 0, err
+	}
+	stronger := map[int64]bool{}
+	for _, rw := range list {
+		cd := &workpb.Candidate{}
+		if err := proto.Unmarshal(rw.Value(), cd); err != nil {
+			return 0, code.Internal.Wrap(err)
+		}
+		if cd.GetStrength() > ow.strength {
+			stronger[cd.GetStrength()] = true
+		}
+	}
+	return deferStepMS * int64(min(len(stronger), maxClasses)), nil
 }
 
 // Poll reads the row and takes ownership if it is free; it reports whether this entry is the owner now.
@@ -68,8 +108,20 @@
 	}
 	ow.row, ow.version, ow.lastReadMS = row, rw.Version(), nowMS
 	if !ow.free(startMS) {
+		ow.freeMS = 0
+		return false, nil
+	}
+	if ow.freeMS == 0 {
+		ow.freeMS = nowMS
+		if ow.deferMS, err = ow.deferral(ctx); err != nil {
+			ow.freeMS = 0
+			return false, err
+		}
+	}
+	if nowMS-ow.freeMS < ow.deferMS {
 		return false, nil
 	}
+	ow.freeMS = 0
 	return ow.take(ctx)
 }
 
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -23,7 +23,7 @@
 func newPair() *pair {
 	ck := clock.NewFake(1000)
 	st := rowstoretest.New(ck)
-	return &pair{ck, st, ownership.New(st.Rowstore(), ck, "one", "one.1"), ownership.New(st.Rowstore(), ck, "two", "two.1")}
+	return &pair{ck, st, ownership.New(st.Rowstore(), ck, "one", "one.1", 2), ownership.New(st.Rowstore(), ck, "two", "two.1", 1)}
 }
 
 func poll(t *testing.T, ow *ownership.Ownership) bool {
@@ -76,7 +76,7 @@
 func TestReleaseAndRestartAreTakenAtOnce(t *testing.T) {
 	pr := newPair()
 	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
-	again := ownership.New(pr.st.Rowstore(), pr.ck, "one", "one.2")
+	again := ownership.New(pr.st.Rowstore(), pr.ck, "one", "one.2", 2)
 	qt.Assert(t, poll(t, again), qt.IsTrue)
 	qt.Assert(t, again.Token() > pr.one.Token(), qt.IsTrue)
 	qt.Assert(t, again.Release(context.Background()), qt.IsNil)
@@ -104,3 +104,16 @@
 		qt.Assert(t, pr.st.Keys("t"), qt.Equals, "a b", qt.Commentf(tc.name))
 	}
 }
+
+func TestWeakerEntriesLeaveTheOwnershipToStrongerOnes(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, pr.one.Register(context.Background()), qt.IsNil)
+	qt.Assert(t, pr.two.Register(context.Background()), qt.IsNil)
+	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+	pr.ck.Advance(300)
+	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	qt.Assert(t, pr.one.Release(context.Background()), qt.IsNil)
+	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+	qt.Assert(t, pr.watch(t, pr.two, 900), qt.IsTrue)
+}
