--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -156,15 +156,16 @@
 	return (rest + limit - 1) / limit
 }
 
-// Arrived returns the work that arrived for each service after a time and up to another, in milliseconds of a core.
-func (ct *Controller) Arrived(afterMS, untilMS int64) map[string]int64 {
-	work := map[string]int64{}
+// Arrived returns the work that arrived for each service after a time and up to another, in milliseconds of a core, and the number of jobs.
+func (ct *Controller) Arrived(afterMS, untilMS int64) (work map[string]int64, jobs map[string]int) {
+	work, jobs = map[string]int64{}, map[string]int{}
 	for _, ar := range ct.arrivals {
 		if ar.atMS > afterMS && ar.atMS <= untilMS {
 			work[ar.service] += ar.coreMS
+			jobs[ar.service]++
 		}
 	}
-	return work
+	return work, jobs
 }
 
 // arrivalRates returns the work that arrived lately, in thousandths of a core.
@@ -175,8 +176,9 @@
 	}
 	rates := map[string]int64{}
 	for _, window := range []int64{arrivalWindowMS, onsetWindowMS} {
-		for service, work := range ct.Arrived(nowMS-window, nowMS) {
-			rates[service] = max(rates[service], work*milli/window)
+		work, _ := ct.Arrived(nowMS-window, nowMS)
+		for service, sum := range work {
+			rates[service] = max(rates[service], sum*milli/window)
 		}
 	}
 	return rates
--- a/internal/jobrunner/moves.go
+++ b/internal/jobrunner/moves.go
@@ -89,7 +89,7 @@
 		mv.observedMS = max(nowMS-historyMS, 0)
 	}
 	for mv.observedMS+sizeGapMS <= nowMS {
-		work := mv.rn.ct.Arrived(mv.observedMS, mv.observedMS+sizeGapMS)
+		work, jobs := mv.rn.ct.Arrived(mv.observedMS, mv.observedMS+sizeGapMS)
 		mv.observedMS += sizeGapMS
 		if mv.begunMS == 0 && len(work) > 0 {
 			mv.begunMS = mv.observedMS
@@ -101,7 +101,7 @@
 		for _, qu := range mv.rn.rules.Rules().GetQueues() {
 			rates[qu.GetService()] = work[qu.GetService()] * millis / sizeGapMS
 		}
-		mv.tn.Observe(mv.observedMS, sizeGapMS, rates)
+		mv.tn.Observe(mv.observedMS, sizeGapMS, rates, jobs)
 	}
 }
 
@@ -114,7 +114,8 @@
 	var out []poolsize.Demand
 	nowMS := mv.rn.ck.Now()
 	wanted := mv.rn.ct.Wanted()
-	next, rate, expected := mv.tn.Next(nowMS)
+	next, nextRate, expected := mv.tn.Next(nowMS)
+	rising, risingRate, rises := mv.tn.Rising(nowMS)
 	for _, sv := range mv.rn.rules.Rules().GetServices() {
 		if sv.GetStandby() {
 			out = append(out, poolsize.NewStandby(sv.GetName()))
@@ -123,7 +124,10 @@
 		wa := wanted[sv.GetName()]
 		cores := wa.CoresMilli()
 		if expected && sv.GetName() == next {
-			cores = max(cores, rate)
+			cores = max(cores, nextRate)
+		}
+		if rises && sv.GetName() == rising {
+			cores = max(cores, risingRate)
 		}
 		out = append(out, poolsize.NewDemand(sv.GetName(), cores, wa.LateMilli(), wa.LeastVMs(), mv.fresh(nowMS, sv.GetName())))
 	}
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -6,14 +6,18 @@
 	leader   string
 	rival    string
 	rivalMS  int64
-	onsets   []onset
+	// rivalJobs counts the jobs that came for the rival since it leads.
+	rivalJobs int
+	onsets    []onset
 }
 
 // series is what is known of one service's arriving work.
 type series struct {
-	mean     float64
+	mean   float64
+	smooth float64
+	// peak is the highest rate of the present or last turn, earlier that of the turn before it.
 	peak     int64
-	smooth   float64
+	earlier  int64
 	onsetMS  int64
 	hasOnset bool
 }
@@ -28,8 +32,11 @@
 	surgeFactor = 1.8
 	// shareOfAll is the least part of all arriving work that the service at its peak has.
 	shareOfAll = 0.5
-	// confirmMS is how long a service must lead before its turn counts.
-	confirmMS = 350
+	// confirmMS is how long a service must lead before its turn counts, and confirmJobs how many jobs must come meanwhile, since single ones may be large.
+	confirmMS   = 350
+	confirmJobs = 3
+	// riseMS is how long after its onset a turn may still be rising.
+	riseMS = 2500
 	// meanMS and smoothMS are the times over which the mean and the present rate are taken.
 	meanMS   = 20000
 	smoothMS = 700
@@ -46,8 +53,8 @@
 // New returns a forecast that has seen nothing.
 func New() *Turns { return &Turns{services: map[string]*series{}} }
 
-// Observe takes up the rates of arriving work, in thousandths of a core, over the time since the last call.
-func (tn *Turns) Observe(nowMS, sinceMS int64, rates map[string]int64) {
+// Observe takes up the rates of arriving work, in thousandths of a core, and the number of jobs over the time since the last call.
+func (tn *Turns) Observe(nowMS, sinceMS int64, rates map[string]int64, jobs map[string]int) {
 	total := 0.0
 	top := ""
 	for service, rate := range rates {
@@ -67,27 +74,39 @@
 		tn.rival = ""
 		return
 	}
-	tn.lead(nowMS, top)
+	tn.lead(nowMS, top, jobs[top])
 	if tn.leader == top {
 		se.peak = max(se.peak, int64(se.smooth))
 	}
 }
 
 // lead notes that a service has the most arriving work.
-func (tn *Turns) lead(nowMS int64, top string) {
+func (tn *Turns) lead(nowMS int64, top string, jobs int) {
 	if top == tn.leader {
 		tn.rival = ""
 		return
 	}
 	if top != tn.rival {
-		tn.rival, tn.rivalMS = top, nowMS
+		tn.rival, tn.rivalMS, tn.rivalJobs = top, nowMS, 0
 	}
-	if nowMS-tn.rivalMS < confirmMS {
+	tn.rivalJobs += jobs
+	if nowMS-tn.rivalMS < confirmMS || tn.rivalJobs < confirmJobs {
 		return
 	}
 	tn.leader, tn.rival = top, ""
 	tn.onsets = append(tn.onsets, onset{service: top, atMS: tn.rivalMS})
-	tn.services[top].onsetMS, tn.services[top].hasOnset = tn.rivalMS, true
+	se := tn.services[top]
+	se.onsetMS, se.hasOnset = tn.rivalMS, true
+	se.earlier, se.peak = se.peak, 0
+}
+
+// Rising returns the service whose turn has just begun and the rate that it will ask for, or false if there is none.
+func (tn *Turns) Rising(nowMS int64) (service string, rate int64, ok bool) {
+	if tn.leader == "" || nowMS-tn.services[tn.leader].onsetMS > riseMS {
+		return "", 0, false
+	}
+	rate = tn.expected(tn.leader)
+	return tn.leader, rate, rate > 0
 }
 
 func (tn *Turns) series(service string) *series {
@@ -165,15 +184,19 @@
 	return best, best != ""
 }
 
-// expected returns the rate of a service at its peak: its own of an earlier turn, else the mean of the others'.
+// expected returns the rate of a service at its next peak: that of an earlier turn of its own, else the mean of the other services'.
 func (tn *Turns) expected(service string) int64 {
-	if own := tn.services[service].peak; own > 0 && tn.services[service].hasOnset {
-		return own
+	se := tn.services[service]
+	if service == tn.leader && se.earlier > 0 {
+		return se.earlier
+	}
+	if service != tn.leader && se.peak > 0 {
+		return se.peak
 	}
 	sum, count := int64(0), int64(0)
-	for _, se := range tn.services {
-		if se.hasOnset {
-			sum += se.peak
+	for name, other := range tn.services {
+		if name != service && other.peak > 0 {
+			sum += other.peak
 			count++
 		}
 	}
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -10,12 +10,21 @@
 
 const tickMS = 200
 
+// jobs counts the jobs of rates where each job brings ten cores for the time of a tick.
+func jobs(rates map[string]int64) map[string]int {
+	out := map[string]int{}
+	for service, rate := range rates {
+		out[service] = int(rate / 10_000)
+	}
+	return out
+}
+
 // play observes four services that peak one after the other, each for turnMS, from time 0 up to endMS.
 func play(tn *turns.Turns, turnMS, endMS int64) {
 	for nowMS := int64(0); nowMS < endMS; nowMS += tickMS {
 		rates := map[string]int64{"a": 10_000, "b": 10_000, "c": 10_000, "d": 10_000}
 		rates[[]string{"a", "b", "c", "d"}[nowMS/turnMS%4]] = 400_000
-		tn.Observe(nowMS, tickMS, rates)
+		tn.Observe(nowMS, tickMS, rates, jobs(rates))
 	}
 }
 
@@ -47,7 +56,8 @@
 func TestSteadyDemandHasNoTurns(t *testing.T) {
 	tn := turns.New()
 	for nowMS := int64(0); nowMS < 60_000; nowMS += tickMS {
-		tn.Observe(nowMS, tickMS, map[string]int64{"a": 100_000, "b": 100_000, "c": 90_000})
+		rates := map[string]int64{"a": 100_000, "b": 100_000, "c": 90_000}
+		tn.Observe(nowMS, tickMS, rates, jobs(rates))
 		_, _, ok := tn.Next(nowMS)
 		qt.Assert(t, ok, qt.IsFalse)
 	}
@@ -60,10 +70,37 @@
 		for range forMS / tickMS {
 			rates := map[string]int64{"a": 10_000, "b": 10_000, "c": 10_000}
 			rates[[]string{"a", "b", "c"}[at%3]] = 300_000
-			tn.Observe(nowMS, tickMS, rates)
+			tn.Observe(nowMS, tickMS, rates, jobs(rates))
 			nowMS += tickMS
 		}
 		_, _, ok := tn.Next(nowMS)
 		qt.Assert(t, ok, qt.IsFalse)
 	}
 }
+
+func TestTurnRisesToThePeakOfOthers(t *testing.T) {
+	tn := turns.New()
+	play(tn, 4000, 4000)
+	_, _, ok := tn.Rising(4000)
+	qt.Assert(t, ok, qt.IsFalse)
+	for nowMS := int64(4000); nowMS < 5600; nowMS += tickMS {
+		rates := map[string]int64{"a": 10_000, "b": 150_000, "c": 10_000, "d": 10_000}
+		tn.Observe(nowMS, tickMS, rates, jobs(rates))
+	}
+	service, rate, ok := tn.Rising(5600)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, service, qt.Equals, "b")
+	qt.Assert(t, rate > 300_000, qt.IsTrue, qt.Commentf("%d", rate))
+	_, _, ok = tn.Rising(8000)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+func TestOneLargeJobIsNoTurn(t *testing.T) {
+	tn := turns.New()
+	play(tn, 4000, 4000)
+	tn.Observe(4200, tickMS, map[string]int64{"a": 0, "b": 2_000_000}, map[string]int{"b": 1})
+	for nowMS := int64(4400); nowMS < 6000; nowMS += tickMS {
+		tn.Observe(nowMS, tickMS, map[string]int64{"a": 0, "b": 0}, nil)
+	}
+	qt.Assert(t, tn.Surged("b"), qt.IsFalse)
+}
