--- a/cmd/fulmarloft/platform.go
+++ b/cmd/fulmarloft/platform.go
@@ -19,14 +19,15 @@
 }
 
 func runPlatformEntry() error {
-	lg := event.New(os.Stdout)
+	ck := clock.NewSuspendAware()
+	lg := event.NewBounded(os.Stdout, ck)
 	st, err := boot.Load(os.Getenv(boot.PathVariable))
 	if err != nil {
 		return err
 	}
 	stop := make(chan struct{})
 	go watchSignals(lg, stop)
-	return edge.New(st, clock.NewSuspendAware(), lg).Run(stop)
+	return edge.New(st, ck, lg).Run(stop)
 }
 
 // watchSignals closes stop at SIGTERM and checks the settings at SIGHUP.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -11,7 +11,9 @@
 
 // Log writes events of one process; it never takes a key or a request body.
 type Log struct {
-	lg log.Logger
+	lg    log.Logger
+	rates *rates
+	queue *log.AsyncWriter
 }
 
 // New returns a log that writes to the given writer.
@@ -24,12 +26,27 @@
 
 // Info writes an event with pairs of a kebab-case name and a value.
 func (lg *Log) Info(name string, pairs ...any) {
-	lg.lg.Info().Str("event", name).KeysAndValues(pairs...).Msg("")
+	leftOut, ok := lg.rates.admit(name)
+	if !ok {
+		return
+	}
+	end(lg.lg.Info().Str("event", name).KeysAndValues(pairs...), leftOut)
 }
 
 // Fail writes an event that ended with an error, with the error's result code.
 func (lg *Log) Fail(name string, err error, pairs ...any) {
-	lg.lg.Error().Str("event", name).Int("code", int(code.Of(err))).Err(err).KeysAndValues(pairs...).Msg("")
+	leftOut, ok := lg.rates.admit(name)
+	if !ok {
+		return
+	}
+	end(lg.lg.Error().Str("event", name).Int("code", int(code.Of(err))).Err(err).KeysAndValues(pairs...), leftOut)
+}
+
+func end(en *log.Entry, leftOut int) {
+	if leftOut > 0 {
+		en = en.Int("left-out", leftOut)
+	}
+	en.Msg("")
 }
 
 func format(out io.Writer, args *log.FormatterArgs) (int, error) {
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"strings"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/event"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -22,3 +24,48 @@
 	qt.Check(t, lines[1], qt.Contains, `event="publish-refused" code=300`)
 	qt.Check(t, lines[1], qt.Contains, "base 3, head 4")
 }
+
+// pipe is a writer whose reader has stopped until it is released.
+type pipe struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buf     bytes.Buffer
+}
+
+func (pi *pipe) Write(raw []byte) (int, error) {
+	<-pi.release
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	return pi.buf.Write(raw)
+}
+
+func TestStoppedReaderBlocksNobody(t *testing.T) {
+	ck := clock.NewFake(0)
+	pi := &pipe{release: make(chan struct{})}
+	lg := event.NewBounded(pi, ck)
+	for range 10_000 {
+		ck.Advance(10)
+		lg.Info("job-accepted")
+	}
+	close(pi.release)
+	qt.Assert(t, lg.Close(), qt.IsNil)
+	lines := strings.Count(pi.buf.String(), "\n")
+	qt.Assert(t, lines > 1000 && lines < 10_000, qt.IsTrue, qt.Commentf("%d lines", lines))
+}
+
+func TestRateOfAnEventIsBounded(t *testing.T) {
+	ck := clock.NewFake(0)
+	buf := &bytes.Buffer{}
+	lg := event.NewBounded(buf, ck)
+	for range 1000 {
+		lg.Info("call-refused")
+	}
+	lg.Info("job-accepted")
+	ck.Advance(1000)
+	lg.Info("call-refused")
+	qt.Assert(t, lg.Close(), qt.IsNil)
+	lines := strings.Split(strings.TrimSpace(buf.String()), "\n")
+	qt.Assert(t, lines, qt.HasLen, 152)
+	qt.Assert(t, lines[150], qt.Contains, `event="job-accepted"`)
+	qt.Assert(t, lines[151], qt.Contains, `event="call-refused" left-out=850`)
+}
--- /dev/null
+++ b/internal/measured/measured.go
@@ -0,0 +1,65 @@
+package measured
+
+import (
+	"context"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/metric"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+// Calls records calls in a registry.
+type Calls struct {
+	ck *clock.Clock
+	rg *metric.Registry
+}
+
+// New returns a recorder.
+func New(ck *clock.Clock, rg *metric.Registry) *Calls { return &Calls{ck: ck, rg: rg} }
+
+// Store returns a store whose calls are recorded by kind and result code, with their times in milliseconds.
+func (ca *Calls) Store(inner *rowstore.Store) *rowstore.Store {
+	return &rowstore.Store{
+		Read: func(ctx context.Context, table, part, from, to string) (rowstore.Page, error) {
+			startMS := ca.ck.Now()
+			pg, err := inner.Read(ctx, table, part, from, to)
+			ca.record("store", "read", code.Of(err).String(), startMS)
+			return pg, err
+		},
+		Parts: func(ctx context.Context, table string) ([]string, error) {
+			startMS := ca.ck.Now()
+			list, err := inner.Parts(ctx, table)
+			ca.record("store", "parts", code.Of(err).String(), startMS)
+			return list, err
+		},
+		Commit: func(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+			startMS := ca.ck.Now()
+			version, current, err := inner.Commit(ctx, tx)
+			ca.record("store", "commit", code.Of(err).String(), startMS)
+			return version, current, err
+		},
+		Feed: func(ctx context.Context, table string, after, waitMS int64) (rowstore.Page, error) {
+			startMS := ca.ck.Now()
+			pg, err := inner.Feed(ctx, table, after, waitMS)
+			ca.record("store", "feed", code.Of(err).String(), startMS)
+			return pg, err
+		},
+	}
+}
+
+// Order returns the sending of orders recorded by verb and verdict.
+func (ca *Calls) Order(inner func(context.Context, *workpb.Order) workpb.Verdict) func(context.Context, *workpb.Order) workpb.Verdict {
+	return func(ctx context.Context, od *workpb.Order) workpb.Verdict {
+		startMS := ca.ck.Now()
+		vd := inner(ctx, od)
+		ca.record("order", od.GetVerb().String(), vd.String(), startMS)
+		return vd
+	}
+}
+
+func (ca *Calls) record(peer, kind, result string, startMS int64) {
+	ca.rg.Count(1, peer, kind, result)
+	ca.rg.Observe(ca.ck.Now()-startMS, peer, kind, "ms")
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -60,6 +60,11 @@
 	return names
 }
 
+// WriteText writes all metrics as lines of text.
+func (rg *Registry) WriteText(out io.Writer) {
+	metrics.WriteOnce(rg.reg, out)
+}
+
 // WriteJSON writes all metrics as one JSON object.
 func (rg *Registry) WriteJSON(out io.Writer) {
 	metrics.WriteJSONOnce(rg.reg, out)
