--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -31,6 +32,9 @@
 	cancelSuffix = ".cancel"
 	// certainTries is how often a commit is tried that the store certainly didn't apply.
 	certainTries = 2
+	// firstPatienceMS is how long the first commit of a submission waits for its answer before the same is tried again; secondPatienceMS covers a store slowed down sixty times.
+	firstPatienceMS  = 400
+	secondPatienceMS = 1100
 	// maxFinal bounds the memory of final states.
 	maxFinal = 20000
 )
@@ -58,9 +62,10 @@
 		return code.Internal.Wrap(err)
 	}
 	version := int64(0)
-	for range certainTries {
+	doubtful := false
+	for _, patienceMS := range []int64{firstPatienceMS, secondPatienceMS} {
 		var current []rowstore.Row
-		_, current, err = in.st.Commit(ctx, in.tx(jb, version, raw))
+		current, err = in.try(ctx, in.tx(jb, version, raw), patienceMS)
 		switch code.Of(err) {
 		case code.OK:
 			return nil
@@ -71,15 +76,25 @@
 			}
 			version = at
 		case code.TableInDoubt:
-			return in.settle(jb, version, err)
+			doubtful = true
 		}
 	}
+	if doubtful {
+		return in.settle(jb, version, err)
+	}
 	if code.Of(err) == code.Conflict {
 		return code.TableInDoubt.Wrap(err)
 	}
 	return code.TableUnavailable.Wrap(err)
 }
 
+func (in *Intake) try(ctx context.Context, tx *rowstore.Tx, patienceMS int64) ([]rowstore.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(patienceMS)*time.Millisecond)
+	defer cancel()
+	_, current, err := in.st.Commit(ctx, tx)
+	return current, err
+}
+
 func (in *Intake) tx(jb *workpb.Job, version int64, raw []byte) *rowstore.Tx {
 	return rowstore.NewTx(Part(jb.GetId())).Require(JobsTable, jb.GetId(), version).Put(JobsTable, jb.GetId(), raw)
 }
--- a/internal/jobcontrol/look.go
+++ b/internal/jobcontrol/look.go
@@ -14,6 +14,8 @@
 	idleLookMS = 1500
 	// lostLookMS is the pause before the next look at a VM that didn't answer.
 	lostLookMS = 300
+	// maxFailedLooks is after how many looks in a row without an answer a VM counts as silent; single answers may get lost.
+	maxFailedLooks = 2
 	// stopRetryMS is the pause between stops of a run that doesn't end.
 	stopRetryMS = 500
 	// stalledMS is how long a run may show no progress.
@@ -117,7 +119,7 @@
 		// A VM that doesn't answer gets no new lease, so that the end of the last one can be waited out.
 		req.LeaseUntilMs = ct.lease(on)
 	}
-	if on.synced && !on.silent && len(on.runs) > 0 && on.stored == on.processed && !on.mixed() {
+	if on.synced && !on.silent && len(on.runs) > 0 && on.stored == on.processed && on.failedLooks == 0 && !on.mixed() && !on.unsettled() {
 		req.WaitMs = busyWaitMS
 	}
 	return req
@@ -149,6 +151,7 @@
 		ct.lg.Info("vm-answers", "vm", id)
 	}
 	on.silent = false
+	on.failedLooks = 0
 	on.answeredMS = nowMS
 	if lk.GetBornMs() != 0 && lk.GetBornMs() != on.bornMS {
 		if on.bornMS != 0 {
@@ -177,6 +180,11 @@
 }
 
 func (ct *Controller) lookFailed(on *vm, vd workpb.Verdict) {
+	on.failedLooks++
+	if vd == workpb.Verdict_IN_DOUBT && on.failedLooks < maxFailedLooks {
+		on.nextLookMS = ct.ck.Now()
+		return
+	}
 	if !on.silent {
 		ct.lg.Info("vm-silent", "vm", on.id, "verdict", vd.String(), "runs", len(on.runs))
 	}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -30,8 +30,10 @@
 	seenMS     int64
 	looking    bool
 	nextLookMS int64
-	silent     bool
-	cordoned   bool
+	// failedLooks counts the looks in a row that had no answer; the VM is silent after maxFailedLooks.
+	failedLooks int
+	silent      bool
+	cordoned    bool
 	// shed VMs belong to machines that another pool wants, leaving ones to machines that are being moved.
 	shed     bool
 	leaving  bool
@@ -112,6 +114,16 @@
 	return false
 }
 
+// unsettled reports whether a run on the VM is in doubt or to be stopped, which the next look may settle.
+func (vm *vm) unsettled() bool {
+	for _, rn := range vm.runs {
+		if rn.phase == phaseDoubtful || rn.phase == phaseStopping {
+			return true
+		}
+	}
+	return false
+}
+
 // ofStep counts the runs of a step on the VM.
 func (vm *vm) ofStep(st *step) int {
 	count := 0
--- a/internal/jobrunner/mailbox.go
+++ b/internal/jobrunner/mailbox.go
@@ -39,21 +39,35 @@
 }
 
 func (mb *mailbox) run(ctx context.Context) {
-	failed := false
+	unanswered := 0
 	for {
 		od := mb.next()
 		if od == nil {
 			return
 		}
 		vd := workpb.Verdict_NOT_SENT
-		if !failed || od.GetVerb() != workpb.Verb_START {
+		if unanswered < maxUnanswered || od.GetVerb() != workpb.Verb_START {
 			vd = mb.rn.order(ctx, od)
 		}
-		failed = vd == workpb.Verdict_NOT_SENT || vd == workpb.Verdict_IN_DOUBT
+		unanswered = countUnanswered(unanswered, vd)
 		mb.rn.post(ctx, func() { mb.rn.answered(od, vd) })
 	}
 }
 
+// maxUnanswered is after how many orders in a row without an answer the starts that wait aren't sent; single answers may get lost.
+const maxUnanswered = 2
+
+func countUnanswered(count int, vd workpb.Verdict) int {
+	switch vd {
+	case workpb.Verdict_NOT_SENT:
+		return maxUnanswered
+	case workpb.Verdict_IN_DOUBT:
+		return count + 1
+	default:
+		return 0
+	}
+}
+
 func (mb *mailbox) next() *workpb.Order {
 	mb.mu.Lock()
 	defer mb.mu.Unlock()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -30,6 +30,8 @@
 	provenMS   atomic.Int64
 	held       atomic.Bool
 	token      atomic.Int64
+	// patienceMS is how long the next commit waits for its answer before it is tried again.
+	patienceMS int64
 }
 
 // Names of the row and of the partition in which all of the owner's rows lie.
@@ -47,6 +49,11 @@
 	LeaseMS = 1400
 	// takeoverMS is how long the row must be seen unchanged before another entry takes over; it exceeds the lease by a margin for clock rates.
 	takeoverMS = 1650
+	// leastPatienceMS is far above the 16 ms of a commit on a calm store, mostPatienceMS above those of a store slowed down sixty times.
+	leastPatienceMS = 250
+	mostPatienceMS  = 1500
+	// patienceFactor is by how much a commit may exceed the last one's time.
+	patienceFactor = 6
 	// deferStepMS is how long an entry leaves the row to each class of stronger ones; it exceeds the pause between their polls.
 	deferStepMS = 350
 	// maxClasses bounds the classes that are waited for.
@@ -57,7 +64,7 @@
 
 // New returns the view of an entry, whose incarnation differs at each start of its process; its strength compares its machine with those of other entries.
 func New(st *rowstore.Store, ck *clock.Clock, entry, incarnation string, strength int64) *Ownership {
-	return &Ownership{st: st, ck: ck, entry: entry, incarnation: incarnation, strength: strength}
+	return &Ownership{st: st, ck: ck, entry: entry, incarnation: incarnation, strength: strength, patienceMS: leastPatienceMS}
 }
 
 // Register tells the other entries how strong this one is, so that weaker ones leave the ownership to it.
@@ -181,7 +188,10 @@
 	startMS := ow.ck.Now()
 	tx := rowstore.NewTx(Part)
 	fill(tx)
-	version, current, err := ow.write(ctx, tx, next)
+	short, cancel := ow.ck.WithTimeout(ctx, ow.patienceMS)
+	defer cancel()
+	version, current, err := ow.write(short, tx, next)
+	ow.learn(code.Of(err), ow.ck.Now()-startMS)
 	if code.Of(err) == code.Conflict {
 		return ow.explain(current, next, startMS)
 	}
@@ -193,6 +203,17 @@
 	return nil
 }
 
+// learn adapts the patience to how long commits take; trying one again is safe, since only one of them can apply.
+func (ow *Ownership) learn(result code.Code, tookMS int64) {
+	switch result {
+	case code.OK, code.Conflict:
+		ow.patienceMS = min(max(patienceFactor*tookMS, leastPatienceMS), mostPatienceMS)
+	case code.TableInDoubt:
+		ow.patienceMS = min(2*ow.patienceMS, mostPatienceMS)
+	default:
+	}
+}
+
 // explain tells an earlier try of the same commit, whose answer was lost, from a takeover by another entry.
 func (ow *Ownership) explain(current []rowstore.Row, next *workpb.Ownership, startMS int64) error {
 	for _, rw := range current {
