--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -24,6 +24,7 @@
 	// completed holds the ids of jobs that are done, whose rows may be seen again.
 	completed map[string]bool
 	vms       map[string]*vm
+	zones     map[string]*zone
 	used      map[string]size.Size
 	dirty     []*job
 	outbox    []*workpb.Order
@@ -46,7 +47,7 @@
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
 		caps: map[string]size.Size{}, jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
-		vms: map[string]*vm{}, used: map[string]size.Size{},
+		vms: map[string]*vm{}, zones: map[string]*zone{}, used: map[string]size.Size{},
 	}
 }
 
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -240,3 +240,20 @@
 	fl.play(200)
 	qt.Assert(t, len(fl.live), qt.Equals, 2)
 }
+
+func TestNothingIsStartedInAZoneThatIsCutOff(t *testing.T) {
+	one, two, other := vmOf("a"), vmOf("b"), vmOf("c")
+	one.Zone, two.Zone, other.Zone = "x", "x", "y"
+	fl := newFleet(t, one, two, other)
+	fl.submit(jobOf("j1", stepOf(16)))
+	fl.play(300)
+	fl.silent["a"], fl.silent["b"] = true, true
+	fl.play(600)
+	qt.Assert(t, fl.ct.CutOff("x"), qt.IsTrue)
+	qt.Assert(t, fl.ct.CutOff("y"), qt.IsFalse)
+	fl.silent["a"], fl.silent["b"] = false, false
+	fl.play(1000)
+	qt.Assert(t, fl.ct.CutOff("x"), qt.IsFalse)
+	fl.play(3000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+}
--- a/internal/jobcontrol/look.go
+++ b/internal/jobcontrol/look.go
@@ -152,6 +152,7 @@
 	}
 	on.silent = false
 	on.failedLooks = 0
+	ct.zoneAnswered(on.reg.GetZone())
 	on.answeredMS = nowMS
 	if lk.GetBornMs() != 0 && lk.GetBornMs() != on.bornMS {
 		if on.bornMS != 0 {
@@ -181,6 +182,9 @@
 
 func (ct *Controller) lookFailed(on *vm, vd workpb.Verdict) {
 	on.failedLooks++
+	if vd == workpb.Verdict_IN_DOUBT {
+		ct.zoneFailed(on.reg.GetZone())
+	}
 	if vd == workpb.Verdict_IN_DOUBT && on.failedLooks < maxFailedLooks {
 		on.nextLookMS = ct.ck.Now()
 		return
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -61,7 +61,7 @@
 	pools := map[string][]*vm{}
 	for _, on := range ct.vms {
 		on.reserved = false
-		if on.usable(nowMS) {
+		if on.usable(nowMS) && !ct.CutOff(on.reg.GetZone()) {
 			pools[on.reg.GetService()] = append(pools[on.reg.GetService()], on)
 		}
 	}
--- /dev/null
+++ b/internal/jobcontrol/zone.go
@@ -0,0 +1,47 @@
+package jobcontrol
+
+// zone is what the looks at an availability zone's VMs say of the way there.
+type zone struct {
+	answeredMS int64
+	// failures counts the looks without an answer since the last answer.
+	failures int
+	failedMS int64
+}
+
+const (
+	// zoneFailures is how many looks must fail, and zoneQuietMS how long none may be answered, for a zone to count as cut off.
+	zoneFailures = 2
+	zoneQuietMS  = 500
+	// zoneRetryMS is how long after the last failed look a zone is tried again.
+	zoneRetryMS = 6000
+)
+
+func (ct *Controller) zoneOf(name string) *zone {
+	zn, ok := ct.zones[name]
+	if !ok {
+		zn = &zone{answeredMS: ct.startedMS}
+		ct.zones[name] = zn
+	}
+	return zn
+}
+
+func (ct *Controller) zoneAnswered(name string) {
+	zn := ct.zoneOf(name)
+	zn.answeredMS, zn.failures = ct.ck.Now(), 0
+}
+
+func (ct *Controller) zoneFailed(name string) {
+	zn := ct.zoneOf(name)
+	zn.failures++
+	zn.failedMS = ct.ck.Now()
+}
+
+// CutOff reports whether an availability zone seems to be cut off from this entry, so that nothing should be started or moved there.
+func (ct *Controller) CutOff(name string) bool {
+	zn, ok := ct.zones[name]
+	if !ok || zn.failures < zoneFailures {
+		return false
+	}
+	nowMS := ct.ck.Now()
+	return nowMS-zn.answeredMS >= zoneQuietMS && nowMS-zn.failedMS < zoneRetryMS
+}
--- a/internal/jobrunner/moves.go
+++ b/internal/jobrunner/moves.go
@@ -134,7 +134,7 @@
 	return out
 }
 
-// hosts returns the machines that are or will be of use in their pools: not those that a wave has in hand or whose VM takes no work.
+// hosts returns the machines that are or will be of use in their pools: not those that a wave has in hand, whose VM takes no work or whose zone is cut off.
 func (mv *moves) hosts() []poolsize.Host {
 	var out []poolsize.Host
 	standby := map[string]bool{}
@@ -142,11 +142,11 @@
 		standby[sv.GetName()] = sv.GetStandby()
 	}
 	for _, mc := range mv.rn.wv.machines {
-		if mo, ok := mv.flying[mc.GetId()]; ok {
+		if mo, ok := mv.flying[mc.GetId()]; ok && !mv.rn.ct.CutOff(mc.GetZone()) {
 			out = append(out, poolsize.NewHost(mc.GetId(), mo.pool, "", mc.GetCpuMilli(), 0, true))
 			continue
 		}
-		if (!mc.GetUp() && !mc.GetMoving()) || mv.rn.wv.busy(mc.GetId()) || mv.rn.ct.Unusable(mc.GetVm()) {
+		if (!mc.GetUp() && !mc.GetMoving()) || mv.rn.wv.busy(mc.GetId()) || mv.rn.ct.Unusable(mc.GetVm()) || mv.rn.ct.CutOff(mc.GetZone()) {
 			continue
 		}
 		pinned := !mc.GetUp() || (!standby[mc.GetPool()] && !mv.rn.ct.Idle(mc.GetVm()))
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -23,7 +23,7 @@
 	// registerTries bounds how often an entry tries to tell of itself before it goes on without.
 	registerTries = 3
 	// runLeaseMS is the lease of runs: longer than an owner's loss and its successor's start take, short enough to restart soon what a lost VM ran.
-	runLeaseMS = 5000
+	runLeaseMS = 4000
 	// releaseMS bounds the wait for the release at the end.
 	releaseMS = 1500
 )
