--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -68,6 +68,8 @@
 	renewMS = 450
 	// pendingGapMS is how often the counts of waiting jobs are stored.
 	pendingGapMS = 600
+	// finishMS bounds the wait for the last commit.
+	finishMS = 1500
 	// retryMS is the pause before a commit that failed is repeated.
 	retryMS = 50
 )
@@ -94,7 +96,8 @@
 
 // Run schedules until the context ends or another entry has become the owner.
 func (rn *Runner) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	stop := ctx.Done()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	rn.takeRules()
 	if err := rn.restore(ctx); err != nil {
@@ -105,8 +108,8 @@
 	defer tick.Stop()
 	for !rn.lost {
 		select {
-		case <-ctx.Done():
-			return ctx.Err()
+		case <-stop:
+			return rn.finish()
 		case fn := <-rn.events:
 			fn()
 			rn.drainEvents()
@@ -117,6 +120,23 @@
 	return code.LeaseLapsed.New("another entry schedules now")
 }
 
+// finish waits for the commit that is under way, since the ownership can't be released before its outcome is known.
+func (rn *Runner) finish() error {
+	giveUp := time.After(finishMS * time.Millisecond)
+	for rn.committing && !rn.lost {
+		select {
+		case fn := <-rn.events:
+			fn()
+		case <-giveUp:
+			return code.TableInDoubt.New("a commit is still under way")
+		}
+	}
+	if rn.lost {
+		return code.LeaseLapsed.New("another entry schedules now")
+	}
+	return nil
+}
+
 func (rn *Runner) drainEvents() {
 	for {
 		select {
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -300,16 +300,24 @@
 }
 
 func TestPlannedHandoverIsFast(t *testing.T) {
-	play(t, func(si *site) {
-		si.start("one")
-		si.wait(500)
-		si.start("two")
-		si.wait(500)
-		si.entries["one"].cancel()
-		si.submit("00000000000000aa", 1)
-		si.wait(800)
-		qt.Assert(t, si.state("00000000000000aa"), qt.Equals, workpb.State_RUNNING)
-	})
+	for offsetMS := int64(1); offsetMS < 80; offsetMS += 4 {
+		play(t, func(si *site) {
+			si.st.SetLatency(40)
+			si.start("one")
+			si.wait(500)
+			si.start("two")
+			si.wait(500)
+			for at := range 8 {
+				si.submit(fmt.Sprintf("%014d%02d", 0, at), 1)
+				si.wait(5)
+			}
+			si.wait(offsetMS)
+			si.entries["one"].cancel()
+			si.submit("00000000000000aa", 1)
+			si.wait(900)
+			qt.Assert(t, si.state("00000000000000aa"), qt.Equals, workpb.State_RUNNING, qt.Commentf("offset %d", offsetMS))
+		})
+	}
 }
 
 func TestLostOwnerIsReplacedWithinThreeSeconds(t *testing.T) {
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -66,13 +66,15 @@
 	rn := New(sc.ln, sc.ck, sc.lg, sc.ow, sc.runLeaseMS)
 	sc.lg.Info("ownership-taken", "token", sc.ow.Token())
 	err := rn.Run(ctx)
-	sc.lg.Fail("scheduling-ended", err, "token", sc.ow.Token())
-	if ctx.Err() == nil {
+	if err != nil {
+		sc.lg.Fail("scheduling-ended", err, "token", sc.ow.Token())
 		return
 	}
 	out, cancel := sc.ck.WithTimeout(context.Background(), releaseMS)
 	defer cancel()
 	if err := sc.ow.Release(out); err != nil {
 		sc.lg.Fail("ownership-unreleased", err)
+		return
 	}
+	sc.lg.Info("ownership-released", "token", sc.ow.Token())
 }
--- a/internal/rowstoretest/rowstoretest.go
+++ b/internal/rowstoretest/rowstoretest.go
@@ -39,6 +39,8 @@
 	changed chan struct{}
 	fate    func(*rowstore.Tx) Fate
 	down    bool
+	// latencyMS is how long a commit takes; it is applied even if its caller gives up meanwhile.
+	latencyMS int64
 }
 
 type address struct{ table, part, key string }
@@ -67,6 +69,23 @@
 	st.down = down
 }
 
+// SetLatency sets how long commits take.
+func (st *Store) SetLatency(ms int64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.latencyMS = ms
+}
+
+// wait lets a commit take its time, or less if its caller gives up.
+func (st *Store) wait(ctx context.Context) {
+	st.mu.Lock()
+	latencyMS := st.latencyMS
+	st.mu.Unlock()
+	if latencyMS > 0 {
+		_ = st.ck.Sleep(ctx, latencyMS)
+	}
+}
+
 // DropHistory forgets the changes up to now.
 func (st *Store) DropHistory() {
 	st.mu.Lock()
@@ -125,7 +144,16 @@
 	return list, nil
 }
 
-func (st *Store) commit(_ context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+func (st *Store) commit(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+	st.wait(ctx)
+	version, current, err := st.commitNow(tx)
+	if ctx.Err() != nil {
+		return 0, nil, code.TableInDoubt.Wrap(ctx.Err())
+	}
+	return version, current, err
+}
+
+func (st *Store) commitNow(tx *rowstore.Tx) (int64, []rowstore.Row, error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.down {
