--- a/cmd/fulmarloft/main.go
+++ b/cmd/fulmarloft/main.go
@@ -32,6 +32,7 @@
 		keyCommands,
 		operatorCommands,
 		platformCommands,
+		soakCommands,
 	} {
 		cmds = append(cmds, add(app)...)
 	}
