--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -28,6 +28,7 @@
 	used      map[string]size.Size
 	dirty     []*job
 	outbox    []*workpb.Order
+	advice    []*workpb.AdviceRequest
 	arrivals  []arrival
 }
 
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -257,3 +257,40 @@
 	fl.play(3000)
 	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
 }
+
+func TestAdvisedQueueStartsOnlyWithTickets(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	rules := testRules()
+	rules.Queues[0].Advised = true
+	fl.setRules(rules)
+	fl.submit(jobOf("j1", stepOf(4)))
+	fl.play(400)
+	qt.Assert(t, len(fl.starts), qt.Equals, 0)
+	requests := fl.ct.AdviceRequests()
+	qt.Assert(t, len(requests), qt.Equals, 1)
+	qt.Assert(t, len(requests[0].GetVms()), qt.Equals, 2)
+	fl.ct.Advised(requests[0], fl.ck.Now(), &workpb.Advice{Tickets: map[string]string{"b": "x"}, ValidMs: 3000})
+	var tickets []string
+	fl.lost = func(od *workpb.Order) bool {
+		tickets = append(tickets, od.GetTicket())
+		return false
+	}
+	fl.play(400)
+	qt.Assert(t, fl.workers["a"].Running(), qt.Equals, 0)
+	qt.Assert(t, fl.workers["b"].Running(), qt.Equals, 4)
+	qt.Assert(t, tickets, qt.DeepEquals, []string{"x", "x", "x", "x"})
+}
+
+func TestTicketEndsWithItsTimeAndWithTheVMsLife(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	rules := testRules()
+	rules.Queues[0].Advised = true
+	fl.setRules(rules)
+	fl.workers["a"].Behave = func(string, int64) (int64, workpb.End) { return 400, workpb.End_END_FAILED }
+	fl.submit(jobOf("j1", stepOf(1)))
+	fl.play(400)
+	fl.ct.Advised(fl.ct.AdviceRequests()[0], fl.ck.Now(), &workpb.Advice{Tickets: map[string]string{"a": "x"}, ValidMs: 600})
+	fl.play(2000)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+	qt.Assert(t, len(fl.ct.AdviceRequests()), qt.Equals, 1)
+}
--- a/internal/jobcontrol/job.go
+++ b/internal/jobcontrol/job.go
@@ -36,6 +36,11 @@
 	failures int32
 	// failedRun is the gang run whose failure was counted last.
 	failedRun int64
+	// tickets and refused tell which VMs may run the step, on queues where that has to be asked for.
+	tickets map[string]ticket
+	refused map[string]bool
+	asking  bool
+	askedMS int64
 }
 
 type task struct {
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -142,6 +142,9 @@
 }
 
 func (ct *Controller) placeStep(bt *Batch, cd candidate, pool []*vm, nowMS int64) {
+	if ct.queueOf(cd.st.oc.jb).GetAdvised() {
+		pool = ct.ticketed(cd.st, pool, nowMS)
+	}
 	if cd.st.row.GetGang() {
 		ct.placeGang(bt, cd.st, pool)
 		return
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -71,12 +71,21 @@
 		ct.endRun(rn, workpb.End_END_STOPPED, "")
 		return nil
 	}
+	admit := ""
+	if ct.queueOf(rn.task.job()).GetAdvised() {
+		text, ok := rn.task.st.ticket(rn.vm, nowMS)
+		if !ok {
+			ct.endRun(rn, workpb.End_END_STOPPED, "")
+			return nil
+		}
+		admit = text
+	}
 	rn.phase = phaseOrdered
 	rn.sinceMS = nowMS
 	rn.vm.nextLookMS = min(rn.vm.nextLookMS, nowMS+busyLookMS)
 	return &workpb.Order{
 		Verb: workpb.Verb_START, Vm: rn.vm.id, Address: rn.vm.reg.GetAddress(), Task: rn.key.task, Run: rn.key.run,
-		Payload: rn.task.job().row.GetPayload(), Checkpoint: rn.task.checkpoint, Token: ct.token, LeaseUntilMs: ct.lease(rn.vm),
+		Payload: rn.task.job().row.GetPayload(), Checkpoint: rn.task.checkpoint, Token: ct.token, LeaseUntilMs: ct.lease(rn.vm), Ticket: admit,
 	}
 }
 
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -30,6 +30,8 @@
 	Move func(ctx context.Context, machine, pool string, token int64) error
 	// WaveStatus tells the operators how far a wave has come.
 	WaveStatus func(ctx context.Context, wave int64, completed bool) error
+	// Advise asks which VMs may run a step; nil where nobody can be asked.
+	Advise func(ctx context.Context, rq *workpb.AdviceRequest) (*workpb.Advice, error)
 	// Rules returns the rules in force, nil before the first ones were read; Waves returns all waves.
 	Rules func() *rulesindex.Index
 	Waves func() []*workpb.Wave
@@ -164,6 +166,24 @@
 	rn.mv.step(ctx)
 	rn.plan(ctx)
 	rn.send(ctx, rn.ct.Outbox())
+	for _, rq := range rn.ct.AdviceRequests() {
+		go rn.advise(ctx, rq)
+	}
+}
+
+func (rn *Runner) advise(ctx context.Context, rq *workpb.AdviceRequest) {
+	sentMS := rn.ck.Now()
+	var ad *workpb.Advice
+	err := error(code.PeerUnreachable)
+	if rn.ln.Advise != nil {
+		ad, err = rn.ln.Advise(ctx, rq)
+	}
+	rn.post(ctx, func() {
+		if err != nil {
+			rn.lg.Fail("advice-refused", err, "job", rq.GetJob(), "step", rq.GetStep(), "vms", len(rq.GetVms()))
+		}
+		rn.ct.Advised(rq, sentMS, ad)
+	})
 }
 
 func (rn *Runner) takeRules() {
--- a/internal/workertest/workertest.go
+++ b/internal/workertest/workertest.go
@@ -23,6 +23,9 @@
 	Behave func(task string, run int64) (workMS int64, end workpb.End)
 	// Percent is the progress listed of runs without an end.
 	Percent int64
+	// Gauge returns what the VM says of a run beside its progress; Pace holds the paces that were ordered, in percent.
+	Gauge func(task string) int64
+	Pace  map[string]int64
 	// Record hears of each start, and of each end with how it ended.
 	Record func(vm, task string, run int64, started bool, end workpb.End)
 }
@@ -50,7 +53,8 @@
 // New returns a VM that registered itself.
 func New(ck *clock.Clock, reg *workpb.VM) *Worker {
 	reg.BornMs = ck.Now()
-	wk := &Worker{ck: ck, reg: reg, clock: ck.Now(), running: map[key]*run{}, highest: map[string]int64{}, Percent: percent}
+	wk := &Worker{ck: ck, reg: reg, clock: ck.Now(), running: map[key]*run{}, highest: map[string]int64{}, Percent: percent, Pace: map[string]int64{}}
+	wk.Gauge = func(string) int64 { return 0 }
 	wk.Behave = func(string, int64) (int64, workpb.End) { return defaultWorkMS, workpb.End_END_DONE }
 	wk.Record = func(string, string, int64, bool, workpb.End) {}
 	return wk
@@ -124,6 +128,7 @@
 	case workpb.Verb_START:
 		return wk.start(ky, od)
 	default:
+		wk.Pace[ky.task] = od.GetPercent()
 		return workpb.Verdict_ACCEPTED
 	}
 }
@@ -154,7 +159,7 @@
 	lk := &workpb.Look{BornMs: wk.reg.GetBornMs(), ClockMs: wk.clockMS()}
 	for ky, rn := range wk.running {
 		rn.leaseMS = max(rn.leaseMS, lr.GetLeaseUntilMs())
-		lk.Running = append(lk.Running, &workpb.RunningRun{Task: ky.task, Run: ky.run, Percent: wk.progress(rn)})
+		lk.Running = append(lk.Running, &workpb.RunningRun{Task: ky.task, Run: ky.run, Percent: wk.progress(rn), Gauge: wk.Gauge(ky.task)})
 	}
 	for _, end := range wk.ended {
 		if end.GetNumber() > lr.GetAcknowledged() {
