--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -294,3 +294,67 @@
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
 	qt.Assert(t, len(fl.ct.AdviceRequests()), qt.Equals, 1)
 }
+
+func TestCopiesStartElsewhereWhenAVMFallsSilent(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	st := stepOf(4)
+	st.Duplicates = true
+	fl.submit(jobOf("j1", st))
+	fl.play(300)
+	host, other := "a", "b"
+	if fl.workers["a"].Running() == 0 {
+		host, other = "b", "a"
+	}
+	fl.silent[host] = true
+	fl.copies = true
+	fl.play(700)
+	qt.Assert(t, fl.workers[other].Running(), qt.Equals, 4)
+	fl.play(1000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+}
+
+func TestSlowRunIsStartedAnewElsewhereOnce(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	for _, wk := range fl.workers {
+		wk.Behave = func(_ string, run int64) (int64, workpb.End) {
+			if run == 1 {
+				return 20_000, workpb.End_END_DONE
+			}
+			return 800, workpb.End_END_DONE
+		}
+	}
+	fl.submit(jobOf("j1", stepOf(2)))
+	fl.play(3000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+}
+
+func TestLongTaskIsMovedOnlyOnce(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	for _, wk := range fl.workers {
+		wk.Behave = func(string, int64) (int64, workpb.End) { return 9000, workpb.End_END_DONE }
+	}
+	fl.submit(jobOf("j1", stepOf(1)))
+	fl.play(14_000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+}
+
+func TestStartExecutedInANewLifeIsNotRepeated(t *testing.T) {
+	for _, after := range []int{1, 2, 4} {
+		fl := newFleet(t, vmOf("a"), vmOf("b"))
+		count := 0
+		fl.before = func(od *workpb.Order) {
+			if od.GetVerb() != workpb.Verb_START {
+				return
+			}
+			count++
+			if count == after {
+				fl.workers[od.GetVm()].Restart()
+			}
+		}
+		fl.submit(jobOf("j1", stepOf(6), stepOf(2, 0)))
+		fl.play(8000)
+		qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+	}
+}
--- a/internal/jobcontrol/job.go
+++ b/internal/jobcontrol/job.go
@@ -53,6 +53,8 @@
 	notBeforeMS int64
 	cur         *run
 	avoid       []string
+	// movedSlow is set once the task was stopped on a slow VM.
+	movedSlow bool
 }
 
 const (
--- a/internal/jobcontrol/look.go
+++ b/internal/jobcontrol/look.go
@@ -30,7 +30,9 @@
 func (ct *Controller) SetVM(reg *workpb.VM) {
 	on := ct.vmOf(reg.GetId())
 	if on.bornMS != 0 && reg.GetBornMs() != 0 && reg.GetBornMs() > on.bornMS {
-		ct.newLife(on, reg.GetBornMs())
+		// Only the VM's own lists tell what was started in its new life already.
+		on.synced = false
+		on.nextLookMS = ct.ck.Now()
 	}
 	if !on.registered || on.reg.GetDraining() != reg.GetDraining() {
 		ct.lg.Info("vm-registered", "vm", reg.GetId(), "service", reg.GetService(), "draining", reg.GetDraining())
@@ -67,14 +69,17 @@
 	}
 }
 
-// newLife takes up that a VM started anew: nothing of its earlier life runs, its counts begin at 0 and no order of before may still count.
+// newLife takes up that a VM started anew: its counts begin at 0, and no stop of before still holds. What ran there is over unless the VM lists it, since a start may have been executed in the new life already.
 func (ct *Controller) newLife(on *vm, bornMS int64) {
 	ct.lg.Info("vm-restarted", "vm", on.id, "born", bornMS, "runs", len(on.runs))
 	on.bornMS = bornMS
 	on.processed, on.stored = 0, 0
-	on.synced = false
 	on.pace = fullPercent
-	ct.loseRuns(on)
+	// A start with a deadline on the clock of the earlier life got the longest lease that there is.
+	on.leaseUntilMS = max(on.leaseUntilMS, ct.ck.Now()+doubtMS)
+	for _, rn := range on.runs {
+		rn.stoppedMS = 0
+	}
 }
 
 // loseRuns ends all runs of a VM whose life or leases have ended, but for orders that may yet be executed in its next life.
@@ -192,6 +197,9 @@
 	if !on.silent {
 		ct.lg.Info("vm-silent", "vm", on.id, "verdict", vd.String(), "runs", len(on.runs))
 	}
+	if !on.silent {
+		ct.copyElsewhere(on)
+	}
 	on.silent = true
 	on.nextLookMS = ct.ck.Now() + lostLookMS
 	if vd == workpb.Verdict_OTHER_VM {
@@ -301,6 +309,45 @@
 		ct.lg.Info("run-stalled", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "percent", rn.percent)
 		ct.suspect(rn)
 		ct.stop(rn)
+	case rn.phase == phaseRunning && rn.slow(nowMS):
+		ct.lg.Info("run-slow", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "percent", rn.percent, "age-ms", nowMS-rn.sinceMS)
+		rn.task.movedSlow = true
+		ct.suspect(rn)
+		ct.stop(rn)
+	}
+}
+
+const (
+	// slowAfterMS is the least age of a run that is judged by its progress.
+	slowAfterMS = 1200
+	// slowFactor is by how many estimates the rest of a run must exceed what a new run elsewhere takes.
+	slowFactor = 2
+)
+
+// slow reports whether a run would end much sooner if it were started anew elsewhere; a task is moved for that once, since estimates are rough.
+func (rn *run) slow(nowMS int64) bool {
+	if rn.task == nil || rn.task.movedSlow || rn.lasting() || rn.task.st.row.GetGang() {
+		return false
+	}
+	age, estimate := nowMS-rn.sinceMS, rn.task.st.row.GetEstimateMs()
+	if estimate <= 0 || age < max(slowAfterMS, estimate) || rn.percent >= fullPercent {
+		return false
+	}
+	rest := age * (fullPercent - rn.percent) / max(rn.percent, 1)
+	return rest > slowFactor*estimate+slowAfterMS
+}
+
+// copyElsewhere lets tasks whose copies may run side by side start elsewhere at once when their VM is silent; what runs there is stopped when it answers.
+func (ct *Controller) copyElsewhere(on *vm) {
+	for _, rn := range on.runs {
+		if rn.task == nil || rn.phase == phasePlanned || !rn.task.st.row.GetDuplicates() || rn.lasting() || rn.task.st.row.GetGang() {
+			continue
+		}
+		tk := rn.task
+		rn.task = nil
+		rn.phase = phaseStopping
+		tk.cur = nil
+		ct.touch(tk.job())
 	}
 }
 
