Count the end of an earlier copy; ownership lease of 1 s

TestEndOfAnEarlierCopyCounts and TestFailuresAreCountedOnceOverAChangeOfOwner failed first. Lease of 1.4 s to 1.0 s, takeover after 1.2 s and four times the store's answer: an owner in a zone that is cut off is replaced 0.5 s sooner.

--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -358,3 +358,41 @@
 		qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
 	}
 }
+
+func TestEndOfAnEarlierCopyCounts(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	st := stepOf(4)
+	st.Duplicates = true
+	fl.submit(jobOf("j1", st))
+	fl.play(300)
+	fl.copies = true
+	fl.silent["a"] = true
+	fl.play(1500)
+	fl.silent["a"] = false
+	fl.play(4000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
+
+func TestFailuresAreCountedOnceOverAChangeOfOwner(t *testing.T) {
+	for _, duplicates := range []bool{false, true} {
+		fl := newFleet(t, vmOf("a"), vmOf("b"))
+		for _, wk := range fl.workers {
+			wk.Behave = func(_ string, run int64) (int64, workpb.End) {
+				if run < 3 {
+					return 200, workpb.End_END_FAILED
+				}
+				return 200, workpb.End_END_DONE
+			}
+		}
+		st := stepOf(1)
+		st.Duplicates = duplicates
+		fl.submit(jobOf("j1", st))
+		for range 40 {
+			fl.play(60)
+			fl.newOwner()
+		}
+		fl.play(2000)
+		qt.Check(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED, qt.Commentf("duplicates %v", duplicates))
+	}
+}
--- a/internal/jobcontrol/look.go
+++ b/internal/jobcontrol/look.go
@@ -272,9 +272,56 @@
 		on.processed = row.GetNumber()
 		key := runKey{row.GetTask(), row.GetRun()}
 		delete(listed, key)
-		if rn, ok := on.runs[key]; ok {
+		rn, ok := on.runs[key]
+		if ok && rn.isCopy && row.GetEnd() == workpb.End_END_FAILED {
+			ct.copyFailed(row.GetTask())
+		}
+		if ok {
 			ct.endRun(rn, row.GetEnd(), row.GetCheckpoint())
 		}
+		if row.GetEnd() == workpb.End_END_DONE {
+			ct.copyDone(row.GetTask())
+		}
+	}
+}
+
+// copied returns the waiting or running task of a name where copies may run side by side, or nil.
+func (ct *Controller) copied(name string) *task {
+	nm, err := taskname.Parse(name)
+	if err != nil {
+		return nil
+	}
+	jb, ok := ct.jobs[nm.Job()]
+	if !ok || jb.ended() {
+		return nil
+	}
+	tk := jb.task(nm)
+	if tk == nil || tk.done || !tk.st.row.GetDuplicates() || tk.st.row.GetLasting() {
+		return nil
+	}
+	return tk
+}
+
+// copyDone takes up that some copy of a task is done: the first one counts, and the other is stopped.
+func (ct *Controller) copyDone(name string) {
+	tk := ct.copied(name)
+	if tk == nil {
+		return
+	}
+	if rn := tk.cur; rn != nil {
+		rn.task = nil
+		tk.cur = nil
+		ct.stop(rn)
+	}
+	ct.touch(tk.job())
+	ct.taskDone(tk)
+}
+
+// copyFailed counts the failure of a copy that this owner left behind; an earlier owner's failures may have been counted by it.
+func (ct *Controller) copyFailed(name string) {
+	if tk := ct.copied(name); tk != nil {
+		ct.touch(tk.job())
+		ct.taskFailed(tk)
 	}
 }
 
@@ -345,6 +392,7 @@
 		}
 		tk := rn.task
 		rn.task = nil
+		rn.isCopy = true
 		rn.phase = phaseStopping
 		tk.cur = nil
 		ct.touch(tk.job())
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -68,6 +68,8 @@
 type run struct {
 	key runKey
 	vm  *vm
+	// isCopy is set for a run whose task was started elsewhere as well.
+	isCopy bool
 	// task is nil for a run that belongs to no task any more.
 	task       *task
 	team       string
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -67,7 +67,7 @@
 	// tickMS is how often looks and time-outs are checked without an event.
 	tickMS = 30
 	// renewMS is the longest pause between commits; the lease is renewed with each.
-	renewMS = 450
+	renewMS = 300
 	// pendingGapMS is how often the counts of waiting jobs are stored.
 	pendingGapMS = 600
 	// finishMS bounds the wait for the last commit.
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -19,7 +19,7 @@
 
 const (
 	// pollMS is how often an entry that doesn't own scheduling looks at the ownership.
-	pollMS = 300
+	pollMS = 250
 	// registerTries bounds how often an entry tries to tell of itself before it goes on without.
 	registerTries = 3
 	// runLeaseMS is the lease of runs: longer than an owner's loss and its successor's start take, short enough to restart soon what a lost VM ran.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -46,18 +46,20 @@
 
 const (
 	// LeaseMS is how long after the start of its last commit an owner may order starts.
-	LeaseMS = 1400
+	LeaseMS = 1000
 	// takeoverMS is how long the row must be seen unchanged before another entry takes over; it exceeds the lease by a margin for clock rates.
-	takeoverMS = 1650
+	takeoverMS = 1200
 	// leastPatienceMS is far above the 16 ms of a commit on a calm store, mostPatienceMS above those of a store slowed down sixty times.
 	leastPatienceMS = 250
 	mostPatienceMS  = 1500
 	// patienceFactor is by how much a commit may exceed the last one's time.
 	patienceFactor = 6
 	// deferStepMS is how long an entry leaves the row to each class of stronger ones; it exceeds the pause between their polls.
-	deferStepMS = 350
+	deferStepMS = 300
 	// maxClasses bounds the classes that are waited for.
 	maxClasses = 3
+	// slowReads is how many times the time of its own read an entry waits longer, since a slow store delays the owner's commits as well.
+	slowReads = 4
 	// readGapMS is the longest pause between reads that still counts as watching.
 	readGapMS = 1000
 )
@@ -114,7 +116,7 @@
 		ow.unchangedMS = nowMS
 	}
 	ow.row, ow.version, ow.lastReadMS = row, rw.Version(), nowMS
-	if !ow.free(startMS) {
+	if !ow.free(startMS, takeoverMS+slowReads*(nowMS-startMS)) {
 		ow.freeMS = 0
 		return false, nil
 	}
@@ -133,14 +135,14 @@
 }
 
 // free reports whether the owner has released the row, was an earlier process of this entry, or has let its lease lapse.
-func (ow *Ownership) free(nowMS int64) bool {
+func (ow *Ownership) free(nowMS, lapsedMS int64) bool {
 	if ow.version == 0 || ow.row.GetReleased() {
 		return true
 	}
 	if ow.row.GetEntry() == ow.entry {
 		return true
 	}
-	return nowMS-ow.unchangedMS >= takeoverMS
+	return nowMS-ow.unchangedMS >= lapsedMS
 }
 
 func (ow *Ownership) take(ctx context.Context) (bool, error) {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -13,6 +13,9 @@
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
+// pollMS is the pause between an entry's polls.
+const pollMS = 250
+
 type pair struct {
 	ck  *clock.Clock
 	st  *rowstoretest.Store
@@ -34,7 +37,7 @@
 
 // watch lets an entry poll for some time and returns whether it became the owner.
 func (pr *pair) watch(t *testing.T, ow *ownership.Ownership, forMS int64) bool {
-	for end := pr.ck.Now() + forMS; pr.ck.Now() < end; pr.ck.Advance(300) {
+	for end := pr.ck.Now() + forMS; pr.ck.Now() < end; pr.ck.Advance(pollMS) {
 		if poll(t, ow) {
 			return true
 		}
@@ -110,7 +113,7 @@
 	qt.Assert(t, pr.one.Register(context.Background()), qt.IsNil)
 	qt.Assert(t, pr.two.Register(context.Background()), qt.IsNil)
 	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
-	pr.ck.Advance(300)
+	pr.ck.Advance(pollMS)
 	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
 	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
 	qt.Assert(t, pr.one.Release(context.Background()), qt.IsNil)
