--- a/cmd/fulmarloft/platform.go
+++ b/cmd/fulmarloft/platform.go
@@ -30,7 +30,7 @@
 	return edge.New(st, ck, lg).Run(stop)
 }
 
-// watchSignals closes stop at SIGTERM and checks the settings at SIGHUP.
+// watchSignals closes stop at SIGTERM and checks the settings at SIGHUP; they are taken up at the next start.
 func watchSignals(lg *event.Log, stop chan<- struct{}) {
 	ch := make(chan os.Signal, 1)
 	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -43,6 +43,6 @@
 			lg.Fail("settings-refused", err)
 			continue
 		}
-		lg.Info("settings-reloaded")
+		lg.Info("settings-checked")
 	}
 }
--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -84,18 +84,15 @@
 	for _, sv := range ct.rules.Rules().GetServices() {
 		name := sv.GetName()
 		cores := lasting[name] + max(backlog[name], rate[name])
-		out[name] = Wanted{coresMilli: cores, lateMilli: late[name], leastVMs: max(least[name], boolInt(cores+late[name] > 0))}
+		wa := Wanted{coresMilli: cores, lateMilli: late[name], leastVMs: least[name]}
+		if cores+late[name] > 0 {
+			wa.leastVMs = max(wa.leastVMs, 1)
+		}
+		out[name] = wa
 	}
 	return out
 }
 
-func boolInt(val bool) int {
-	if val {
-		return 1
-	}
-	return 0
-}
-
 // timely reports whether the rest of an occurrence can still be done within its objective.
 func (oc *occurrence) timely(qu *workpb.Queue, nowMS int64) bool {
 	for _, st := range oc.steps {
@@ -191,15 +188,15 @@
 	}
 }
 
-// Leave takes up that a VM is going to end because its machine moves, so that nothing is placed there meanwhile.
-func (ct *Controller) Leave(id string) {
+// ReleaseVM takes up that a VM is going to end because its machine moves, so that nothing is placed there meanwhile.
+func (ct *Controller) ReleaseVM(id string) {
 	if on, ok := ct.vms[id]; ok {
 		on.leaving = true
 	}
 }
 
-// Stay takes up that a VM's machine stays where it is.
-func (ct *Controller) Stay(id string) {
+// KeepVM takes up that a VM's machine stays where it is.
+func (ct *Controller) KeepVM(id string) {
 	if on, ok := ct.vms[id]; ok {
 		on.leaving = false
 	}
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -18,9 +18,6 @@
 // Rows returns the progress to store.
 func (bt *Batch) Rows() []*workpb.Progress { return bt.rows }
 
-// Starts returns how many starts the batch orders.
-func (bt *Batch) Starts() int { return len(bt.starts) }
-
 // Plan decides what to start now and returns all that is to be stored; mayStart is false while no start may be ordered.
 func (ct *Controller) Plan(mayStart bool) *Batch {
 	nowMS := ct.ck.Now()
--- a/internal/jobrunner/moves.go
+++ b/internal/jobrunner/moves.go
@@ -16,7 +16,7 @@
 	// observedMS is up to when arriving work was taken into the forecast, begunMS when the first came.
 	observedMS int64
 	begunMS    int64
-	flying     map[string]*move
+	ordered    map[string]*move
 	nextMS     int64
 }
 
@@ -44,7 +44,7 @@
 )
 
 func newMoves(rn *Runner) *moves {
-	return &moves{rn: rn, sz: poolsize.New(), tn: turns.New(), flying: map[string]*move{}}
+	return &moves{rn: rn, sz: poolsize.New(), tn: turns.New(), ordered: map[string]*move{}}
 }
 
 // step decides on moves once the machines are known.
@@ -55,7 +55,7 @@
 		return
 	}
 	mv.nextMS = nowMS + sizeGapMS
-	mv.land()
+	mv.settle()
 	mv.observe(nowMS)
 	demands, hosts := mv.demands(), mv.hosts()
 	pl := mv.sz.Plan(nowMS, demands, hosts)
@@ -66,19 +66,19 @@
 	for id, pool := range pl.Moves() {
 		mv.order(ctx, id, pool)
 	}
-	for id, mo := range mv.flying {
+	for id, mo := range mv.ordered {
 		if !mo.calling && mo.acceptedMS == 0 && nowMS-mo.orderedMS >= moveRetryMS {
 			mv.call(ctx, id, mo)
 		}
 	}
 }
 
-// land forgets the moves that the list of machines shows as done.
-func (mv *moves) land() {
+// settle forgets the moves that the list of machines shows as done.
+func (mv *moves) settle() {
 	for _, mc := range mv.rn.wv.machines {
-		mo, ok := mv.flying[mc.GetId()]
+		mo, ok := mv.ordered[mc.GetId()]
 		if ok && mo.acceptedMS > 0 && mv.rn.wv.readMS >= mo.acceptedMS+movedMS && mc.GetPool() == mo.pool && mc.GetUp() {
-			delete(mv.flying, mc.GetId())
+			delete(mv.ordered, mc.GetId())
 		}
 	}
 }
@@ -142,7 +142,7 @@
 		standby[sv.GetName()] = sv.GetStandby()
 	}
 	for _, mc := range mv.rn.wv.machines {
-		if mo, ok := mv.flying[mc.GetId()]; ok && !mv.rn.ct.CutOff(mc.GetZone()) {
+		if mo, ok := mv.ordered[mc.GetId()]; ok && !mv.rn.ct.CutOff(mc.GetZone()) {
 			out = append(out, poolsize.NewHost(mc.GetId(), mo.pool, "", mc.GetCpuMilli(), 0, true))
 			continue
 		}
@@ -162,8 +162,8 @@
 			mo.vm = mc.GetVm()
 		}
 	}
-	mv.flying[id] = mo
-	mv.rn.ct.Leave(mo.vm)
+	mv.ordered[id] = mo
+	mv.rn.ct.ReleaseVM(mo.vm)
 	mv.call(ctx, id, mo)
 }
 
@@ -190,11 +190,11 @@
 		rn.lost = true
 	case code.VMUnknown:
 		mv.sz.Refuse(id, mo.pool)
-		delete(mv.flying, id)
-		rn.ct.Stay(mo.vm)
+		delete(mv.ordered, id)
+		rn.ct.KeepVM(mo.vm)
 	case code.Conflict:
-		delete(mv.flying, id)
-		rn.ct.Stay(mo.vm)
+		delete(mv.ordered, id)
+		rn.ct.KeepVM(mo.vm)
 	default:
 	}
 }
