--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -37,7 +37,7 @@
 	slowestRatePercent = 98
 	// leaseMarginMS is added when a lease is waited out.
 	leaseMarginMS = 200
-	// PredecessorMS is how long an owner may go on renewing the leases of runs after its own lease began.
+	// PredecessorMS is how long after the start of its last commit an owner may go on renewing the leases of runs.
 	PredecessorMS = 5000
 	// doubtMS is how long after an unanswered order it may still be executed.
 	doubtMS = 13000
