--- a/internal/jobcontrol/evacuate.go
+++ b/internal/jobcontrol/evacuate.go
@@ -1,5 +1,8 @@
 package jobcontrol
 
+// handoverMS is how long a new owner stops no lasting task: longer than stops that an earlier owner ordered take.
+const handoverMS = 1500
+
 // Cordon keeps new work from a VM, or admits it again.
 func (ct *Controller) Cordon(id string, cordoned bool) {
 	if on, ok := ct.vms[id]; ok {
@@ -25,6 +28,8 @@
 	if len(on.runs) == 0 {
 		return on.processed == on.stored
 	}
+	// What an earlier owner stopped may still be listed as at work.
+	settled := ct.ck.Now()-ct.startedMS >= handoverMS
 	for _, rn := range on.runs {
 		if rn.phase != phaseRunning || (!rn.lasting() && !force) {
 			continue
@@ -34,7 +39,7 @@
 			continue
 		}
 		// A task that didn't serve when it was last looked at may serve by now, so it counts like any other.
-		if rn.task.st.unavailable(rn.task) < int(rn.task.st.row.GetDisruptionBudget()) {
+		if settled && rn.task.st.unavailable(rn.task) < int(rn.task.st.row.GetDisruptionBudget()) {
 			ct.lg.Info("run-evacuated", "vm", id, "task", rn.key.task, "run", rn.key.run)
 			ct.stop(rn)
 		}
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -396,3 +396,26 @@
 		qt.Check(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED, qt.Commentf("duplicates %v", duplicates))
 	}
 }
+
+func TestNewOwnerEvacuatesOnlyAfterItsPredecessorsStops(t *testing.T) {
+	fl, hosts := lastingFleet(t)
+	fl.ct.Cordon(hosts[0], true)
+	fl.ct.Evacuate(hosts[0], false)
+	fl.play(stepMS)
+	fl.newOwner()
+	stopped := false
+	fl.before = func(od *workpb.Order) {
+		stopped = stopped || (od.GetVerb() == workpb.Verb_STOP && od.GetVm() == hosts[1])
+	}
+	fl.play(2 * stepMS)
+	fl.ct.Cordon(hosts[1], true)
+	for range 20 {
+		fl.ct.Evacuate(hosts[1], false)
+		fl.play(stepMS)
+		qt.Assert(t, stopped, qt.IsFalse)
+	}
+	fl.play(3000)
+	fl.ct.Evacuate(hosts[1], false)
+	fl.play(500)
+	qt.Assert(t, stopped, qt.IsTrue)
+}
