--- a/internal/jobcontrol/advice.go
+++ b/internal/jobcontrol/advice.go
@@ -43,7 +43,7 @@
 	return tc.text, true
 }
 
-// askAdvice asks about the VMs with room that have no ticket, the freest first as the pool lists them.
+// askAdvice asks about the VMs with room that have no ticket, in the order of the pool.
 func (ct *Controller) askAdvice(st *step, pool []*vm, nowMS int64) {
 	if st.asking || nowMS-st.askedMS < adviceGapMS {
 		return
--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -198,6 +198,11 @@
 	delete(rn.vm.runs, rn.key)
 	rn.vm.used = rn.vm.used.Minus(rn.need)
 	ct.used[rn.team] = ct.used[rn.team].Minus(rn.demand)
+	return ct.detach(rn)
+}
+
+// detach parts a run from its task, which it returns; the run keeps its room.
+func (ct *Controller) detach(rn *run) *task {
 	tk := rn.task
 	rn.task = nil
 	if tk == nil || tk.cur != rn {
--- a/internal/jobcontrol/look.go
+++ b/internal/jobcontrol/look.go
@@ -196,8 +196,6 @@
 	}
 	if !on.silent {
 		ct.lg.Info("vm-silent", "vm", on.id, "verdict", vd.String(), "runs", len(on.runs))
-	}
-	if !on.silent {
 		ct.copyElsewhere(on)
 	}
 	on.silent = true
@@ -309,8 +307,7 @@
 		return
 	}
 	if rn := tk.cur; rn != nil {
-		rn.task = nil
-		tk.cur = nil
+		ct.detach(rn)
 		ct.stop(rn)
 	}
 	ct.touch(tk.job())
@@ -390,12 +387,9 @@
 		if rn.task == nil || rn.phase == phasePlanned || !rn.task.st.row.GetDuplicates() || rn.lasting() || rn.task.st.row.GetGang() {
 			continue
 		}
-		tk := rn.task
-		rn.task = nil
+		ct.detach(rn)
 		rn.isCopy = true
 		rn.phase = phaseStopping
-		tk.cur = nil
-		ct.touch(tk.job())
 	}
 }
 
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -124,12 +124,13 @@
 
 // finish waits for the commit that is under way, since the ownership can't be released before its outcome is known.
 func (rn *Runner) finish() error {
-	giveUp := time.After(finishMS * time.Millisecond)
+	wait, cancel := rn.ck.WithTimeout(context.Background(), finishMS)
+	defer cancel()
 	for rn.committing && !rn.lost {
 		select {
 		case fn := <-rn.events:
 			fn()
-		case <-giveUp:
+		case <-wait.Done():
 			return code.TableInDoubt.New("a commit is still under way")
 		}
 	}
