--- a/internal/jobrunner/follow.go
+++ b/internal/jobrunner/follow.go
@@ -8,16 +8,14 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/intake"
 	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/rowfeed"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
-	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
 const (
 	// feedWaitMS is how long a feed waits for a change; a silent connection is noticed soon after.
 	feedWaitMS = 1500
-	// feedRetryMS is the pause after a feed failed.
-	feedRetryMS = 100
 	// registryPart is the partition of the registrations.
 	registryPart = ""
 )
@@ -94,37 +92,15 @@
 
 // follow posts the changes of a table, and all of its rows again after a gap in its history.
 func (rn *Runner) follow(ctx context.Context, table string, after int64, read func(context.Context) ([]rowstore.Row, int64, error), take func([]rowstore.Row, bool)) {
-	failing := false
-	for ctx.Err() == nil {
-		pg, err := rn.ln.Store.Feed(ctx, table, after, feedWaitMS)
-		list, whole, version := pg.Rows(), false, pg.Version()
-		if code.Of(err) == code.HistoryLost {
-			rn.lg.Info("history-lost", "table", table, "after", after)
-			list, version, err = read(ctx)
-			whole = true
+	fd := rowfeed.New(rn.ln.Store, rn.ck, table, feedWaitMS, read).From(after)
+	fd.Lost = func(err error) { rn.lg.Fail("feed-lost", err, "table", table) }
+	fd.Regained = func(version int64) { rn.lg.Info("feed-regained", "table", table, "version", version) }
+	fd.GapSeen = func(after int64) { rn.lg.Info("history-lost", "table", table, "after", after) }
+	fd.Run(ctx, func(ch rowfeed.Change) {
+		if len(ch.Rows()) > 0 || ch.Whole() {
+			rn.post(ctx, func() { take(ch.Rows(), ch.Whole()) })
 		}
-		if err != nil {
-			rn.noteFeed(&failing, table, err)
-			_ = rn.ck.Sleep(ctx, feedRetryMS)
-			continue
-		}
-		rn.noteFeed(&failing, table, nil)
-		after = max(after, version)
-		if len(list) > 0 || whole {
-			rn.post(ctx, func() { take(list, whole) })
-		}
-	}
-}
-
-// noteFeed writes one line when a feed fails first and one when it works again.
-func (rn *Runner) noteFeed(failing *bool, table string, err error) {
-	switch {
-	case err != nil && !*failing:
-		rn.lg.Fail("feed-lost", err, "table", table)
-	case err == nil && *failing:
-		rn.lg.Info("feed-regained", "table", table)
-	}
-	*failing = err != nil
+	})
 }
 
 func (rn *Runner) takeJobs(list []rowstore.Row, progress map[string]*workpb.Progress) {
--- a/internal/operatorfeed/operatorfeed.go
+++ b/internal/operatorfeed/operatorfeed.go
@@ -7,10 +7,10 @@
 	"github.com/fulmarloft/fulmarloft/internal/admission"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/rowfeed"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
-	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
 // Names tells where the operators write and how to decode it.
@@ -37,9 +37,7 @@
 const (
 	// waitMS is how long the store waits for a change; each answer proves that the rules are the newest.
 	waitMS = 1000
-	// retryMS is the pause after a call that failed.
-	retryMS = 100
-	part    = ""
+	part   = ""
 )
 
 // New returns a feed that hands the rules to an admission.
@@ -49,38 +47,15 @@
 
 // Run follows until the context ends.
 func (fd *Feed) Run(ctx context.Context) {
-	after := int64(0)
-	known, lost := false, false
-	for ctx.Err() == nil {
-		startMS := fd.ck.Now()
-		var list []rowstore.Row
-		var version int64
-		var err error
-		if known {
-			var pg rowstore.Page
-			pg, err = fd.st.Feed(ctx, fd.nm.Table, after, waitMS)
-			list, version = pg.Rows(), pg.Version()
-			known = code.Of(err) != code.HistoryLost
-		} else {
-			list, version, err = fd.st.ReadAll(ctx, fd.nm.Table, part)
-			known = err == nil
-		}
-		if err != nil {
-			if !lost {
-				fd.lg.Fail("operators-feed-lost", err, "rules-age-ms", fd.ad.AgeMS())
-			}
-			lost = true
-			_ = fd.ck.Sleep(ctx, retryMS)
-			continue
-		}
-		if lost {
-			fd.lg.Info("operators-feed-regained", "version", version)
-		}
-		lost = false
-		after = max(after, version)
-		fd.take(list)
-		fd.ad.Prove(startMS)
-	}
+	rf := rowfeed.New(fd.st, fd.ck, fd.nm.Table, waitMS, func(ctx context.Context) ([]rowstore.Row, int64, error) {
+		return fd.st.ReadAll(ctx, fd.nm.Table, part)
+	})
+	rf.Lost = func(err error) { fd.lg.Fail("operators-feed-lost", err, "rules-age-ms", fd.ad.AgeMS()) }
+	rf.Regained = func(version int64) { fd.lg.Info("operators-feed-regained", "version", version) }
+	rf.Run(ctx, func(ch rowfeed.Change) {
+		fd.take(ch.Rows())
+		fd.ad.Prove(ch.SentMS())
+	})
 }
 
 func (fd *Feed) take(list []rowstore.Row) {
--- a/internal/operatorfeed/operatorfeed_test.go
+++ b/internal/operatorfeed/operatorfeed_test.go
@@ -101,3 +101,19 @@
 		qt.Assert(t, rg.ad.AgeMS() >= 5000, qt.IsTrue)
 	})
 }
+
+// An outage in which the store accepts calls and never answers must not outlast the store's return by a whole time-out.
+func TestSilentStoreIsHeardSoonAfterItsReturn(t *testing.T) {
+	const regainedMS = 400
+	for outageMS := 1000; outageMS <= 5000; outageMS += 170 {
+		follow(t, func(rg *rig) {
+			rg.publish(t, "rules", "3")
+			rg.st.SetSilent(true)
+			time.Sleep(time.Duration(outageMS) * time.Millisecond)
+			rg.st.SetSilent(false)
+			time.Sleep(regainedMS * time.Millisecond)
+			synctest.Wait()
+			qt.Check(t, rg.ad.AgeMS() <= regainedMS, qt.IsTrue, qt.Commentf("outage of %d ms: proof of %d ms ago", outageMS, rg.ad.AgeMS()))
+		})
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/hedge"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
@@ -32,6 +33,10 @@
 	token      atomic.Int64
 	// patienceMS is how long the next commit waits for its answer before it is tried again.
 	patienceMS int64
+	// firstTryMS is when the first try of a commit began that isn't known to be applied or not, else 0.
+	firstTryMS int64
+	// doubtful is set once a try of that commit may be applied without its answer.
+	doubtful atomic.Bool
 }
 
 // Names of the row and of the partition in which all of the owner's rows lie.
@@ -52,6 +57,8 @@
 	// leastPatienceMS is far above the 16 ms of a commit on a calm store, mostPatienceMS above those of a store slowed down sixty times.
 	leastPatienceMS = 250
 	mostPatienceMS  = 1500
+	// commitMS is how long a commit is tried before its failure is reported.
+	commitMS = 1500
 	// patienceFactor is by how much a commit may exceed the last one's time.
 	patienceFactor = 6
 	// deferStepMS is how long an entry leaves the row to each class of stronger ones; it exceeds the pause between their polls.
@@ -186,38 +193,70 @@
 	return ow.commit(ctx, func(*rowstore.Tx) {}, next)
 }
 
+// commit tries the same transaction again while it has no answer, since only one of the tries can apply.
 func (ow *Ownership) commit(ctx context.Context, fill func(*rowstore.Tx), next *workpb.Ownership) error {
 	startMS := ow.ck.Now()
-	tx := rowstore.NewTx(Part)
-	fill(tx)
-	short, cancel := ow.ck.WithTimeout(ctx, ow.patienceMS)
+	if ow.firstTryMS == 0 {
+		ow.firstTryMS = startMS
+	}
+	limited, cancel := ow.ck.WithTimeout(ctx, commitMS)
 	defer cancel()
-	version, current, err := ow.write(short, tx, next)
+	policy := hedge.New(ow.ck, ow.patienceMS, ow.patienceMS, isConflict)
+	rs, err := hedge.Do(limited, policy, func(ctx context.Context, _ int) (written, error) {
+		tx := rowstore.NewTx(Part)
+		fill(tx)
+		version, current, err := ow.write(ctx, tx, next)
+		if code.Of(err) == code.TableInDoubt {
+			ow.doubtful.Store(true)
+		}
+		return written{version, current}, err
+	})
 	ow.learn(code.Of(err), ow.ck.Now()-startMS)
-	if code.Of(err) == code.Conflict {
-		return ow.explain(current, next, startMS)
-	}
-	if err != nil {
+	switch {
+	case isConflict(err):
+		return ow.explain(rs.current, next)
+	case err != nil && limited.Err() != nil:
+		return code.TableInDoubt.Wrap(err)
+	case err != nil:
+		ow.refused()
 		return err
 	}
-	ow.row, ow.version = next, version
-	ow.provenMS.Store(startMS)
+	ow.applied(next, rs.version)
 	return nil
 }
 
-// learn adapts the patience to how long commits take; trying one again is safe, since only one of them can apply.
+// refused takes up that all tries have failed: without one in doubt, nothing of them can be applied any more.
+func (ow *Ownership) refused() {
+	if !ow.doubtful.Load() {
+		ow.firstTryMS = 0
+	}
+}
+
+// written is the store's answer to a transaction.
+type written struct {
+	version int64
+	current []rowstore.Row
+}
+
+func isConflict(err error) bool { return code.Of(err) == code.Conflict }
+
+// applied takes up that the row has a new version; any of the tries may have written it, so the lease counts from the first.
+func (ow *Ownership) applied(next *workpb.Ownership, version int64) {
+	ow.row, ow.version = next, version
+	ow.provenMS.Store(ow.firstTryMS)
+	ow.firstTryMS = 0
+	ow.doubtful.Store(false)
+}
+
+// learn adapts the patience to how long commits take.
 func (ow *Ownership) learn(result code.Code, tookMS int64) {
-	switch result {
-	case code.OK, code.Conflict:
+	if result == code.OK || result == code.Conflict {
 		ow.patienceMS = min(max(patienceFactor*tookMS, leastPatienceMS), mostPatienceMS)
-	case code.TableInDoubt:
-		ow.patienceMS = min(2*ow.patienceMS, mostPatienceMS)
-	default:
 	}
 }
 
 // explain tells an earlier try of the same commit, whose answer was lost, from a takeover by another entry.
-func (ow *Ownership) explain(current []rowstore.Row, next *workpb.Ownership, startMS int64) error {
+func (ow *Ownership) explain(current []rowstore.Row, next *workpb.Ownership) error {
 	for _, rw := range current {
 		if rw.Key() != key {
 			continue
@@ -227,8 +266,7 @@
 			return code.Internal.Wrap(err)
 		}
 		if row.GetIncarnation() == ow.incarnation && row.GetSequence() == next.GetSequence() && row.GetReleased() == next.GetReleased() {
-			ow.row, ow.version = next, rw.Version()
-			ow.provenMS.Store(startMS)
+			ow.applied(next, rw.Version())
 			return nil
 		}
 	}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -120,3 +122,36 @@
 	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
 	qt.Assert(t, pr.watch(t, pr.two, 900), qt.IsTrue)
 }
+
+func TestCommitOutlivesASilentStore(t *testing.T) {
+	const regainedMS = 400
+	for outageMS := int64(300); outageMS <= 5000; outageMS += 190 {
+		synctest.Test(t, func(t *testing.T) {
+			ck := clock.New()
+			st := rowstoretest.New(ck)
+			ow := ownership.New(st.Rowstore(), ck, "one", "one.1", 2)
+			qt.Assert(t, poll(t, ow), qt.IsTrue)
+			st.SetSilent(true)
+			time.AfterFunc(time.Duration(outageMS)*time.Millisecond, func() { st.SetSilent(false) })
+			startMS := ck.Now()
+			for ow.Commit(t.Context(), put("a")) != nil {
+				qt.Assert(t, ck.Now()-startMS <= outageMS+regainedMS, qt.IsTrue, qt.Commentf("outage of %d ms", outageMS))
+			}
+			qt.Check(t, ck.Now()-startMS <= outageMS+regainedMS, qt.IsTrue, qt.Commentf("outage of %d ms: committed after %d", outageMS, ck.Now()-startMS))
+			qt.Check(t, st.Keys("t"), qt.Equals, "a")
+		})
+	}
+}
+
+func TestLeaseCountsFromTheFirstTry(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	pr.st.SetFate(func(*rowstore.Tx) rowstoretest.Fate { return rowstoretest.Lost })
+	qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNotNil)
+	pr.st.SetFate(func(*rowstore.Tx) rowstoretest.Fate { return rowstoretest.Served })
+	pr.ck.Advance(ownership.LeaseMS)
+	qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNil)
+	qt.Assert(t, pr.one.Held(), qt.IsFalse)
+	qt.Assert(t, pr.one.Commit(context.Background(), put("b")), qt.IsNil)
+	qt.Assert(t, pr.one.Held(), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/rowfeed/rowfeed.go
@@ -0,0 +1,144 @@
+package rowfeed
+
+import (
+	"context"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/hedge"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+// Feed follows one table.
+type Feed struct {
+	st     *rowstore.Store
+	ck     *clock.Clock
+	table  string
+	waitMS int64
+	// calm says when a call is repeated that waits for changes, probing when one is that asks a store that failed.
+	calm    *hedge.Policy
+	probing *hedge.Policy
+	// read returns all rows of the table and the version from which to follow.
+	read func(context.Context) ([]rowstore.Row, int64, error)
+	// Lost is told of the first failure of an outage, Regained of its end, GapSeen of a dropped history.
+	Lost     func(error)
+	Regained func(version int64)
+	GapSeen  func(after int64)
+
+	after   int64
+	known   bool
+	failing bool
+}
+
+// Change is what one answer of the store brought.
+type Change struct {
+	rows   []rowstore.Row
+	whole  bool
+	sentMS int64
+}
+
+// Rows returns the changed rows, or all rows of the table.
+func (ch Change) Rows() []rowstore.Row { return ch.rows }
+
+// Whole reports whether the rows are all that there are.
+func (ch Change) Whole() bool { return ch.whole }
+
+// SentMS returns when the call was sent whose answer this is.
+func (ch Change) SentMS() int64 { return ch.sentMS }
+
+const (
+	// retryMS is the pause after a call that failed.
+	retryMS = 100
+	// answerMS is how long an answer may take beside the wait that was asked for: one of 4 ms slowed down fifty times, and the way.
+	answerMS = 300
+	// probeGapMS is how often a store that doesn't answer is asked again beside the calls under way.
+	probeGapMS = 250
+	// lostMS is for how long a call that isn't answered is repeated before the store counts as lost.
+	lostMS = 1000
+)
+
+// New returns a feed of a table; read reads all of it, and the store waits up to waitMS for a change.
+func New(st *rowstore.Store, ck *clock.Clock, table string, waitMS int64, read func(context.Context) ([]rowstore.Row, int64, error)) *Feed {
+	return &Feed{
+		st: st, ck: ck, table: table, waitMS: waitMS, read: read,
+		calm:    hedge.New(ck, waitMS+answerMS, probeGapMS, historyLost),
+		probing: hedge.New(ck, probeGapMS, probeGapMS, historyLost),
+		Lost:    func(error) {}, Regained: func(int64) {}, GapSeen: func(int64) {},
+	}
+}
+
+func historyLost(err error) bool { return code.Of(err) == code.HistoryLost }
+
+// From lets the feed begin after a version instead of reading the whole table first.
+func (fd *Feed) From(version int64) *Feed {
+	fd.after, fd.known = version, true
+	return fd
+}
+
+// Run hands over each answer until the context ends.
+func (fd *Feed) Run(ctx context.Context, take func(Change)) {
+	for ctx.Err() == nil {
+		ch, version, err := fd.next(ctx)
+		if historyLost(err) {
+			fd.GapSeen(fd.after)
+			fd.known = false
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		fd.note(version, err)
+		if err != nil {
+			_ = fd.ck.Sleep(ctx, retryMS)
+			continue
+		}
+		fd.after, fd.known = max(fd.after, version), true
+		take(ch)
+	}
+}
+
+// next reads the whole table, or waits for a change.
+func (fd *Feed) next(ctx context.Context) (Change, int64, error) {
+	if !fd.known {
+		sentMS := fd.ck.Now()
+		list, version, err := fd.read(ctx)
+		return Change{rows: list, whole: true, sentMS: sentMS}, version, err
+	}
+	policy, waitMS := fd.calm, fd.waitMS
+	if fd.failing {
+		policy, waitMS = fd.probing, 0
+	}
+	ctx, cancel := fd.ck.WithTimeout(ctx, waitMS+lostMS)
+	defer cancel()
+	as, err := hedge.Do(ctx, policy, func(ctx context.Context, try int) (answer, error) {
+		if try > 0 {
+			return fd.ask(ctx, 0)
+		}
+		return fd.ask(ctx, waitMS)
+	})
+	if err != nil && !historyLost(err) {
+		err = code.TableUnavailable.Wrap(err)
+	}
+	return Change{rows: as.pg.Rows(), sentMS: as.sentMS}, as.pg.Version(), err
+}
+
+type answer struct {
+	pg     rowstore.Page
+	sentMS int64
+}
+
+func (fd *Feed) ask(ctx context.Context, waitMS int64) (answer, error) {
+	sentMS := fd.ck.Now()
+	pg, err := fd.st.Feed(ctx, fd.table, fd.after, waitMS)
+	return answer{pg, sentMS}, err
+}
+
+func (fd *Feed) note(version int64, err error) {
+	switch {
+	case err != nil && !fd.failing:
+		fd.Lost(err)
+	case err == nil && fd.failing:
+		fd.Regained(version)
+	}
+	fd.failing = err != nil
+}
--- a/internal/rowstoretest/rowstoretest.go
+++ b/internal/rowstoretest/rowstoretest.go
@@ -39,6 +39,7 @@
 	changed chan struct{}
 	fate    func(*rowstore.Tx) Fate
 	down    bool
+	silent  bool
 	// latencyMS is how long a commit takes; it is applied even if its caller gives up meanwhile.
 	latencyMS int64
 }
@@ -69,6 +70,25 @@
 	st.down = down
 }
 
+// SetSilent keeps all answers back, also those of calls under way, until calls are answered again.
+func (st *Store) SetSilent(silent bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.silent = silent
+	st.notify()
+}
+
+// unanswered waits for the caller to give up if the store is silent.
+func (st *Store) unanswered(ctx context.Context) bool {
+	st.mu.Lock()
+	silent := st.silent
+	st.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	return silent
+}
+
 // SetLatency sets how long commits take.
 func (st *Store) SetLatency(ms int64) {
 	st.mu.Lock()
@@ -110,7 +130,10 @@
 	return applied
 }
 
-func (st *Store) read(_ context.Context, table, part, from, to string) (rowstore.Page, error) {
+func (st *Store) read(ctx context.Context, table, part, from, to string) (rowstore.Page, error) {
+	if st.unanswered(ctx) {
+		return rowstore.Page{}, code.TableUnavailable.Wrap(ctx.Err())
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.down {
@@ -126,7 +149,10 @@
 	return rowstore.NewPage(list, false, st.version), nil
 }
 
-func (st *Store) parts(_ context.Context, table string) ([]string, error) {
+func (st *Store) parts(ctx context.Context, table string) ([]string, error) {
+	if st.unanswered(ctx) {
+		return nil, code.TableUnavailable.Wrap(ctx.Err())
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.down {
@@ -145,6 +171,9 @@
 }
 
 func (st *Store) commit(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+	if st.unanswered(ctx) {
+		return 0, nil, code.TableInDoubt.Wrap(ctx.Err())
+	}
 	st.wait(ctx)
 	version, current, err := st.commitNow(tx)
 	if ctx.Err() != nil {
@@ -220,16 +249,22 @@
 }
 
 func (st *Store) feed(ctx context.Context, table string, after, waitMS int64) (rowstore.Page, error) {
-	ctx, cancel := st.ck.WithTimeout(ctx, waitMS)
+	waited, cancel := st.ck.WithTimeout(ctx, waitMS)
 	defer cancel()
 	for {
+		if st.unanswered(ctx) {
+			return rowstore.Page{}, code.TableUnavailable.Wrap(ctx.Err())
+		}
 		pg, changed, err := st.news(table, after)
 		if err != nil || len(pg.Rows()) > 0 {
 			return pg, err
 		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
+		case <-waited.Done():
+			if st.unanswered(ctx) {
+				return rowstore.Page{}, code.TableUnavailable.Wrap(ctx.Err())
+			}
 			return pg, nil
 		}
 	}
