Ask for no room for work on VMs that are out of reach

Ruled out: the feeds (heard within 0.1 s), machines of the cut zone (not counted). Change: the rest of runs on VMs that are silent, not yet heard by a new owner or in a zone cut off isn't counted. Test failed before: 15,600 and 15,920 for 8,000 at most.

--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -67,9 +67,9 @@
 		}
 		for _, oc := range jb.occurrences {
 			if oc.timely(qu, nowMS) {
-				backlog[qu.GetService()] += oc.wantedMilli()
+				backlog[qu.GetService()] += ct.wantedMilli(oc)
 			} else {
-				late[qu.GetService()] += oc.wantedMilli()
+				late[qu.GetService()] += ct.wantedMilli(oc)
 			}
 			for _, st := range oc.steps {
 				if st.row.GetLasting() {
@@ -114,24 +114,24 @@
 }
 
 // wantedMilli returns the room in which the rest of an occurrence's work would be done as soon as its order of steps allows.
-func (oc *occurrence) wantedMilli() int64 {
+func (ct *Controller) wantedMilli(oc *occurrence) int64 {
 	work, chain := int64(0), int64(leastChainMS)
 	for _, st := range oc.steps {
 		if st.row.GetLasting() || st.done == len(st.tasks) {
 			continue
 		}
-		work += st.restCoreMS()
+		work += ct.restCoreMS(st)
 		chain = max(chain, st.tailMS())
 	}
 	return work * milli / chain
 }
 
-// restCoreMS returns the work that is left of the step, in milliseconds of a core.
-func (st *step) restCoreMS() int64 {
+// restCoreMS returns the work that is left of the step, in milliseconds of a core; what may still run on a VM that doesn't answer can't use room elsewhere yet.
+func (ct *Controller) restCoreMS(st *step) int64 {
 	estimate := max(st.row.GetEstimateMs(), stepEstimateFloorMS)
 	rest := int64(0)
 	for _, tk := range st.tasks {
-		if tk.done {
+		if tk.done || (tk.cur != nil && ct.outOfReach(tk.cur.vm)) {
 			continue
 		}
 		left := int64(fullPercent)
@@ -143,6 +143,11 @@
 	return rest * st.row.GetCpuMilli() / milli
 }
 
+// outOfReach reports whether a VM's runs can't be seen or stopped for now.
+func (ct *Controller) outOfReach(on *vm) bool {
+	return on.silent || !on.synced || ct.CutOff(on.reg.GetZone())
+}
+
 // leastVMs returns over how many VMs the step's waiting and running tasks must be spread.
 func (st *step) leastVMs() int {
 	limit := int(st.row.GetMaxPerVm())
--- /dev/null
+++ b/internal/jobcontrol/demand_test.go
@@ -0,0 +1,42 @@
+package jobcontrol_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// A pool must not keep idle machines for work that nobody can see or stop: a queue at its peak lacked them.
+func TestWorkOutOfReachAsksForNoRoom(t *testing.T) {
+	long := &workpb.Step{Count: 8, CpuMilli: 2000, MemoryMb: 100, EstimateMs: 60_000}
+	for _, tc := range []struct {
+		name    string
+		loss    func(fl *fleet)
+		afterMS int64
+		most    int64
+		least   int64
+	}{
+		{"all in reach", func(*fleet) {}, 1500, 16_000, 14_000},
+		{"a silent VM", func(fl *fleet) { fl.silent["a"] = true }, 1500, 8_000, 7_000},
+		{"a new owner that hasn't heard one VM", func(fl *fleet) {
+			fl.silent["a"] = true
+			fl.newOwner()
+		}, 100, 8_000, 7_000},
+		{"once its leases have run out", func(fl *fleet) { fl.silent["a"] = true }, 12_000, 16_000, 13_000},
+	} {
+		fl := newFleet(t, vmOf("a"), vmOf("b"))
+		for _, wk := range fl.workers {
+			wk.Behave = func(string, int64) (int64, workpb.End) { return 60_000, workpb.End_END_DONE }
+		}
+		fl.submit(jobOf("j1", long))
+		fl.play(1000)
+		qt.Assert(t, fl.workers["a"].Running(), qt.Equals, 4, qt.Commentf(tc.name))
+		tc.loss(fl)
+		fl.play(tc.afterMS)
+		wa := fl.ct.Wanted()["s"]
+		sum := wa.CoresMilli() + wa.LateMilli()
+		qt.Check(t, sum >= tc.least && sum <= tc.most, qt.IsTrue, qt.Commentf("%s: %d", tc.name, sum))
+	}
+}
--- a/internal/jobcontrol/fleet_test.go
+++ b/internal/jobcontrol/fleet_test.go
@@ -90,7 +90,8 @@
 		Queues: []*workpb.Queue{
 			{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 1.6, TargetMs: 600},
 		},
-		Teams: []*workpb.Team{{Name: "t", CapCpuMilli: 100_000}},
+		Services: []*workpb.Service{{Name: "s"}},
+		Teams:    []*workpb.Team{{Name: "t", CapCpuMilli: 100_000}},
 	}
 }
 
