--- a/internal/jobrunner/moves.go
+++ b/internal/jobrunner/moves.go
@@ -122,14 +122,14 @@
 			continue
 		}
 		wa := wanted[sv.GetName()]
-		cores := wa.CoresMilli()
-		if expected && sv.GetName() == next {
-			cores = max(cores, nextRate)
+		dm := poolsize.NewDemand(sv.GetName(), wa.CoresMilli(), wa.LateMilli(), wa.LeastVMs(), mv.fresh(nowMS, sv.GetName()))
+		switch {
+		case rises && sv.GetName() == rising:
+			dm = dm.Expecting(risingRate)
+		case expected && sv.GetName() == next:
+			dm = dm.Expecting(nextRate)
 		}
-		if rises && sv.GetName() == rising {
-			cores = max(cores, risingRate)
-		}
-		out = append(out, poolsize.NewDemand(sv.GetName(), cores, wa.LateMilli(), wa.LeastVMs(), mv.fresh(nowMS, sv.GetName())))
+		out = append(out, dm)
 	}
 	return out
 }
--- a/internal/poolsize/demand.go
+++ b/internal/poolsize/demand.go
@@ -6,6 +6,8 @@
 	standby    bool
 	coresMilli int64
 	lateMilli  int64
+	// expectedMilli is the room that is forecast.
+	expectedMilli int64
 	leastVMs   int
 	fresh      bool
 }
@@ -17,5 +19,14 @@
 	return Demand{service: service, coresMilli: coresMilli, lateMilli: lateMilli, leastVMs: leastVMs, fresh: fresh}
 }
 
+// Expecting returns the demand with the processor room that is forecast; machines that wait for it are given up as soon as it is forecast no more.
+func (dm Demand) Expecting(coresMilli int64) Demand {
+	dm.expectedMilli = coresMilli
+	return dm
+}
+
+// room returns the processor room that the pool is to have.
+func (dm Demand) room() int64 { return max(dm.coresMilli, dm.expectedMilli) }
+
 // NewStandby returns the entry of a pool whose machines are off and cost nothing.
 func NewStandby(service string) Demand { return Demand{service: service, standby: true} }
--- a/internal/poolsize/plan.go
+++ b/internal/poolsize/plan.go
@@ -25,7 +25,7 @@
 	}
 	parts := make([]string, 0, len(demands))
 	for _, dm := range demands {
-		parts = append(parts, fmt.Sprintf("%s:%d/%d", dm.service, count[dm.service], dm.coresMilli))
+		parts = append(parts, fmt.Sprintf("%s:%d/%d", dm.service, count[dm.service], dm.room()))
 	}
 	return strings.Join(parts, ",")
 }
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -4,7 +4,7 @@
 
 // Sizer decides on moves; it answers queues that ask for several times their mean in turn, for some seconds each.
 type Sizer struct {
-	// surplusMS is since when a pool has more machines than it needs.
+	// surplusMS is since when a pool has more machines than the work at hand needs.
 	surplusMS map[string]int64
 	refused   map[pair]bool
 }
@@ -39,12 +39,12 @@
 	pools := group(demands, hosts)
 	names := make([]string, 0, len(pools))
 	for name, ps := range pools {
-		ps.surplus = ps.excess(ps.demand.coresMilli)
+		ps.surplus = ps.excess(ps.demand.room())
 		names = append(names, name)
 	}
 	sz.fillAll(pl, pools, names)
 	for name, ps := range pools {
-		ps.surplus -= ps.excess(ps.demand.coresMilli) - ps.excess(ps.demand.coresMilli+ps.demand.lateMilli)
+		ps.surplus -= ps.excess(ps.demand.room()) - ps.excess(ps.demand.room()+ps.demand.lateMilli)
 		sz.note(nowMS, name, ps)
 	}
 	sz.fillAll(pl, pools, names)
@@ -120,7 +120,7 @@
 }
 
 func (sz *Sizer) note(nowMS int64, name string, ps *poolState) {
-	if ps.surplus <= 0 {
+	if ps.excess(ps.demand.coresMilli+ps.demand.lateMilli) <= 0 {
 		delete(sz.surplusMS, name)
 		return
 	}
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -113,3 +113,21 @@
 	pl := sz.Plan(1000, demands, append(hosts("a", 1), hosts("z", 0)...))
 	qt.Assert(t, len(pl.Moves()), qt.Equals, 0)
 }
+
+func TestMachinesThatWaitedForAForecastAreGivenUpWithIt(t *testing.T) {
+	sz := poolsize.New()
+	list := hosts("a", 1, 0, 0)
+	calm := poolsize.NewDemand("a", 20_000, 0, 1, false)
+	for nowMS := int64(1000); nowMS <= 3000; nowMS += 200 {
+		pl := sz.Plan(nowMS, []poolsize.Demand{calm.Expecting(80_000), poolsize.NewStandby("z")}, list)
+		qt.Assert(t, len(pl.Moves()), qt.Equals, 0)
+	}
+	pl := sz.Plan(3200, []poolsize.Demand{calm, poolsize.NewStandby("z")}, list)
+	qt.Assert(t, moved(pl, "z"), qt.DeepEquals, []string{"m-a1", "m-a2"})
+}
+
+func TestForecastRoomIsFilledLikeAnyOther(t *testing.T) {
+	demands := []poolsize.Demand{poolsize.NewDemand("a", 10_000, 0, 1, false).Expecting(80_000), poolsize.NewStandby("z")}
+	pl := poolsize.New().Plan(1000, demands, append(hosts("a", 1), hosts("z", 0, 0, 0)...))
+	qt.Assert(t, len(moved(pl, "a")), qt.Equals, 2)
+}
