--- a/internal/jobrunner/follow.go
+++ b/internal/jobrunner/follow.go
@@ -16,6 +16,9 @@
 const (
 	// feedWaitMS is how long a feed waits for a change; a silent connection is noticed soon after.
 	feedWaitMS = 1500
+	// jobsGapMS and registryGapMS are the least times between calls, which are priced: a job may be a little late, and VMs report all the time.
+	jobsGapMS     = 30
+	registryGapMS = 100
 	// registryPart is the partition of the registrations.
 	registryPart = ""
 )
@@ -48,8 +51,8 @@
 		return err
 	}
 	rn.takeRegistry(registered, true)
-	go rn.follow(ctx, intake.JobsTable, since, rn.readJobs, func(list []rowstore.Row, _ bool) { rn.takeJobs(list, nil) })
-	go rn.follow(ctx, rn.ln.RegistryTable, registrySince, rn.readRegistry, rn.takeRegistry)
+	go rn.follow(ctx, intake.JobsTable, since, jobsGapMS, rn.readJobs, func(list []rowstore.Row, _ bool) { rn.takeJobs(list, nil) })
+	go rn.follow(ctx, rn.ln.RegistryTable, registrySince, registryGapMS, rn.readRegistry, rn.takeRegistry)
 	return nil
 }
 
@@ -91,8 +94,8 @@
 }
 
 // follow posts the changes of a table, and all of its rows again after a gap in its history.
-func (rn *Runner) follow(ctx context.Context, table string, after int64, read func(context.Context) ([]rowstore.Row, int64, error), take func([]rowstore.Row, bool)) {
-	fd := rowfeed.New(rn.ln.Store, rn.ck, table, feedWaitMS, read).From(after)
+func (rn *Runner) follow(ctx context.Context, table string, after, gapMS int64, read func(context.Context) ([]rowstore.Row, int64, error), take func([]rowstore.Row, bool)) {
+	fd := rowfeed.New(rn.ln.Store, rn.ck, table, feedWaitMS, read).From(after).Every(gapMS)
 	fd.Lost = func(err error) { rn.lg.Fail("feed-lost", err, "table", table) }
 	fd.Regained = func(version int64) { rn.lg.Info("feed-regained", "table", table, "version", version) }
 	fd.GapSeen = func(after int64) { rn.lg.Info("history-lost", "table", table, "after", after) }
--- a/internal/poolsize/demand.go
+++ b/internal/poolsize/demand.go
@@ -8,8 +8,8 @@
 	lateMilli  int64
 	// expectedMilli is the room that is forecast.
 	expectedMilli int64
-	leastVMs   int
-	fresh      bool
+	leastVMs      int
+	fresh         bool
 }
 
 // NewDemand returns the demand on a service's pool: the processor room wanted now and the least number of VMs that its tasks must be spread over; a fresh pool may see its first peak soon.
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -25,6 +25,7 @@
 	Regained func(version int64)
 	GapSeen  func(after int64)
 
+	gapMS   int64
 	after   int64
 	known   bool
 	failing bool
@@ -75,6 +76,12 @@
 	return fd
 }
 
+// Every lets at least gapMS pass between calls, so that changes that come together share an answer.
+func (fd *Feed) Every(gapMS int64) *Feed {
+	fd.gapMS = gapMS
+	return fd
+}
+
 // Run hands over each answer until the context ends.
 func (fd *Feed) Run(ctx context.Context, take func(Change)) {
 	for ctx.Err() == nil {
@@ -94,6 +101,9 @@
 		}
 		fd.after, fd.known = max(fd.after, version), true
 		take(ch)
+		if restMS := ch.SentMS() + fd.gapMS - fd.ck.Now(); restMS > 0 {
+			_ = fd.ck.Sleep(ctx, restMS)
+		}
 	}
 }
 
