Let four entries watch the owner closely and the others from afar

Ruled out: a feed on the row (it changes with each commit, so it would answer as often for each entry). Change: Ownership.PauseMS; the four entries that come first by strength and then by a hash of their names poll each 250 ms, the others each 800 ms until they find the row unchanged. A test plays the loss of the owner and all close watchers: taken over within 2.5 s.

--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -18,8 +18,8 @@
 }
 
 const (
-	// pollMS is how often an entry that doesn't own scheduling looks at the ownership.
-	pollMS = 250
+	// registerMS is how long entries that start at the same time give each other to tell of themselves.
+	registerMS = 250
 	// registerTries bounds how often an entry tries to tell of itself before it goes on without.
 	registerTries = 3
 	// runLeaseMS is the lease of runs: longer than an owner's loss and its successor's start take, short enough to restart soon what a lost VM ran.
@@ -46,7 +46,7 @@
 			sc.schedule(ctx)
 			continue
 		}
-		_ = sc.ck.Sleep(ctx, pollMS)
+		_ = sc.ck.Sleep(ctx, sc.ow.PauseMS(ctx))
 	}
 }
 
@@ -54,7 +54,7 @@
 func (sc *Schedule) register(ctx context.Context) {
 	for range registerTries {
 		err := sc.ow.Register(ctx)
-		_ = sc.ck.Sleep(ctx, pollMS)
+		_ = sc.ck.Sleep(ctx, registerMS)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
@@ -28,9 +29,14 @@
 	freeMS     int64
 	deferMS    int64
 	lastReadMS int64
-	provenMS   atomic.Int64
-	held       atomic.Bool
-	token      atomic.Int64
+	// fresh is set when the last poll found the row changed.
+	fresh bool
+	// close is set for an entry that watches the owner closely, as of rankedMS.
+	close    bool
+	rankedMS int64
+	provenMS atomic.Int64
+	held     atomic.Bool
+	token    atomic.Int64
 	// patienceMS is how long the next commit waits for its answer before it is tried again.
 	patienceMS int64
 	// firstTryMS is when the first try of a commit began that isn't known to be applied or not, else 0.
@@ -67,6 +73,13 @@
 	maxClasses = 3
 	// slowReads is how many times the time of its own read an entry waits longer, since a slow store delays the owner's commits as well.
 	slowReads = 4
+	// closeWatchers is how many entries watch the owner closely: enough that some are left after the loss of a zone.
+	closeWatchers = 4
+	// closeMS is the pause between polls of an entry that watches closely, relaxedMS of the others; it leaves their reads less than readGapMS apart.
+	closeMS   = 250
+	relaxedMS = 800
+	// rankGapMS is how often an entry compares itself with the others.
+	rankGapMS = 10_000
 	// readGapMS is the longest pause between reads that still counts as watching.
 	readGapMS = 1000
 )
@@ -86,28 +99,72 @@
 	return err
 }
 
-// deferral returns how long this entry leaves a free row to stronger ones.
-func (ow *Ownership) deferral(ctx context.Context) (int64, error) {
+// rank is where an entry stands among all candidates.
+type rank struct {
+	// classes counts the classes of stronger entries, before the entries that come before this one.
+	classes int
+	before  int
+}
+
+// compare reads the candidates and returns this entry's rank among them; entries of the same strength come in an order that is spread over the availability zones.
+func (ow *Ownership) compare(ctx context.Context) (rank, error) {
 	list, _, err := ow.st.ReadAll(ctx, candidatesTable, candidatesPart)
 	if err != nil {
-		return 0, err
+		return rank{}, err
 	}
+	var rk rank
 	stronger := map[int64]bool{}
 	for _, rw := range list {
 		cd := &workpb.Candidate{}
 		if err := proto.Unmarshal(rw.Value(), cd); err != nil {
-			return 0, code.Internal.Wrap(err)
+			return rank{}, code.Internal.Wrap(err)
 		}
-		if cd.GetStrength() > ow.strength {
+		switch {
+		case cd.GetStrength() > ow.strength:
 			stronger[cd.GetStrength()] = true
+			rk.before++
+		case cd.GetStrength() == ow.strength && spread(rw.Key()) < spread(ow.entry):
+			rk.before++
 		}
 	}
-	return deferStepMS * int64(min(len(stronger), maxClasses)), nil
+	rk.classes = len(stronger)
+	return rk, nil
+}
+
+// spread returns a number that orders names in a way that has nothing to do with their zones.
+func spread(name string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(name))
+	return sum.Sum64()
+}
+
+// deferral returns how long this entry leaves a free row to stronger ones.
+func (ow *Ownership) deferral(ctx context.Context) (int64, error) {
+	rk, err := ow.compare(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return deferStepMS * int64(min(rk.classes, maxClasses)), nil
+}
+
+// PauseMS returns how long to wait before the next poll: some entries watch the owner closely, the others only once it seems lost.
+func (ow *Ownership) PauseMS(ctx context.Context) int64 {
+	nowMS := ow.ck.Now()
+	if ow.rankedMS == 0 || nowMS-ow.rankedMS >= rankGapMS {
+		rk, err := ow.compare(ctx)
+		ow.close = err != nil || rk.before < closeWatchers
+		ow.rankedMS = nowMS
+	}
+	if ow.close || !ow.fresh {
+		return closeMS
+	}
+	return relaxedMS
 }
 
 // Poll reads the row and takes ownership if it is free; it reports whether this entry is the owner now.
 func (ow *Ownership) Poll(ctx context.Context) (bool, error) {
 	startMS := ow.ck.Now()
+	ow.fresh = false
 	rw, ok, err := ow.st.Get(ctx, table, Part, key)
 	if err != nil {
 		return false, err
@@ -119,7 +176,8 @@
 			return false, code.Internal.Wrap(err)
 		}
 	}
-	if ow.row == nil || rw.Version() != ow.version || startMS-ow.lastReadMS > readGapMS {
+	ow.fresh = ow.row == nil || rw.Version() != ow.version
+	if ow.fresh || startMS-ow.lastReadMS > readGapMS {
 		ow.unchangedMS = nowMS
 	}
 	ow.row, ow.version, ow.lastReadMS = row, rw.Version(), nowMS
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,3 +157,53 @@
 	qt.Assert(t, pr.one.Commit(context.Background(), put("b")), qt.IsNil)
 	qt.Assert(t, pr.one.Held(), qt.IsTrue)
 }
+
+// Twelve entries poll as their pauses say; the owner and all that watch it closely are lost at once.
+func TestRelaxedWatchersTakeOverFromACloseOne(t *testing.T) {
+	for _, lostMS := range []int64{12_000, 12_130, 12_390, 12_770, 13_000} {
+		synctest.Test(t, func(t *testing.T) {
+			ck := clock.New()
+			st := rowstoretest.New(ck)
+			startMS := ck.Now()
+			var entries []*ownership.Ownership
+			for at := range 12 {
+				entries = append(entries, ownership.New(st.Rowstore(), ck, fmt.Sprintf("entry-%d", at), "1", 1))
+				qt.Assert(t, entries[at].Register(t.Context()), qt.IsNil)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var polls, takenMS atomic.Int64
+			lost := map[*ownership.Ownership]bool{}
+			qt.Assert(t, poll(t, entries[0]), qt.IsTrue)
+			for _, ow := range entries[1:] {
+				if ow.PauseMS(ctx) == pollMS {
+					poll(t, ow)
+					lost[ow] = ow.PauseMS(ctx) == pollMS
+				}
+			}
+			live := func(ow *ownership.Ownership) bool { return ck.Now() < startMS+lostMS || !lost[ow] }
+			go func() {
+				for ck.Now() < startMS+lostMS {
+					qt.Check(t, entries[0].Commit(ctx, put("a")), qt.IsNil)
+					_ = ck.Sleep(ctx, 300)
+				}
+			}()
+			for _, ow := range entries[1:] {
+				go func() {
+					for live(ow) && ctx.Err() == nil && takenMS.Load() == 0 {
+						polls.Add(1)
+						if owned, err := ow.Poll(ctx); err == nil && owned {
+							takenMS.Store(ck.Now())
+						}
+						_ = ck.Sleep(ctx, ow.PauseMS(ctx))
+					}
+				}()
+			}
+			time.Sleep(time.Duration(lostMS) * time.Millisecond)
+			qt.Check(t, polls.Load() < 12*lostMS/pollMS*2/3, qt.IsTrue, qt.Commentf("%d polls", polls.Load()))
+			time.Sleep(2500 * time.Millisecond)
+			tookMS := takenMS.Load() - startMS - lostMS
+			qt.Check(t, tookMS > 0 && tookMS < 2500, qt.IsTrue, qt.Commentf("lost at %d, taken after %d ms", lostMS, tookMS))
+		})
+	}
+}
