Remove the rows of jobs that are over once their states need not be told any more

Cause: rows of jobs and progress stayed for ever, so a new owner would read all that ever ran. Change: internal/retention (from when the owner learnt of the end, on its steady clock, 125 % of the settings' status_s); jobrunner removes a job's own rows first and its progress with the next commit, so that a successor never takes a done job for one that hasn't run; progress without a job goes as well. Ruled out: an end time in the stored progress (jumps of clocks would shorten it).

--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -1,6 +1,8 @@
 package jobcontrol
 
 import (
+	"slices"
+
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/event"
 	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
@@ -23,13 +25,15 @@
 	active map[string]*job
 	// completed holds the ids of jobs that are done, whose rows may be seen again.
 	completed map[string]bool
-	vms       map[string]*vm
-	zones     map[string]*zone
-	used      map[string]size.Size
-	dirty     []*job
-	outbox    []*workpb.Order
-	advice    []*workpb.AdviceRequest
-	arrivals  []arrival
+	// over holds the ids of jobs whose end nobody was told of yet.
+	over     []string
+	vms      map[string]*vm
+	zones    map[string]*zone
+	used     map[string]size.Size
+	dirty    []*job
+	outbox   []*workpb.Order
+	advice   []*workpb.AdviceRequest
+	arrivals []arrival
 }
 
 const (
@@ -65,6 +69,7 @@
 func (ct *Controller) Restore(row *workpb.Job, pg *workpb.Progress) {
 	if pg.GetState() == workpb.State_COMPLETED {
 		ct.completed[row.GetId()] = true
+		ct.over = append(ct.over, row.GetId())
 		ct.noteArrival(newJob(row))
 		return
 	}
@@ -80,6 +85,7 @@
 	if jb.ended() {
 		ct.stopAll(jb)
 		delete(ct.active, row.GetId())
+		ct.over = append(ct.over, row.GetId())
 	}
 }
 
@@ -135,12 +141,35 @@
 	ct.touch(jb)
 	ct.stopAll(jb)
 	delete(ct.active, jb.row.GetId())
+	ct.over = append(ct.over, jb.row.GetId())
 	if st == workpb.State_COMPLETED {
 		delete(ct.jobs, jb.row.GetId())
 		ct.completed[jb.row.GetId()] = true
 	}
 }
 
+// Ended returns the ids of the jobs that ended, or were restored as ended, since the last call.
+func (ct *Controller) Ended() []string {
+	out := ct.over
+	ct.over = nil
+	return out
+}
+
+// Forget drops a job that is over and reports whether its rows may be removed: nothing of it runs, and nothing of it is left to store.
+func (ct *Controller) Forget(id string) bool {
+	if slices.ContainsFunc(ct.dirty, func(jb *job) bool { return jb.row.GetId() == id }) {
+		return false
+	}
+	if jb, ok := ct.jobs[id]; ok {
+		if !jb.ended() || jb.running() {
+			return false
+		}
+		delete(ct.jobs, id)
+	}
+	delete(ct.completed, id)
+	return true
+}
+
 func (ct *Controller) stopAll(jb *job) {
 	jb.tasks(func(tk *task) {
 		if tk.cur != nil {
--- a/internal/jobcontrol/job.go
+++ b/internal/jobcontrol/job.go
@@ -149,6 +149,13 @@
 
 func (jb *job) ended() bool { return intake.Final(jb.state) }
 
+// running reports whether a task of the job has or may have a run.
+func (jb *job) running() bool {
+	found := false
+	jb.tasks(func(tk *task) { found = found || tk.cur != nil })
+	return found
+}
+
 // tasks calls fn with each task of the opened occurrences.
 func (jb *job) tasks(fn func(*task)) {
 	for _, oc := range jb.occurrences {
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -48,7 +48,7 @@
 		}
 		sortCandidates(list)
 		for _, cd := range list {
-			if len(ct.dirty) >= maxRows {
+			if len(ct.dirty) >= MaxRows {
 				return
 			}
 			ct.placeStep(bt, cd, pool, nowMS)
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -12,8 +12,8 @@
 	seen   map[*vm]int64
 }
 
-// maxRows is how many jobs' progress one transaction of the store holds beside the ownership row.
-const maxRows = 90
+// MaxRows is how many jobs' progress one transaction of the store holds beside the ownership row.
+const MaxRows = 90
 
 // Rows returns the progress to store.
 func (bt *Batch) Rows() []*workpb.Progress { return bt.rows }
@@ -24,10 +24,10 @@
 	ct.expire(nowMS)
 	ct.openDue(nowMS)
 	bt := &Batch{seen: map[*vm]int64{}}
-	if mayStart && ct.rules != nil && len(ct.dirty) < maxRows {
+	if mayStart && ct.rules != nil && len(ct.dirty) < MaxRows {
 		ct.place(bt, nowMS)
 	}
-	count := min(len(ct.dirty), maxRows)
+	count := min(len(ct.dirty), MaxRows)
 	for _, jb := range ct.dirty[:count] {
 		jb.dirty = false
 		bt.rows = append(bt.rows, jb.progress())
--- a/internal/jobrunner/change.go
+++ b/internal/jobrunner/change.go
@@ -16,10 +16,12 @@
 // change is what one commit stores, encoded once so that each try stores the same.
 type change struct {
 	rows []rowstore.Row
+	// retired holds the jobs whose progress is removed.
+	retired []string
 }
 
-func newChange(progress []*workpb.Progress, counts *workpb.Pending, upkeeps []*workpb.Upkeep) (*change, error) {
-	ch := &change{}
+func newChange(progress []*workpb.Progress, counts *workpb.Pending, upkeeps []*workpb.Upkeep, retired []string) (*change, error) {
+	ch := &change{retired: retired}
 	for _, pg := range progress {
 		if err := ch.add(intake.ProgressTable, pg.GetId(), pg); err != nil {
 			return nil, err
@@ -51,4 +53,7 @@
 	for _, rw := range ch.rows {
 		tx.Put(rw.Table(), rw.Key(), rw.Value())
 	}
+	for _, id := range ch.retired {
+		tx.Remove(intake.ProgressTable, id)
+	}
 }
--- a/internal/jobrunner/follow.go
+++ b/internal/jobrunner/follow.go
@@ -46,6 +46,7 @@
 		return err
 	}
 	rn.takeJobs(jobs, progress)
+	rn.re.noteOrphans(idsOf(jobs), progress)
 	registered, registrySince, err := rn.ln.Store.ReadAll(ctx, rn.ln.RegistryTable, registryPart)
 	if err != nil {
 		return err
@@ -60,8 +61,12 @@
 	return rn.ln.Store.ReadAll(ctx, rn.ln.RegistryTable, registryPart)
 }
 
-// readJobs reads the jobs of all partitions at once and returns the version from which to follow.
+// readJobs reads the jobs of all partitions at once and returns the version from which to follow: that of a read before all others, since a change before it may be of a job that is gone.
 func (rn *Runner) readJobs(ctx context.Context) ([]rowstore.Row, int64, error) {
+	pg, err := rn.ln.Store.Read(ctx, intake.JobsTable, ownership.Part, "", "")
+	if err != nil {
+		return nil, 0, err
+	}
 	parts, err := rn.ln.Store.Parts(ctx, intake.JobsTable)
 	if err != nil {
 		return nil, 0, err
@@ -70,27 +75,23 @@
 		wg    sync.WaitGroup
 		mu    sync.Mutex
 		all   []rowstore.Row
-		since int64
 		first error
 	)
 	for _, part := range parts {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			list, version, err := rn.ln.Store.ReadAll(ctx, intake.JobsTable, part)
+			list, _, err := rn.ln.Store.ReadAll(ctx, intake.JobsTable, part)
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, list...)
-			if since == 0 || version < since {
-				since = version
-			}
 			if err != nil {
 				first = err
 			}
 		}()
 	}
 	wg.Wait()
-	return all, since, first
+	return all, pg.Version(), first
 }
 
 // follow posts the changes of a table, and all of its rows again after a gap in its history.
@@ -106,6 +107,14 @@
 	})
 }
 
+func idsOf(list []rowstore.Row) map[string]bool {
+	ids := map[string]bool{}
+	for _, rw := range list {
+		ids[rw.Key()] = true
+	}
+	return ids
+}
+
 func (rn *Runner) takeJobs(list []rowstore.Row, progress map[string]*workpb.Progress) {
 	var cancelled []string
 	for _, rw := range list {
@@ -122,6 +131,7 @@
 			continue
 		}
 		if jb.GetRefused() {
+			rn.re.noteRefused(jb.GetId())
 			continue
 		}
 		if progress != nil {
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -58,6 +58,7 @@
 	pendingMS    int64
 	wv           *waves
 	mv           *moves
+	re           *retirement
 }
 
 const (
@@ -83,8 +84,8 @@
 	PendingKey   = "counts"
 )
 
-// New returns the runner of an ownership that was just taken; runLeaseMS is the lease that runs are given.
-func New(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, runLeaseMS int64) *Runner {
+// New returns the runner of an ownership that was just taken; runLeaseMS is the lease that runs are given, keepMS how long the rows of jobs stay that are over.
+func New(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, runLeaseMS, keepMS int64) *Runner {
 	rn := &Runner{
 		ln: ln, ck: ck, lg: lg, ow: ow,
 		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
@@ -93,6 +94,7 @@
 	}
 	rn.wv = newWaves(rn)
 	rn.mv = newMoves(rn)
+	rn.re = newRetirement(rn, keepMS)
 	return rn
 }
 
@@ -165,6 +167,7 @@
 	rn.look(ctx)
 	rn.wv.step(ctx)
 	rn.mv.step(ctx)
+	rn.re.step(ctx)
 	rn.plan(ctx)
 	rn.send(ctx, rn.ct.Outbox())
 	for _, rq := range rn.ct.AdviceRequests() {
@@ -243,7 +246,7 @@
 	}
 	rn.committing = true
 	rn.lastCommitMS = nowMS
-	go rn.commit(ctx, bt, counts, upkeeps)
+	go rn.commit(ctx, bt, counts, upkeeps, rn.re.take(jobcontrol.MaxRows-len(bt.Rows())))
 }
 
 // pendingCounts returns the counts of waiting jobs when they are due to be stored, or nil.
@@ -255,8 +258,8 @@
 	return rn.ct.Pending()
 }
 
-func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, counts *workpb.Pending, upkeeps []*workpb.Upkeep) {
-	ch, err := newChange(bt.Rows(), counts, upkeeps)
+func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, counts *workpb.Pending, upkeeps []*workpb.Upkeep, retired []string) {
+	ch, err := newChange(bt.Rows(), counts, upkeeps, retired)
 	for err == nil {
 		err = rn.ow.Commit(ctx, ch.fill)
 		if err == nil {
@@ -276,6 +279,7 @@
 			rn.lost = true
 			return
 		}
+		rn.re.removed(retired)
 		rn.wv.stored(ctx, upkeeps)
 		rn.send(ctx, rn.ct.Stored(bt))
 	})
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -41,6 +41,7 @@
 	live     map[string]bool
 	done     map[string]bool
 	entries  map[string]*entry
+	keepMS   int64
 }
 
 // entry is one process with its own way to the store.
@@ -119,7 +120,7 @@
 		WaveStatus: func(context.Context, int64, bool) error { return nil },
 		Rules:      rules(), Waves: func() []*workpb.Wave { return nil },
 	}
-	sc := jobrunner.NewSchedule(ln, si.ck, event.Discard(), ow, 0)
+	sc := jobrunner.NewSchedule(ln, si.ck, event.Discard(), ow, 0, si.keepMS)
 	go func() {
 		sc.Run(ctx)
 		close(en.ended)
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -15,6 +15,7 @@
 	lg         *event.Log
 	ow         *ownership.Ownership
 	runLeaseMS int64
+	keepMS     int64
 }
 
 const (
@@ -28,13 +29,13 @@
 	releaseMS = 1500
 )
 
-// NewSchedule returns the schedule of an entry; longestLeaseMS is the longest lease that VMs grant.
-func NewSchedule(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, longestLeaseMS int64) *Schedule {
+// NewSchedule returns the schedule of an entry; longestLeaseMS is the longest lease that VMs grant, keepMS how long the rows of jobs stay that are over, 0 for ever.
+func NewSchedule(ln *Links, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, longestLeaseMS, keepMS int64) *Schedule {
 	lease := int64(runLeaseMS)
 	if longestLeaseMS > 0 {
 		lease = min(lease, longestLeaseMS)
 	}
-	return &Schedule{ln: ln, ck: ck, lg: lg, ow: ow, runLeaseMS: lease}
+	return &Schedule{ln: ln, ck: ck, lg: lg, ow: ow, runLeaseMS: lease, keepMS: keepMS}
 }
 
 // Run polls, and schedules while this entry is the owner, until the context ends; then it releases the ownership.
@@ -63,7 +64,7 @@
 }
 
 func (sc *Schedule) schedule(ctx context.Context) {
-	rn := New(sc.ln, sc.ck, sc.lg, sc.ow, sc.runLeaseMS)
+	rn := New(sc.ln, sc.ck, sc.lg, sc.ow, sc.runLeaseMS, sc.keepMS)
 	sc.lg.Info("ownership-taken", "token", sc.ow.Token())
 	err := rn.Run(ctx)
 	if err != nil {
--- /dev/null
+++ b/internal/retention/retention_test.go
@@ -0,0 +1,54 @@
+package retention_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/retention"
+)
+
+func TestDue(t *testing.T) {
+	rt := retention.New(1000)
+	rt.Note("p1", "a", 100)
+	rt.Note("p2", "b", 150)
+	rt.Note("p2", "c", 200)
+	rt.Note("p2", "d", 900)
+	for _, tc := range []struct {
+		nowMS int64
+		most  int
+		part  string
+		ids   []string
+	}{
+		{1099, 9, "", nil},
+		{1100, 9, "p1", []string{"a"}},
+		{1100, 9, "", nil},
+		{1300, 1, "p2", []string{"b"}},
+		{1300, 9, "p2", []string{"c"}},
+		{1899, 9, "", nil},
+		{5000, 9, "p2", []string{"d"}},
+	} {
+		part, ids := rt.Due(tc.nowMS, tc.most)
+		qt.Check(t, part, qt.Equals, tc.part, qt.Commentf("at %d", tc.nowMS))
+		qt.Check(t, ids, qt.DeepEquals, tc.ids, qt.Commentf("at %d", tc.nowMS))
+	}
+}
+
+func TestFailedRemovalIsDueAgain(t *testing.T) {
+	rt := retention.New(1000)
+	rt.Note("p1", "a", 100)
+	rt.Note("p1", "b", 900)
+	part, ids := rt.Due(1200, 9)
+	rt.Again(part, ids, 1300)
+	_, ids = rt.Due(1300, 9)
+	qt.Assert(t, ids, qt.DeepEquals, []string{"a"})
+	_, ids = rt.Due(1900, 9)
+	qt.Assert(t, ids, qt.DeepEquals, []string{"b"})
+}
+
+func TestNothingLeavesWithoutATime(t *testing.T) {
+	rt := retention.New(0)
+	rt.Note("p1", "a", 100)
+	_, ids := rt.Due(1_000_000_000, 9)
+	qt.Assert(t, len(ids), qt.Equals, 0)
+}
