--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -419,3 +419,23 @@
 	fl.play(500)
 	qt.Assert(t, stopped, qt.IsTrue)
 }
+
+func TestVMThatEndsWithItsMachinesMoveIsLookedAtNoMore(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	looks := func() int {
+		count := 0
+		for range 200 {
+			fl.ck.Advance(stepMS)
+			if lr := fl.ct.NextLook("a"); lr != nil {
+				count++
+				fl.look(lr)
+			}
+		}
+		return count
+	}
+	fl.play(500)
+	fl.ct.ReleaseVM("a")
+	qt.Check(t, looks(), qt.Equals, 0)
+	fl.ct.KeepVM("a")
+	qt.Check(t, looks() > 1, qt.IsTrue)
+}
--- a/internal/jobcontrol/look.go
+++ b/internal/jobcontrol/look.go
@@ -115,7 +115,7 @@
 	if !ok || on.looking || on.reg.GetAddress() == "" || nowMS < on.nextLookMS {
 		return nil
 	}
-	if !on.registered && len(on.runs) == 0 {
+	if (!on.registered || on.departing()) && len(on.runs) == 0 {
 		return nil
 	}
 	on.looking = true
@@ -130,6 +130,9 @@
 	return req
 }
 
+// departing reports whether the VM is about to end with its machine's move, all of its ends being stored.
+func (vm *vm) departing() bool { return vm.leaving && vm.processed == vm.stored }
+
 // mixed reports whether filling and serving tasks share the VM, so that the tails must be watched.
 func (vm *vm) mixed() bool { return vm.serving() && vm.filled() }
 
