Give teams their shares of a full pool, and begin no job that only just can't be in time

Cause: jobs went by least slack alone. A test that plays a team asking for twice the pool beside two that ask for a fifth each: 2 and 1 of 10 jobs of the calm teams and 7 of 100 of the other in time, since each job began when it was almost too late and missed by a little, while the pool could have done some 30 in time. Change: among jobs of one tier, a team that has had 1.5 times its share by weight of the pool over 4 s goes behind the others; a job that hasn't begun counts as timely only with 0.3 s of slack. After: 10 and 10 of 10, and 26 of 100.

--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -19,10 +19,13 @@
 	runLeaseMS int64
 	startedMS  int64
 
-	rules  *rulesindex.Index
-	caps   map[string]size.Size
-	jobs   map[string]*job
-	active map[string]*job
+	rules *rulesindex.Index
+	caps  map[string]size.Size
+	// weights are the teams' shares when all is full.
+	weights map[string]float64
+	shares  map[string]*shares
+	jobs    map[string]*job
+	active  map[string]*job
 	// completed holds the ids of jobs that are done, whose rows may be seen again.
 	completed map[string]bool
 	// over holds the ids of jobs whose end nobody was told of yet.
@@ -51,7 +54,7 @@
 func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
-		caps: map[string]size.Size{}, jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
+		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{}, jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
 		vms: map[string]*vm{}, zones: map[string]*zone{}, used: map[string]size.Size{},
 	}
 }
@@ -60,7 +63,9 @@
 func (ct *Controller) SetRules(ix *rulesindex.Index) {
 	ct.rules = ix
 	clear(ct.caps)
+	clear(ct.weights)
 	for _, tm := range ix.Rules().GetTeams() {
+		ct.weights[tm.GetName()] = tm.GetWeight()
 		ct.caps[tm.GetName()] = size.New(tm.GetCapCpuMilli(), tm.GetCapMemoryMb(), tm.GetCapAccelerators())
 	}
 }
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -14,6 +14,8 @@
 	tier int
 	// latestMS is the latest start with which the job can still meet its objective.
 	latestMS int64
+	// yields is set while the team has had more than its share.
+	yields bool
 }
 
 // Tiers of steps, served in this order.
@@ -33,6 +35,8 @@
 	lateFactor = 3
 	// timelySlackMS is by how much a job may seem to miss its objective and still be served among the timely ones, since estimates are rough.
 	timelySlackMS = 200
+	// beginMarginMS is the slack that a job must have left when its first task starts: a job that only just can't be in time takes the room of one that could.
+	beginMarginMS = 300
 )
 
 // place starts waiting tasks of all services; it answers queues that ask for several times what their pool holds.
@@ -46,6 +50,10 @@
 		if len(pool) == 0 {
 			continue
 		}
+		over := ct.sharesOf(service, pool, nowMS).over(ct.weights, list)
+		for at := range list {
+			list[at].yields = list[at].tier != tierLasting && over[list[at].team()]
+		}
 		sortCandidates(list)
 		for _, cd := range list {
 			if len(ct.dirty) >= MaxRows {
@@ -114,8 +122,12 @@
 	objective := int64(qu.GetStretch()*float64(chain)) + qu.GetTargetMs()
 	latest := st.oc.dueMS + objective - st.tailMS()
 	cd := candidate{st: st, latestMS: latest}
+	graceMS := int64(timelySlackMS)
+	if !st.oc.begun() {
+		graceMS = -beginMarginMS
+	}
 	switch {
-	case latest+timelySlackMS >= nowMS:
+	case latest+graceMS >= nowMS:
 		cd.tier = tierTimely
 	case latest+(lateFactor-1)*objective >= nowMS:
 		cd.tier = tierLate
@@ -125,12 +137,20 @@
 	return cd
 }
 
+// begun reports whether a task of the occurrence runs or has run.
+func (oc *occurrence) begun() bool {
+	return slices.ContainsFunc(oc.steps, (*step).started)
+}
+
 func sortCandidates(list []candidate) {
 	sort.Slice(list, func(i, j int) bool {
 		one, other := list[i], list[j]
 		if one.tier != other.tier {
 			return one.tier < other.tier
 		}
+		if one.yields != other.yields {
+			return other.yields
+		}
 		if one.tier == tierLate && one.st.tailMS() != other.st.tailMS() {
 			return one.st.tailMS() < other.st.tailMS()
 		}
