Let an owner give way whose calls have become slow

It renewed its lease all the while, its looks took 0.7 to 1.6 s, VMs seemed silent and starts in doubt. Ruled out: the delay of events in the owner's queue (50 to 220 ms, no more than a pause), lost VMs, the store. Change: internal/lag counts calls at VMs that answer at once; when most of 1.2 s took 0.2 s or more, the owner releases the ownership in order and stays out for 6 s, 3 s after its start at the earliest. Test: TestOwnerOnASlowMachineYields, failed before.

--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -7,6 +7,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/event"
 	"github.com/fulmarloft/fulmarloft/internal/jobcontrol"
+	"github.com/fulmarloft/fulmarloft/internal/lag"
 	"github.com/fulmarloft/fulmarloft/internal/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
@@ -59,6 +60,9 @@
 	wv           *waves
 	mv           *moves
 	re           *retirement
+	lag          *lag.Lag
+	// yielded is set when the ownership is given up since another entry may be faster.
+	yielded bool
 }
 
 const (
@@ -73,6 +77,8 @@
 	pendingGapMS = 600
 	// finishMS bounds the wait for the last commit.
 	finishMS = 1500
+	// leastTermMS is the least time between an owner's start and its yielding.
+	leastTermMS = 3000
 	// retryMS is the pause before a commit that failed is repeated.
 	retryMS = 50
 )
@@ -90,7 +96,7 @@
 		ln: ln, ck: ck, lg: lg, ow: ow,
 		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
 		events: make(chan func(), eventBuffer), outbox: map[string]*mailbox{},
-		startMS: ck.Now(), lastCommitMS: ck.Now(), dirtyEvent: true,
+		startMS: ck.Now(), lastCommitMS: ck.Now(), dirtyEvent: true, lag: lag.New(),
 	}
 	rn.wv = newWaves(rn)
 	rn.mv = newMoves(rn)
@@ -120,10 +126,27 @@
 		case <-tick.C:
 		}
 		rn.step(ctx)
+		if rn.overloaded() {
+			rn.yielded = true
+			return rn.finish()
+		}
 	}
 	return code.LeaseLapsed.New("another entry schedules now")
 }
 
+// noteCall takes up how long a call at a VM took that answers at once.
+func (rn *Runner) noteCall(vd workpb.Verdict, tookMS int64) {
+	if vd != workpb.Verdict_NOT_SENT {
+		rn.lag.Note(rn.ck.Now(), tookMS)
+	}
+}
+
+// overloaded reports whether this entry falls behind; a new owner gets some time to catch up, so that a load too high for all doesn't make the ownership wander.
+func (rn *Runner) overloaded() bool {
+	nowMS := rn.ck.Now()
+	return rn.lag.Sustained(nowMS) && nowMS-rn.startMS >= leastTermMS
+}
+
 // finish waits for the commit that is under way, since the ownership can't be released before its outcome is known.
 func (rn *Runner) finish() error {
 	wait, cancel := rn.ck.WithTimeout(context.Background(), finishMS)
@@ -212,7 +235,11 @@
 func (rn *Runner) lookAt(ctx context.Context, req *workpb.LookRequest) {
 	sentMS := rn.ck.Now()
 	lk, vd := rn.ln.Look(ctx, req)
+	tookMS := rn.ck.Now() - sentMS
 	rn.post(ctx, func() {
+		if req.GetWaitMs() == 0 {
+			rn.noteCall(vd, tookMS)
+		}
 		if vd == workpb.Verdict_FENCED {
 			rn.lg.Info("vm-fenced", "vm", req.GetVm(), "token", req.GetToken())
 			rn.lost = true
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -50,6 +50,22 @@
 	ended  chan struct{}
 	mu     sync.Mutex
 	cut    bool
+	// slowMS is how long each of its calls at VMs takes.
+	slowMS int64
+}
+
+func (en *entry) setSlow(ms int64) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.slowMS = ms
+}
+
+// delay takes the time that the entry's machine needs for a call.
+func (en *entry) delay() {
+	en.mu.Lock()
+	slowMS := en.slowMS
+	en.mu.Unlock()
+	time.Sleep(time.Duration(slowMS) * time.Millisecond)
 }
 
 func (en *entry) isCut() bool {
@@ -115,7 +131,16 @@
 	st := si.storeOf(en)
 	ow := ownership.New(st, si.ck, name, fmt.Sprintf("%s.%d", name, si.ck.Now()), 1)
 	ln := &jobrunner.Links{
-		Store: st, Order: si.order, Look: si.look, RegistryTable: registryTable, DecodeVM: decodeVM,
+		Store: st,
+		Order: func(ctx context.Context, od *workpb.Order) workpb.Verdict {
+			en.delay()
+			return si.order(ctx, od)
+		},
+		Look: func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
+			en.delay()
+			return si.look(ctx, lr)
+		},
+		RegistryTable: registryTable, DecodeVM: decodeVM,
 		Machines: si.list, Maintain: si.maintain, Move: si.move,
 		WaveStatus: func(context.Context, int64, bool) error { return nil },
 		Rules:      rules(), Waves: func() []*workpb.Wave { return nil },
@@ -345,3 +370,41 @@
 		qt.Assert(t, len(si.moves) >= 3, qt.IsTrue, qt.Commentf("%v", si.moves))
 	})
 }
+
+// owner returns the entry that the ownership row names.
+func (si *site) owner() string {
+	list, _, err := si.st.Rowstore().ReadAll(context.Background(), "ownership", ownership.Part)
+	qt.Assert(si.t, err, qt.IsNil)
+	row := &workpb.Ownership{}
+	qt.Assert(si.t, proto.Unmarshal(list[0].Value(), row), qt.IsNil)
+	return row.GetEntry()
+}
+
+func TestOwnerOnASlowMachineYields(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		slowMS int64
+		owner  string
+	}{
+		{"as fast as ever", 0, "one"},
+		{"busy", 100, "one"},
+		{"slow", 500, "two"},
+	} {
+		play(t, func(si *site) {
+			si.start("one")
+			si.wait(500)
+			si.start("two")
+			si.wait(3000)
+			si.entries["one"].setSlow(tc.slowMS)
+			for at := range 40 {
+				si.submit(fmt.Sprintf("%014d%02d", 0, at), 1)
+				si.wait(100)
+			}
+			si.wait(500)
+			qt.Check(t, si.owner(), qt.Equals, tc.owner, qt.Commentf(tc.name))
+			si.entries["one"].setSlow(0)
+			si.wait(10_000)
+			qt.Check(t, si.state(fmt.Sprintf("%014d%02d", 0, 39)), qt.Equals, workpb.State_COMPLETED, qt.Commentf(tc.name))
+		})
+	}
+}
--- a/internal/jobrunner/mailbox.go
+++ b/internal/jobrunner/mailbox.go
@@ -45,12 +45,17 @@
 		if od == nil {
 			return
 		}
+		sentMS := mb.rn.ck.Now()
 		vd := workpb.Verdict_NOT_SENT
 		if unanswered < maxUnanswered || od.GetVerb() != workpb.Verb_START {
 			vd = mb.rn.order(ctx, od)
 		}
 		unanswered = countUnanswered(unanswered, vd)
-		mb.rn.post(ctx, func() { mb.rn.answered(od, vd) })
+		tookMS := mb.rn.ck.Now() - sentMS
+		mb.rn.post(ctx, func() {
+			mb.rn.noteCall(vd, tookMS)
+			mb.rn.answered(od, vd)
+		})
 	}
 }
 
--- a/internal/jobrunner/schedule.go
+++ b/internal/jobrunner/schedule.go
@@ -16,6 +16,8 @@
 	ow         *ownership.Ownership
 	runLeaseMS int64
 	keepMS     int64
+	// restUntilMS is until when this entry leaves the ownership to others, having fallen behind.
+	restUntilMS int64
 }
 
 const (
@@ -27,6 +29,8 @@
 	runLeaseMS = 4000
 	// releaseMS bounds the wait for the release at the end.
 	releaseMS = 1500
+	// restMS is how long an entry that fell behind as the owner stays out: longer than others need to take over.
+	restMS = 6000
 )
 
 // NewSchedule returns the schedule of an entry; longestLeaseMS is the longest lease that VMs grant, keepMS how long the rows of jobs stay that are over, 0 for ever.
@@ -42,6 +46,10 @@
 func (sc *Schedule) Run(ctx context.Context) {
 	sc.register(ctx)
 	for ctx.Err() == nil {
+		if restMS := sc.restUntilMS - sc.ck.Now(); restMS > 0 {
+			_ = sc.ck.Sleep(ctx, restMS)
+			continue
+		}
 		owned, err := sc.ow.Poll(ctx)
 		if err == nil && owned {
 			sc.schedule(ctx)
@@ -71,6 +79,10 @@
 		sc.lg.Fail("scheduling-ended", err, "token", sc.ow.Token())
 		return
 	}
+	if rn.yielded {
+		sc.lg.Info("ownership-yielded", "token", sc.ow.Token(), "held-ms", sc.ck.Now()-rn.startMS)
+		sc.restUntilMS = sc.ck.Now() + restMS
+	}
 	out, cancel := sc.ck.WithTimeout(context.Background(), releaseMS)
 	defer cancel()
 	if err := sc.ow.Release(out); err != nil {
--- /dev/null
+++ b/internal/lag/lag.go
@@ -0,0 +1,52 @@
+package lag
+
+// Lag watches how long calls take over all peers; it answers a machine that has become slow, is given more than it can do or lies behind a bad link.
+type Lag struct {
+	buckets [bucketCount]bucket
+}
+
+// bucket counts the calls that ended in one span of time.
+type bucket struct {
+	span  int64
+	calls int
+	late  int
+}
+
+const (
+	// lateMS is the time from which a call is late that a calm machine exchanges in a few milliseconds.
+	lateMS = 200
+	// bucketMS and bucketCount make the time over which calls are judged, longer than a pause of the runtime or of the machine.
+	bucketMS    = 200
+	bucketCount = 6
+	// leastCalls is how many calls must have ended, and lateShare which part of them late, as one in so many: single zones that are cut off don't suffice.
+	leastCalls = 8
+	lateShare  = 2
+)
+
+// New returns a watch that has seen no call.
+func New() *Lag { return &Lag{} }
+
+// Note takes up that a call ended after some time.
+func (lg *Lag) Note(nowMS, tookMS int64) {
+	span := nowMS / bucketMS
+	bk := &lg.buckets[span%bucketCount]
+	if bk.span != span {
+		*bk = bucket{span: span}
+	}
+	bk.calls++
+	if tookMS >= lateMS {
+		bk.late++
+	}
+}
+
+// Sustained reports whether most calls of late were late.
+func (lg *Lag) Sustained(nowMS int64) bool {
+	calls, late := 0, 0
+	for _, bk := range lg.buckets {
+		if bk.span > nowMS/bucketMS-bucketCount {
+			calls += bk.calls
+			late += bk.late
+		}
+	}
+	return calls >= leastCalls && late*lateShare > calls
+}
--- /dev/null
+++ b/internal/lag/lag_test.go
@@ -0,0 +1,46 @@
+package lag_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/lag"
+)
+
+func TestSustained(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// took are the times of calls that end each 25 ms, over and over for playMS.
+		took   []int64
+		playMS int64
+		want   bool
+	}{
+		{"in time", []int64{3, 5, 150}, 3000, false},
+		{"all late", []int64{250, 900}, 3000, true},
+		{"a zone of three without answers", []int64{1000, 4, 4}, 3000, false},
+		{"most late", []int64{400, 400, 4}, 3000, true},
+		{"hardly any calls", []int64{400}, 150, false},
+	} {
+		lg := lag.New()
+		nowMS := int64(100_000)
+		for at := 0; int64(at)*25 < tc.playMS; at++ {
+			nowMS += 25
+			lg.Note(nowMS, tc.took[at%len(tc.took)])
+		}
+		qt.Check(t, lg.Sustained(nowMS), qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
+
+func TestLateCallsOfBeforeDontCount(t *testing.T) {
+	lg := lag.New()
+	for nowMS := int64(1000); nowMS < 2000; nowMS += 10 {
+		lg.Note(nowMS, 900)
+	}
+	qt.Assert(t, lg.Sustained(2000), qt.IsTrue)
+	qt.Assert(t, lg.Sustained(4000), qt.IsFalse)
+	for nowMS := int64(4000); nowMS < 5000; nowMS += 10 {
+		lg.Note(nowMS, 3)
+	}
+	qt.Assert(t, lg.Sustained(5000), qt.IsFalse)
+}
