Encode a commit once for all of its tries

Ruled out: the same in intake (its tries follow each other). The feed read its position in the tries as well and now doesn't.

--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -61,13 +62,13 @@
 		ck := clock.New()
 		ctx, cancel := ck.WithTimeout(t.Context(), 1000)
 		defer cancel()
-		tries := 0
+		var tries atomic.Int64
 		_, err := hedge.Do(ctx, hedge.New(ck, 300, 300, func(error) bool { return false }), func(ctx context.Context, _ int) (int, error) {
-			tries++
+			tries.Add(1)
 			<-ctx.Done()
 			return 0, ctx.Err()
 		})
 		qt.Assert(t, err, qt.IsNotNil)
-		qt.Assert(t, tries, qt.Equals, 4)
+		qt.Assert(t, tries.Load(), qt.Equals, int64(4))
 	})
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -213,7 +213,11 @@
 func (ow *Ownership) take(ctx context.Context) (bool, error) {
 	next := &workpb.Ownership{Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.version + 1, Sequence: 1}
 	startMS := ow.ck.Now()
-	version, _, err := ow.write(ctx, rowstore.NewTx(Part), next)
+	tx := rowstore.NewTx(Part)
+	if err := ow.renewal(tx, next); err != nil {
+		return false, err
+	}
+	version, _, err := ow.st.Commit(ctx, tx)
 	if err != nil {
 		return false, err
 	}
@@ -224,12 +228,14 @@
 	return true, nil
 }
 
-func (ow *Ownership) write(ctx context.Context, tx *rowstore.Tx, next *workpb.Ownership) (int64, []rowstore.Row, error) {
+// renewal adds the next state of the row to a transaction, on condition that it is as this entry knows it.
+func (ow *Ownership) renewal(tx *rowstore.Tx, next *workpb.Ownership) error {
 	raw, err := proto.Marshal(next)
 	if err != nil {
-		return 0, nil, code.Internal.Wrap(err)
+		return code.Internal.Wrap(err)
 	}
-	return ow.st.Commit(ctx, tx.Require(table, key, ow.version).Put(table, key, raw))
+	tx.Require(table, key, ow.version).Put(table, key, raw)
+	return nil
 }
 
 // Commit adds the renewal of the lease to the transaction and applies both.
@@ -257,13 +263,16 @@
 	if ow.firstTryMS == 0 {
 		ow.firstTryMS = startMS
 	}
+	tx := rowstore.NewTx(Part)
+	fill(tx)
+	if err := ow.renewal(tx, next); err != nil {
+		return err
+	}
 	limited, cancel := ow.ck.WithTimeout(ctx, commitMS)
 	defer cancel()
 	policy := hedge.New(ow.ck, ow.patienceMS, ow.patienceMS, isConflict)
 	rs, err := hedge.Do(limited, policy, func(ctx context.Context, _ int) (written, error) {
-		tx := rowstore.NewTx(Part)
-		fill(tx)
-		version, current, err := ow.write(ctx, tx, next)
+		version, current, err := ow.st.Commit(ctx, tx)
 		if code.Of(err) == code.TableInDoubt {
 			ow.doubtful.Store(true)
 		}
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/rowfeed/rowfeed.go
@@ -118,13 +118,14 @@
 	if fd.failing {
 		policy, waitMS = fd.probing, 0
 	}
+	after := fd.after
 	ctx, cancel := fd.ck.WithTimeout(ctx, waitMS+lostMS)
 	defer cancel()
 	as, err := hedge.Do(ctx, policy, func(ctx context.Context, try int) (answer, error) {
 		if try > 0 {
-			return fd.ask(ctx, 0)
+			return fd.ask(ctx, after, 0)
 		}
-		return fd.ask(ctx, waitMS)
+		return fd.ask(ctx, after, waitMS)
 	})
 	if err != nil && !historyLost(err) {
 		err = code.TableUnavailable.Wrap(err)
@@ -137,9 +138,9 @@
 	sentMS int64
 }
 
-func (fd *Feed) ask(ctx context.Context, waitMS int64) (answer, error) {
+func (fd *Feed) ask(ctx context.Context, after, waitMS int64) (answer, error) {
 	sentMS := fd.ck.Now()
-	pg, err := fd.st.Feed(ctx, fd.table, fd.after, waitMS)
+	pg, err := fd.st.Feed(ctx, fd.table, after, waitMS)
 	return answer{pg, sentMS}, err
 }
 
