Ask for one more VM where a lasting task fits nowhere

Ruled out: labels and limits per VM (none set), a reserved or shed VM (no). Change: a service whose lasting tasks fit none of its VMs gets one VM more at a time, four at most beyond what it had, whatever the task lacks. Tests: TestLastingTaskThatFitsNowhereAsksForOneMoreVM (failed before: 1 for 2), ...DoesNotDrainTheOtherPools.

--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -24,6 +24,8 @@
 	// weights are the teams' shares when all is full.
 	weights map[string]float64
 	shares  map[string]*shares
+	// cramped holds the services with lasting tasks that fit none of their VMs.
+	cramped map[string]*cramped
 	jobs    map[string]*job
 	active  map[string]*job
 	// completed holds the ids of jobs that are done, whose rows may be seen again.
@@ -54,7 +56,7 @@
 func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
-		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{}, jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
+		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{}, cramped: map[string]*cramped{}, jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
 		vms: map[string]*vm{}, zones: map[string]*zone{}, used: map[string]size.Size{},
 	}
 }
--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -9,6 +9,10 @@
 	arrivalWindowMS = 700
 	// onsetWindowMS is a shorter one, in which the onset of a peak shows sooner.
 	onsetWindowMS = 350
+	// crampedMS is how long a lasting task that fits nowhere asks for one more VM; it is tried again with each decision.
+	crampedMS = 1000
+	// crampedVMs is how many VMs more it may get.
+	crampedVMs = 4
 	// arrivalMemoryMS is how long arrivals are remembered.
 	arrivalMemoryMS = 40000
 )
@@ -85,6 +89,7 @@
 		name := sv.GetName()
 		cores := lasting[name] + max(backlog[name], rate[name])
 		wa := Wanted{coresMilli: cores, lateMilli: late[name], leastVMs: least[name]}
+		wa.leastVMs = max(wa.leastVMs, ct.crampedLeast(name, nowMS))
 		if cores+late[name] > 0 {
 			wa.leastVMs = max(wa.leastVMs, 1)
 		}
@@ -93,6 +98,46 @@
 	return out
 }
 
+// cramped is the want of a lasting task that fits no VM of its service, whatever it lacks: memory, a label, a VM without others of its step.
+type cramped struct {
+	seenMS int64
+	// fromVMs is the number of VMs when the want began.
+	fromVMs int
+}
+
+func (ct *Controller) noteCramped(service string, nowMS int64) {
+	cr, ok := ct.cramped[service]
+	if !ok {
+		cr = &cramped{fromVMs: ct.countVMs(service)}
+		ct.cramped[service] = cr
+	}
+	cr.seenMS = nowMS
+}
+
+// crampedLeast returns the least number of VMs that a service needs for lasting tasks that fit nowhere; one VM more at a time, and not without bound, since they may fit none.
+func (ct *Controller) crampedLeast(service string, nowMS int64) int {
+	cr, ok := ct.cramped[service]
+	if !ok {
+		return 0
+	}
+	if nowMS-cr.seenMS >= crampedMS {
+		delete(ct.cramped, service)
+		return 0
+	}
+	return min(ct.countVMs(service)+1, cr.fromVMs+crampedVMs)
+}
+
+// countVMs counts a service's VMs that stay in its pool and take work, or would if they weren't shed.
+func (ct *Controller) countVMs(service string) int {
+	count := 0
+	for _, on := range ct.vms {
+		if on.reg.GetService() == service && on.registered && !on.cordoned && !on.leaving && !on.silent && !on.reg.GetDraining() {
+			count++
+		}
+	}
+	return count
+}
+
 // timely reports whether the rest of an occurrence can still be done within its objective.
 func (oc *occurrence) timely(qu *workpb.Queue, nowMS int64) bool {
 	for _, st := range oc.steps {
--- a/internal/jobcontrol/demand_test.go
+++ b/internal/jobcontrol/demand_test.go
@@ -1,10 +1,12 @@
 package jobcontrol_test
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fulmarloft/fulmarloft/internal/workertest"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 )
 
@@ -40,3 +42,35 @@
 		qt.Check(t, sum >= tc.least && sum <= tc.most, qt.IsTrue, qt.Commentf("%s: %d", tc.name, sum))
 	}
 }
+
+// A lasting task that lacks memory, which the processor room doesn't show, must not wait while other machines are switched off.
+func TestLastingTaskThatFitsNowhereAsksForOneMoreVM(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		memoryMB int64
+		label    string
+		least    int
+	}{
+		{"all fit", 2000, "", 1},
+		{"too little memory", 3000, "", 2},
+		{"no VM with the label", 100, "other", 2},
+	} {
+		fl := newFleet(t, vmOf("a"))
+		fl.submit(jobOf("j1", &workpb.Step{Count: 4, CpuMilli: 1000, MemoryMb: tc.memoryMB, Label: tc.label, Lasting: true}))
+		fl.play(500)
+		qt.Check(t, fl.ct.Wanted()["s"].LeastVMs(), qt.Equals, tc.least, qt.Commentf(tc.name))
+	}
+}
+
+func TestLastingTaskThatFitsNoVMDoesNotDrainTheOtherPools(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	fl.submit(jobOf("j1", &workpb.Step{Count: 1, CpuMilli: 1000, MemoryMb: 100, Label: "nowhere", Lasting: true}))
+	for at := range 20 {
+		fl.play(500)
+		wk := workertest.New(fl.ck, vmOf(fmt.Sprintf("more-%d", at)))
+		wk.Record = fl.record
+		fl.workers[wk.VM().GetId()] = wk
+		fl.ct.SetVM(wk.VM())
+	}
+	qt.Check(t, fl.ct.Wanted()["s"].LeastVMs(), qt.Equals, 5)
+}
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -179,6 +179,7 @@
 		on := choose(tk, pool)
 		if on == nil {
 			if cd.tier == tierLasting {
+				ct.noteCramped(pool[0].reg.GetService(), nowMS)
 				reserveFor(cd.st, pool)
 			}
 			return
