--- a/internal/jobcontrol/shares.go
+++ b/internal/jobcontrol/shares.go
@@ -9,6 +9,9 @@
 	atMS  int64
 }
 
+// noTeam stands for the team of work from public queues.
+const noTeam = ""
+
 const (
 	// shareMeanMS is over what time a team's use is taken: several jobs long.
 	shareMeanMS = 4000
@@ -34,11 +37,12 @@
 	}
 }
 
-// over returns the teams that others go before, of those that wait or have run of late.
+// over returns the teams that others go before, of those that wait or have run of late; work of no team, from public queues, has no share to exceed.
 func (sh *shares) over(weights map[string]float64, list []candidate) map[string]bool {
 	for _, cd := range list {
 		sh.cores[cd.team()] += 0
 	}
+	delete(sh.cores, noTeam)
 	used, weight := 0.0, 0.0
 	for team, mean := range sh.cores {
 		used += mean
--- a/internal/jobcontrol/shares_test.go
+++ b/internal/jobcontrol/shares_test.go
@@ -57,3 +57,34 @@
 	// What the calm teams leave is the other's: 2.5 jobs a second in all.
 	qt.Check(t, inTime["hot"] >= 20, qt.IsTrue, qt.Commentf("hot: %d of %d in time", inTime["hot"], asked["hot"]))
 }
+
+// A public queue's jobs, which belong to no team, are served like those of a team within its share.
+func TestWorkOfNoTeamDoesNotYield(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	rules := testRules()
+	rules.Teams = []*workpb.Team{{Name: "t", Weight: 1}}
+	fl.setRules(rules)
+	for _, wk := range fl.workers {
+		wk.Behave = func(string, int64) (int64, workpb.End) { return 800, workpb.End_END_DONE }
+	}
+	submitPublic := func(id string) {
+		jb := jobOf(id, stepOf(4))
+		jb.Team = ""
+		fl.submit(jb)
+	}
+	submitPublic("before")
+	fl.play(1500)
+	delete(fl.jobs, "before")
+	for at := range 4 {
+		submitPublic(fmt.Sprintf("p%d", at))
+		fl.submit(jobOf(fmt.Sprintf("t%d", at), stepOf(4)))
+	}
+	fl.play(1200)
+	done := map[string]int{}
+	for id, jb := range fl.jobs {
+		if fl.state(id) == workpb.State_COMPLETED {
+			done[jb.GetTeam()]++
+		}
+	}
+	qt.Check(t, done[""] >= done["t"], qt.IsTrue, qt.Commentf("%v", done))
+}
