--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -56,8 +56,9 @@
 func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
-		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{}, cramped: map[string]*cramped{}, jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
-		vms: map[string]*vm{}, zones: map[string]*zone{}, used: map[string]size.Size{},
+		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{},
+		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
+		vms: map[string]*vm{}, zones: map[string]*zone{}, used: map[string]size.Size{}, cramped: map[string]*cramped{},
 	}
 }
 
@@ -263,9 +264,14 @@
 		return
 	}
 	rn.stopSentMS = ct.ck.Now()
-	ct.outbox = append(ct.outbox, &workpb.Order{
-		Verb: workpb.Verb_STOP, Vm: rn.vm.id, Address: rn.vm.reg.GetAddress(), Task: rn.key.task, Run: rn.key.run, Token: ct.token,
-	})
+	ct.outbox = append(ct.outbox, ct.orderOf(workpb.Verb_STOP, rn))
+}
+
+// orderOf returns an order on a run with what all verbs have.
+func (ct *Controller) orderOf(verb workpb.Verb, rn *run) *workpb.Order {
+	return &workpb.Order{
+		Verb: verb, Vm: rn.vm.id, Address: rn.vm.reg.GetAddress(), Task: rn.key.task, Run: rn.key.run, Token: ct.token,
+	}
 }
 
 // Outbox returns the orders that need nothing stored before they are sent, and empties the list.
--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -1,6 +1,10 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import (
+	"slices"
+
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
 
 const (
 	// leastChainMS bounds the room that is wanted for jobs whose rest is short.
@@ -131,7 +135,7 @@
 func (ct *Controller) countVMs(service string) int {
 	count := 0
 	for _, on := range ct.vms {
-		if on.reg.GetService() == service && on.registered && !on.cordoned && !on.leaving && !on.silent && !on.reg.GetDraining() {
+		if on.reg.GetService() == service && on.stays() {
 			count++
 		}
 	}
@@ -150,12 +154,7 @@
 
 // started reports whether a task of the step runs or has run.
 func (st *step) started() bool {
-	for _, tk := range st.tasks {
-		if tk.done || tk.cur != nil {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.done || tk.cur != nil })
 }
 
 // wantedMilli returns the room in which the rest of an occurrence's work would be done as soon as its order of steps allows.
@@ -267,5 +266,5 @@
 	if !ok {
 		return false
 	}
-	return on.silent || on.reg.GetDraining() || !on.registered || !on.trust.Usable(ct.ck.Now())
+	return !on.answers() || !on.trust.Usable(ct.ck.Now())
 }
--- a/internal/jobcontrol/demand_test.go
+++ b/internal/jobcontrol/demand_test.go
@@ -29,9 +29,7 @@
 		{"once its leases have run out", func(fl *fleet) { fl.silent["a"] = true }, 12_000, 16_000, 13_000},
 	} {
 		fl := newFleet(t, vmOf("a"), vmOf("b"))
-		for _, wk := range fl.workers {
-			wk.Behave = func(string, int64) (int64, workpb.End) { return 60_000, workpb.End_END_DONE }
-		}
+		fl.behave(60_000, workpb.End_END_DONE)
 		fl.submit(jobOf("j1", long))
 		fl.play(1000)
 		qt.Assert(t, fl.workers["a"].Running(), qt.Equals, 4, qt.Commentf(tc.name))
--- a/internal/jobcontrol/evacuate.go
+++ b/internal/jobcontrol/evacuate.go
@@ -50,13 +50,5 @@
 // Lasting reports whether tasks that last run on a VM.
 func (ct *Controller) Lasting(id string) bool {
 	on, ok := ct.vms[id]
-	if !ok {
-		return false
-	}
-	for _, rn := range on.runs {
-		if rn.lasting() {
-			return true
-		}
-	}
-	return false
+	return ok && on.has((*run).lasting)
 }
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -75,9 +75,7 @@
 
 func TestFailingTaskFailsItsJobAfterMaxAttempts(t *testing.T) {
 	fl := newFleet(t, vmOf("a"), vmOf("b"))
-	for _, wk := range fl.workers {
-		wk.Behave = func(string, int64) (int64, workpb.End) { return 100, workpb.End_END_FAILED }
-	}
+	fl.behave(100, workpb.End_END_FAILED)
 	fl.submit(jobOf("j1", stepOf(1)))
 	fl.play(4000)
 	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_FAILED)
@@ -200,9 +198,7 @@
 // lastingFleet runs a lasting step of two tasks on two of three VMs and returns these two.
 func lastingFleet(t *testing.T) (*fleet, []string) {
 	fl := newFleet(t, vmOf("a"), vmOf("b"), vmOf("c"))
-	for _, wk := range fl.workers {
-		wk.Behave = func(string, int64) (int64, workpb.End) { return 0, workpb.End_END_UNKNOWN }
-	}
+	fl.behave(0, workpb.End_END_UNKNOWN)
 	st := stepOf(2)
 	st.Lasting, st.MaxPerVm, st.DisruptionBudget = true, 1, 1
 	fl.submit(jobOf("j1", st))
@@ -331,9 +327,7 @@
 
 func TestLongTaskIsMovedOnlyOnce(t *testing.T) {
 	fl := newFleet(t, vmOf("a"), vmOf("b"))
-	for _, wk := range fl.workers {
-		wk.Behave = func(string, int64) (int64, workpb.End) { return 9000, workpb.End_END_DONE }
-	}
+	fl.behave(9000, workpb.End_END_DONE)
 	fl.submit(jobOf("j1", stepOf(1)))
 	fl.play(14_000)
 	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
--- a/internal/jobcontrol/fleet_test.go
+++ b/internal/jobcontrol/fleet_test.go
@@ -115,6 +115,13 @@
 	fl.live[task] = vm
 }
 
+// behave lets all runs take so long and end so.
+func (fl *fleet) behave(workMS int64, end workpb.End) {
+	for _, wk := range fl.workers {
+		wk.Behave = func(string, int64) (int64, workpb.End) { return workMS, end }
+	}
+}
+
 func (fl *fleet) submit(jb *workpb.Job) {
 	jb.Queue = "q"
 	jb.AcceptedMs = fl.ck.Now()
--- a/internal/jobcontrol/pace.go
+++ b/internal/jobcontrol/pace.go
@@ -58,9 +58,8 @@
 			continue
 		}
 		rn.paceSet = percent
-		ct.outbox = append(ct.outbox, &workpb.Order{
-			Verb: workpb.Verb_PACE, Vm: on.id, Address: on.reg.GetAddress(), Task: rn.key.task, Run: rn.key.run,
-			Percent: percent, Token: ct.token,
-		})
+		od := ct.orderOf(workpb.Verb_PACE, rn)
+		od.Percent = percent
+		ct.outbox = append(ct.outbox, od)
 	}
 }
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -115,10 +115,7 @@
 	if st.row.GetLasting() {
 		return candidate{st: st, tier: tierLasting, latestMS: st.oc.dueMS}
 	}
-	chain := int64(0)
-	for _, tail := range st.oc.jb.tails {
-		chain = max(chain, tail)
-	}
+	chain := slices.Max(st.oc.jb.tails)
 	objective := int64(qu.GetStretch()*float64(chain)) + qu.GetTargetMs()
 	latest := st.oc.dueMS + objective - st.tailMS()
 	cd := candidate{st: st, latestMS: latest}
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -44,9 +44,6 @@
 	return bt
 }
 
-// Empty reports whether the batch changes nothing.
-func (bt *Batch) Empty() bool { return len(bt.rows) == 0 && len(bt.seen) == 0 }
-
 // Stored takes up that a batch is stored and returns its starts, to be sent now.
 func (ct *Controller) Stored(bt *Batch) []*workpb.Order {
 	for on, number := range bt.seen {
@@ -80,10 +77,12 @@
 	rn.phase = phaseOrdered
 	rn.sinceMS = nowMS
 	rn.vm.nextLookMS = min(rn.vm.nextLookMS, nowMS+busyLookMS)
-	return &workpb.Order{
-		Verb: workpb.Verb_START, Vm: rn.vm.id, Address: rn.vm.reg.GetAddress(), Task: rn.key.task, Run: rn.key.run,
-		Payload: rn.task.job().row.GetPayload(), Checkpoint: rn.task.checkpoint, Token: ct.token, LeaseUntilMs: ct.lease(rn.vm), Ticket: admit,
-	}
+	od := ct.orderOf(workpb.Verb_START, rn)
+	od.Payload = rn.task.job().row.GetPayload()
+	od.Checkpoint = rn.task.checkpoint
+	od.LeaseUntilMs = ct.lease(rn.vm)
+	od.Ticket = admit
+	return od
 }
 
 // expire ends what ran on VMs whose leases have surely run out, and forgets VMs that have gone.
@@ -105,9 +104,7 @@
 
 func (ct *Controller) openDue(nowMS int64) {
 	for _, jb := range ct.active {
-		if len(jb.occurrences) < jb.total() {
-			jb.open(nowMS)
-		}
+		jb.open(nowMS)
 	}
 }
 
--- a/internal/jobcontrol/shares.go
+++ b/internal/jobcontrol/shares.go
@@ -30,17 +30,24 @@
 	part := 1 - math.Exp(-float64(nowMS-sh.atMS)/shareMeanMS)
 	sh.atMS = nowMS
 	for team := range now {
-		sh.cores[team] += 0
+		sh.know(team)
 	}
 	for team, mean := range sh.cores {
 		sh.cores[team] = mean + (float64(now[team])-mean)*part
 	}
 }
 
+// know begins to follow a team's use.
+func (sh *shares) know(team string) {
+	if _, ok := sh.cores[team]; !ok {
+		sh.cores[team] = 0
+	}
+}
+
 // over returns the teams that others go before, of those that wait or have run of late; work of no team, from public queues, has no share to exceed.
 func (sh *shares) over(weights map[string]float64, list []candidate) map[string]bool {
 	for _, cd := range list {
-		sh.cores[cd.team()] += 0
+		sh.know(cd.team())
 	}
 	delete(sh.cores, noTeam)
 	used, weight := 0.0, 0.0
--- a/internal/jobcontrol/shares_test.go
+++ b/internal/jobcontrol/shares_test.go
@@ -24,9 +24,7 @@
 		rules.Teams = append(rules.Teams, &workpb.Team{Name: team, Weight: 1})
 	}
 	fl.setRules(rules)
-	for _, wk := range fl.workers {
-		wk.Behave = func(string, int64) (int64, workpb.End) { return 800, workpb.End_END_DONE }
-	}
+	fl.behave(800, workpb.End_END_DONE)
 	begun := map[string]int64{}
 	inTime, asked := map[string]int{}, map[string]int{}
 	for atMS := int64(0); atMS < playMS+5000; atMS += tickMS {
@@ -64,9 +62,7 @@
 	rules := testRules()
 	rules.Teams = []*workpb.Team{{Name: "t", Weight: 1}}
 	fl.setRules(rules)
-	for _, wk := range fl.workers {
-		wk.Behave = func(string, int64) (int64, workpb.End) { return 800, workpb.End_END_DONE }
-	}
+	fl.behave(800, workpb.End_END_DONE)
 	submitPublic := func(id string) {
 		jb := jobOf(id, stepOf(4))
 		jb.Team = ""
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -1,6 +1,8 @@
 package jobcontrol
 
 import (
+	"slices"
+
 	"github.com/fulmarloft/fulmarloft/internal/size"
 	"github.com/fulmarloft/fulmarloft/internal/suspicion"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
@@ -97,9 +99,15 @@
 
 func (vm *vm) free() size.Size { return vm.capacity().Minus(vm.used) }
 
+// answers reports whether the VM is registered, not draining and not silent.
+func (vm *vm) answers() bool { return vm.registered && !vm.silent && !vm.reg.GetDraining() }
+
+// stays reports whether the VM answers and nobody is about to take it away.
+func (vm *vm) stays() bool { return vm.answers() && !vm.cordoned && !vm.leaving }
+
 // usable reports whether new work may be placed on the VM.
 func (vm *vm) usable(nowMS int64) bool {
-	return vm.registered && vm.synced && !vm.silent && !vm.cordoned && !vm.shed && !vm.leaving && !vm.reg.GetDraining() && vm.trust.Usable(nowMS)
+	return vm.stays() && vm.synced && !vm.shed && vm.trust.Usable(nowMS)
 }
 
 // clock returns a lower bound of the VM's clock; its rate may be 2% slow.
@@ -107,9 +115,12 @@
 	return vm.clockMS + (nowMS-vm.clockAtMS)*slowestRatePercent/fullPercent
 }
 
-func (vm *vm) hasLabel(label string) bool {
-	for _, lb := range vm.reg.GetLabels() {
-		if lb == label {
+func (vm *vm) hasLabel(label string) bool { return slices.Contains(vm.reg.GetLabels(), label) }
+
+// has reports whether a run on the VM matches.
+func (vm *vm) has(match func(*run) bool) bool {
+	for _, rn := range vm.runs {
+		if match(rn) {
 			return true
 		}
 	}
@@ -118,12 +129,7 @@
 
 // unsettled reports whether a run on the VM is in doubt or to be stopped, which the next look may settle.
 func (vm *vm) unsettled() bool {
-	for _, rn := range vm.runs {
-		if rn.phase == phaseDoubtful || rn.phase == phaseStopping {
-			return true
-		}
-	}
-	return false
+	return vm.has(func(rn *run) bool { return rn.phase == phaseDoubtful || rn.phase == phaseStopping })
 }
 
 // ofStep counts the runs of a step on the VM.
@@ -138,24 +144,10 @@
 }
 
 // serving reports whether a task with a tail target runs on the VM.
-func (vm *vm) serving() bool {
-	for _, rn := range vm.runs {
-		if rn.serves() {
-			return true
-		}
-	}
-	return false
-}
+func (vm *vm) serving() bool { return vm.has((*run).serves) }
 
 // filled reports whether a task runs on the VM that uses what others leave.
-func (vm *vm) filled() bool {
-	for _, rn := range vm.runs {
-		if rn.fills() {
-			return true
-		}
-	}
-	return false
-}
+func (vm *vm) filled() bool { return vm.has((*run).fills) }
 
 func (rn *run) serves() bool { return rn.task != nil && rn.task.st.row.GetTailTargetMs() > 0 }
 
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -241,14 +241,19 @@
 			rn.noteCall(vd, tookMS)
 		}
 		if vd == workpb.Verdict_FENCED {
-			rn.lg.Info("vm-fenced", "vm", req.GetVm(), "token", req.GetToken())
-			rn.lost = true
+			rn.fenced(req.GetVm(), req.GetToken())
 			return
 		}
 		rn.ct.Looked(req.GetVm(), sentMS, lk, vd)
 	})
 }
 
+// fenced takes up that a VM has refused a call since it has seen a successor's token.
+func (rn *Runner) fenced(vm string, token int64) {
+	rn.lg.Info("vm-fenced", "vm", vm, "token", token)
+	rn.lost = true
+}
+
 // plan decides and stores; one commit is under way at a time.
 func (rn *Runner) plan(ctx context.Context) {
 	nowMS := rn.ck.Now()
@@ -264,9 +269,6 @@
 	bt := rn.ct.Plan(rn.ow.Held())
 	counts := rn.pendingCounts(nowMS)
 	upkeeps := rn.wv.unstored()
-	if bt.Empty() && !renew && len(upkeeps) == 0 && counts == nil {
-		return
-	}
 	if len(bt.Rows()) == 0 && !renew && len(upkeeps) == 0 && counts == nil {
 		rn.send(ctx, rn.ct.Stored(bt))
 		return
@@ -289,10 +291,7 @@
 	ch, err := newChange(bt.Rows(), counts, upkeeps, retired)
 	for err == nil {
 		err = rn.ow.Commit(ctx, ch.fill)
-		if err == nil {
-			break
-		}
-		if code.Of(err) == code.LeaseLapsed || ctx.Err() != nil {
+		if err == nil || code.Of(err) == code.LeaseLapsed || ctx.Err() != nil {
 			break
 		}
 		rn.lg.Fail("commit-failed", err, "rows", len(bt.Rows()), "silent-ms", rn.ow.SilentMS())
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -272,6 +272,18 @@
 	return st
 }
 
+// loseEachThirdAnswer lets commits apply whose answers don't arrive.
+func loseEachThirdAnswer(si *site) {
+	count := 0
+	si.st.SetFate(func(*rowstore.Tx) rowstoretest.Fate {
+		count++
+		if count%3 == 0 {
+			return rowstoretest.Lost
+		}
+		return rowstoretest.Served
+	})
+}
+
 func TestJobsRunThroughChangesOfOwner(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
@@ -294,16 +306,7 @@
 			si.st.SetDown(false)
 		}},
 		{"history dropped", func(si *site) { si.st.DropHistory() }},
-		{"each third commit loses its answer", func(si *site) {
-			count := 0
-			si.st.SetFate(func(*rowstore.Tx) rowstoretest.Fate {
-				count++
-				if count%3 == 0 {
-					return rowstoretest.Lost
-				}
-				return rowstoretest.Served
-			})
-		}},
+		{"each third commit loses its answer", loseEachThirdAnswer},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			play(t, func(si *site) {
--- a/internal/jobrunner/mailbox.go
+++ b/internal/jobrunner/mailbox.go
@@ -96,8 +96,7 @@
 
 func (rn *Runner) answered(od *workpb.Order, vd workpb.Verdict) {
 	if vd == workpb.Verdict_FENCED {
-		rn.lg.Info("vm-fenced", "vm", od.GetVm(), "token", od.GetToken())
-		rn.lost = true
+		rn.fenced(od.GetVm(), od.GetToken())
 		return
 	}
 	rn.ct.Answered(od, vd)
--- a/internal/jobrunner/retire_test.go
+++ b/internal/jobrunner/retire_test.go
@@ -8,8 +8,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -28,16 +26,7 @@
 			si.kill("one")
 		}},
 		{"owner lost before anything is removed", func(si *site) { si.kill("one") }},
-		{"each third commit loses its answer", func(si *site) {
-			count := 0
-			si.st.SetFate(func(*rowstore.Tx) rowstoretest.Fate {
-				count++
-				if count%3 == 0 {
-					return rowstoretest.Lost
-				}
-				return rowstoretest.Served
-			})
-		}},
+		{"each third commit loses its answer", loseEachThirdAnswer},
 		{"store down", func(si *site) {
 			si.wait(keepMS - 1000)
 			si.st.SetDown(true)
