Withdraw queued starts that are no longer wanted; send past late answers

Beside orders without an answer (300 ms each) up to 47 orders stood in one queue, and a start was sent up to 2.6 s after it was decided. A copy of a task, queued while the first run's VM didn't answer, was sent although the first run's end had been acknowledged meanwhile and its stop stood in the same queue behind it; that stop was added again each 500 ms. The same queue starts tasks of cancelled jobs late (test: 2.8 s).

Change: a stop takes a waiting start of its run out of the queue; a stop that waits already isn't added; up to four orders are in flight once an answer is late by 80 ms.

Both tests fail on the old queue.

--- a/internal/jobcontrol/end.go
+++ b/internal/jobcontrol/end.go
@@ -134,6 +134,18 @@
 	}
 }
 
+// HandleWithdrawn records that the start of a run that is to be stopped was withdrawn before it was sent.
+func (ct *Controller) HandleWithdrawn(od *workpb.Order) {
+	vm, ok := ct.vms[od.GetVm()]
+	if !ok {
+		return
+	}
+	if rn, ok := vm.runs[runKey{od.GetTask(), od.GetRun()}]; ok {
+		ct.lg.Info("start-withdrawn", "vm", vm.id, "task", rn.key.task, "run", rn.key.run)
+		ct.endRun(rn, workpb.End_END_STOPPED, "")
+	}
+}
+
 func (ct *Controller) handleStartVerdict(rn *run, vd workpb.Verdict) {
 	if vd == workpb.Verdict_IN_DOUBT {
 		ct.lg.Info("start-in-doubt", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run)
--- a/internal/jobrunner/orderqueue.go
+++ b/internal/jobrunner/orderqueue.go
@@ -2,21 +2,33 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 )
 
-// orderQueue sends orders to one VM, in order and one at a time over a single connection.
+// orderQueue sends orders to one VM in order. One connection carries them as long as answers come quickly; while an answer is late, further connections carry the orders behind it.
 type orderQueue struct {
 	rn *Runner
 
 	mu      sync.Mutex
 	waiting []*workpb.Order
-	sending bool
+	senders int
+	// unanswered counts the consecutive orders without an answer since the queue was last empty.
+	unanswered int
 }
 
-// enqueue adds orders to the queues of their VMs.
+const (
+	// maxSenders is the maximum number of orders in flight to one VM.
+	maxSenders = 4
+	// lateAnswerMS is how long an answer may take before the next order is sent beside it.
+	lateAnswerMS = 80
+	// maxUnanswered is the number of consecutive unanswered orders after which queued starts are not sent; a single answer may just be lost.
+	maxUnanswered = 2
+)
+
+// enqueue adds orders to the queues of their VMs. A stop withdraws the start of the same run if that is still waiting.
 func (rn *Runner) enqueue(ctx context.Context, orders []*workpb.Order) {
 	for _, od := range orders {
 		oq, ok := rn.orderQueues[od.GetVm()]
@@ -24,34 +36,76 @@
 			oq = &orderQueue{rn: rn}
 			rn.orderQueues[od.GetVm()] = oq
 		}
+		if od.GetVerb() == workpb.Verb_STOP && oq.withdrawStart(od) {
+			rn.ct.HandleWithdrawn(od)
+			continue
+		}
 		oq.add(ctx, od)
 	}
 }
 
+// sameRun reports whether two orders concern the same run.
+func sameRun(one, other *workpb.Order) bool {
+	return one.GetTask() == other.GetTask() && one.GetRun() == other.GetRun()
+}
+
+// withdrawStart removes the waiting start of the run that a stop concerns, and reports whether there was one.
+func (oq *orderQueue) withdrawStart(stop *workpb.Order) bool {
+	oq.mu.Lock()
+	defer oq.mu.Unlock()
+	at := slices.IndexFunc(oq.waiting, func(od *workpb.Order) bool {
+		return od.GetVerb() == workpb.Verb_START && sameRun(od, stop)
+	})
+	if at < 0 {
+		return false
+	}
+	oq.waiting = slices.Delete(oq.waiting, at, at+1)
+	return true
+}
+
+// add appends an order, except for a stop that is already waiting.
 func (oq *orderQueue) add(ctx context.Context, od *workpb.Order) {
 	oq.mu.Lock()
 	defer oq.mu.Unlock()
+	repeated := od.GetVerb() == workpb.Verb_STOP && slices.ContainsFunc(oq.waiting, func(other *workpb.Order) bool {
+		return other.GetVerb() == workpb.Verb_STOP && sameRun(od, other)
+	})
+	if repeated {
+		return
+	}
 	oq.waiting = append(oq.waiting, od)
-	if !oq.sending {
-		oq.sending = true
+	if oq.senders == 0 {
+		oq.senders++
+		go oq.run(ctx)
+	}
+}
+
+// addSender starts one more sender if orders wait behind late answers.
+func (oq *orderQueue) addSender(ctx context.Context) {
+	oq.mu.Lock()
+	defer oq.mu.Unlock()
+	if len(oq.waiting) > 0 && oq.senders < maxSenders {
+		oq.senders++
 		go oq.run(ctx)
 	}
 }
 
+// run sends waiting orders one after the other until none is left.
 func (oq *orderQueue) run(ctx context.Context) {
-	unanswered := 0
 	for {
-		od := oq.next()
+		od, send := oq.next()
 		if od == nil {
 			return
 		}
 		sentMS := oq.rn.ck.Now()
 		vd := workpb.Verdict_NOT_SENT
-		if unanswered < maxUnanswered || od.GetVerb() != workpb.Verb_START {
+		if send {
+			stopTimer := oq.rn.ck.AfterFunc(lateAnswerMS, func() { oq.addSender(ctx) })
 			vd = oq.rn.sendOrder(ctx, od)
+			stopTimer()
 		}
-		unanswered = countUnanswered(unanswered, vd)
 		tookMS := oq.rn.ck.Now() - sentMS
+		oq.countUnanswered(vd)
 		oq.rn.post(ctx, func() {
 			oq.rn.recordCall(vd, tookMS)
 			oq.rn.handleAnswer(od, vd)
@@ -59,31 +113,34 @@
 	}
 }
 
-// maxUnanswered is the number of consecutive unanswered orders after which queued starts are not sent; a single answer may just be lost.
-const maxUnanswered = 2
-
-func countUnanswered(count int, vd workpb.Verdict) int {
-	switch vd {
-	case workpb.Verdict_NOT_SENT:
-		return maxUnanswered
-	case workpb.Verdict_IN_DOUBT:
-		return count + 1
-	default:
-		return 0
+// next removes the first waiting order, nil if there is none, and reports whether it is to be sent.
+func (oq *orderQueue) next() (od *workpb.Order, send bool) {
+	oq.mu.Lock()
+	defer oq.mu.Unlock()
+	if len(oq.waiting) == 0 {
+		oq.senders--
+		if oq.senders == 0 {
+			oq.waiting = nil
+			oq.unanswered = 0
+		}
+		return nil, false
 	}
+	od = oq.waiting[0]
+	oq.waiting = oq.waiting[1:]
+	return od, oq.unanswered < maxUnanswered || od.GetVerb() != workpb.Verb_START
 }
 
-func (oq *orderQueue) next() *workpb.Order {
+func (oq *orderQueue) countUnanswered(vd workpb.Verdict) {
 	oq.mu.Lock()
 	defer oq.mu.Unlock()
-	if len(oq.waiting) == 0 {
-		oq.waiting = nil
-		oq.sending = false
-		return nil
+	switch vd {
+	case workpb.Verdict_NOT_SENT:
+		oq.unanswered = maxUnanswered
+	case workpb.Verdict_IN_DOUBT:
+		oq.unanswered++
+	default:
+		oq.unanswered = 0
 	}
-	od := oq.waiting[0]
-	oq.waiting = oq.waiting[1:]
-	return od
 }
 
 // sendOrder sends an order; a start is not sent once the ownership lease has expired.
--- /dev/null
+++ b/internal/jobrunner/orderqueue_test.go
@@ -0,0 +1,92 @@
+package jobrunner_test
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+const (
+	// slowAnswerMS is far above the time that an order takes, so that orders queue up.
+	slowAnswerMS = 1500
+	// inFlightMS allows for a start that was sent when its stop was decided.
+	inFlightMS = 50
+)
+
+// setUnresponsive makes a VM answer its polls or not, and returns its number of runs.
+func (si *simulation) setUnresponsive(id string, unresponsive bool) int {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	si.unresponsive[id] = unresponsive
+	return si.workers[id].Running()
+}
+
+// slowDownOrders delays the answers to orders of all VMs but one.
+func (si *simulation) slowDownOrders(except string) {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	for id := range si.workers {
+		if id != except {
+			si.answerDelayMS[id] = slowAnswerMS
+		}
+	}
+}
+
+func (si *simulation) lastStart() int64 {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return si.lastStartMS
+}
+
+// busiestVM returns the VM with the most runs.
+func (si *simulation) busiestVM() string {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	best := ""
+	for id, wk := range si.workers {
+		if best == "" || wk.Running() > si.workers[best].Running() {
+			best = id
+		}
+	}
+	return best
+}
+
+// A start that waits behind late answers of its VM must not be sent once its job is cancelled.
+func TestCancelledJobStartsNothingThatWasQueued(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.start("one")
+		si.wait(3000)
+		si.slowDownOrders("")
+		si.submit("00000000000000aa", 16)
+		si.wait(200)
+		qt.Assert(t, si.in.Cancel(context.Background(), "00000000000000aa"), qt.IsNil)
+		cancelledMS := si.ck.Now()
+		si.wait(12_000)
+		qt.Check(t, si.lastStart() <= cancelledMS+inFlightMS, qt.IsTrue, qt.Commentf("a task starts %d ms after the cancellation", si.lastStart()-cancelledMS))
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_CANCELLED)
+	})
+}
+
+// A duplicate run that waits behind late answers of its VM must not start once the first run has ended as done.
+func TestQueuedDuplicateIsNotStartedAfterTheFirstIsDone(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.allowDuplicates = true
+		si.start("one")
+		si.wait(3000)
+		jb := &workpb.Job{Id: "00000000000000aa", Queue: "q", AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{
+			{Count: 4, CpuMilli: 2000, MemoryMb: 100, EstimateMs: 800, Duplicates: true},
+		}}
+		qt.Assert(t, si.in.Submit(context.Background(), jb), qt.IsNil)
+		si.wait(200)
+		first := si.busiestVM()
+		si.slowDownOrders(first)
+		qt.Assert(t, si.setUnresponsive(first, true), qt.Equals, 4)
+		si.wait(400)
+		si.setUnresponsive(first, false)
+		si.wait(12_000)
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+	})
+}
