Repeat a start that got no answer under its run number

Cause: a start without an answer (300 ms) was given up: poll, stop, poll, new run on another VM, some 0.6 to 1.5 s for the task. A VM executes the start of a run once, and rejects it after the run has ended, so the same start can simply be sent again; the first one may still be executed later, to no effect.

Ruled out as unsafe: taking a refusal of the repeated start for 'not executed' (the first may have been executed and its run may have ended): the run stays in doubt then. A test shows the second run that this would cause.

--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -48,6 +48,10 @@
 	// allowDuplicates is set where duplicate runs of a task are allowed.
 	allowDuplicates bool
 	lastStartMS     int64
+	// starts counts the starts of each task.
+	starts map[string]int
+	// intercept reports whether it took an order away, which then gets no answer.
+	intercept func(od *workpb.Order) bool
 }
 
 // entry is one scheduling process with its own connection to the store.
@@ -92,8 +96,9 @@
 		si := &simulation{
 			t: t, ck: ck, st: rowstoretest.New(ck), workers: map[string]*workertest.Worker{}, moves: map[string]string{},
 			tokens: map[string]int64{}, live: map[string]bool{}, done: map[string]bool{}, entries: map[string]*entry{},
-			unresponsive: map[string]bool{}, answerDelayMS: map[string]int64{},
+			unresponsive: map[string]bool{}, answerDelayMS: map[string]int64{}, starts: map[string]int{},
 		}
+		si.intercept = func(*workpb.Order) bool { return false }
 		si.in = intake.New(si.st.Rowstore())
 		for at := range 4 {
 			si.addVM(fmt.Sprintf("vm-%d", at))
@@ -126,6 +131,7 @@
 		return
 	}
 	si.lastStartMS = si.ck.Now()
+	si.starts[task]++
 	if (si.live[task] && !si.allowDuplicates) || si.done[task] {
 		si.t.Errorf("task %s run %d started on %s although running=%v or done=%v", task, run, vm, si.live[task], si.done[task])
 	}
@@ -220,6 +226,11 @@
 
 func (si *simulation) order(_ context.Context, od *workpb.Order) workpb.Verdict {
 	si.mu.Lock()
+	if si.intercept(od) {
+		si.mu.Unlock()
+		si.wait(unansweredMS)
+		return workpb.Verdict_IN_DOUBT
+	}
 	vd := si.workers[od.GetVm()].Order(od)
 	delayMS := si.answerDelayMS[od.GetVm()]
 	si.mu.Unlock()
--- a/internal/jobrunner/orderqueue.go
+++ b/internal/jobrunner/orderqueue.go
@@ -67,10 +67,7 @@
 func (oq *orderQueue) add(ctx context.Context, od *workpb.Order) {
 	oq.mu.Lock()
 	defer oq.mu.Unlock()
-	repeated := od.GetVerb() == workpb.Verb_STOP && slices.ContainsFunc(oq.waiting, func(other *workpb.Order) bool {
-		return other.GetVerb() == workpb.Verb_STOP && sameRun(od, other)
-	})
-	if repeated {
+	if od.GetVerb() == workpb.Verb_STOP && oq.stopWaits(od) {
 		return
 	}
 	oq.waiting = append(oq.waiting, od)
@@ -100,9 +97,10 @@
 		sentMS := oq.rn.ck.Now()
 		vd := workpb.Verdict_NOT_SENT
 		if send {
-			stopTimer := oq.rn.ck.AfterFunc(lateAnswerMS, func() { oq.addSender(ctx) })
-			vd = oq.rn.sendOrder(ctx, od)
-			stopTimer()
+			vd = oq.send(ctx, od)
+		}
+		if vd == workpb.Verdict_IN_DOUBT && oq.shouldRepeat(od) {
+			vd = repeatedVerdict(oq.send(ctx, od))
 		}
 		tookMS := oq.rn.ck.Now() - sentMS
 		oq.countUnanswered(vd)
@@ -113,6 +111,35 @@
 	}
 }
 
+// send sends an order; while its answer is late, another sender takes over the orders behind it.
+func (oq *orderQueue) send(ctx context.Context, od *workpb.Order) workpb.Verdict {
+	stopTimer := oq.rn.ck.AfterFunc(lateAnswerMS, func() { oq.addSender(ctx) })
+	defer stopTimer()
+	return oq.rn.sendOrder(ctx, od)
+}
+
+// shouldRepeat reports whether an unanswered order is a start that is still wanted. A VM executes the start of a run only once, so repeating it is safe even if the first one is executed later.
+func (oq *orderQueue) shouldRepeat(od *workpb.Order) bool {
+	oq.mu.Lock()
+	defer oq.mu.Unlock()
+	return od.GetVerb() == workpb.Verb_START && oq.unanswered == 0 && !oq.stopWaits(od)
+}
+
+// repeatedVerdict returns the verdict of a start that was sent again without knowing whether the first one is executed: a refusal doesn't tell, since the run may have ended already.
+func repeatedVerdict(vd workpb.Verdict) workpb.Verdict {
+	if vd == workpb.Verdict_ACCEPTED || vd == workpb.Verdict_FENCED {
+		return vd
+	}
+	return workpb.Verdict_IN_DOUBT
+}
+
+// stopWaits reports whether a stop of an order's run is waiting.
+func (oq *orderQueue) stopWaits(od *workpb.Order) bool {
+	return slices.ContainsFunc(oq.waiting, func(other *workpb.Order) bool {
+		return other.GetVerb() == workpb.Verb_STOP && sameRun(od, other)
+	})
+}
+
 // next removes the first waiting order, nil if there is none, and reports whether it is to be sent.
 func (oq *orderQueue) next() (od *workpb.Order, send bool) {
 	oq.mu.Lock()
--- a/internal/jobrunner/orderqueue_test.go
+++ b/internal/jobrunner/orderqueue_test.go
@@ -24,6 +24,12 @@
 	return si.workers[id].Running()
 }
 
+func (si *simulation) setAllUnresponsive(unresponsive bool) {
+	for id := range si.workers {
+		si.setUnresponsive(id, unresponsive)
+	}
+}
+
 // slowDownOrders delays the answers to orders of all VMs but one.
 func (si *simulation) slowDownOrders(except string) {
 	si.mu.Lock()
@@ -90,3 +96,73 @@
 		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
 	})
 }
+
+// A start without an answer may be executed seconds later. It must be repeated under its run number, which VMs execute once, instead of the task waiting for the doubt to be resolved.
+func TestUnansweredStartIsRepeated(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.start("one")
+		si.wait(3000)
+		si.loseFirstStart()
+		jb := &workpb.Job{Id: "00000000000000aa", Queue: "q", AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{
+			{Count: 1, CpuMilli: 2000, MemoryMb: 100, EstimateMs: 800},
+		}}
+		qt.Assert(t, si.in.Submit(context.Background(), jb), qt.IsNil)
+		si.wait(unansweredMS + 800 + 200)
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+		si.wait(executedLateMS)
+	})
+}
+
+// A start whose answer is lost is executed, and its run may end before the start is repeated. The refusal of the repeated start must not be taken for a start that never happened.
+func TestRepeatedStartOfAnEndedRunIsNotTakenForUnexecuted(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.start("one")
+		si.wait(500)
+		si.start("two")
+		si.wait(2500)
+		for _, wk := range si.workers {
+			wk.Behave = func(string, int64) (int64, workpb.End) { return unansweredMS / 2, workpb.End_END_DONE }
+		}
+		si.intercept = func(od *workpb.Order) bool {
+			first := od.GetVerb() == workpb.Verb_START && od.GetRun() == 1 && si.starts[od.GetTask()] == 0
+			if first {
+				si.workers[od.GetVm()].Order(od)
+			}
+			return first
+		}
+		si.submit("00000000000000aa", 6)
+		si.setAllUnresponsive(true)
+		si.wait(unansweredMS + 100)
+		si.setAllUnresponsive(false)
+		si.wait(6000)
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+		for task, count := range si.starts {
+			qt.Check(t, count, qt.Equals, 1, qt.Commentf(task))
+		}
+	})
+}
+
+const (
+	// unansweredMS is when the caller gives up waiting for an order's answer.
+	unansweredMS = 300
+	// executedLateMS is when an unanswered order is executed.
+	executedLateMS = 4000
+)
+
+// loseFirstStart makes the next start go without an answer and be executed late.
+func (si *simulation) loseFirstStart() {
+	lost := false
+	si.intercept = func(od *workpb.Order) bool {
+		if lost || od.GetVerb() != workpb.Verb_START {
+			return false
+		}
+		lost = true
+		go func() {
+			si.wait(executedLateMS)
+			si.mu.Lock()
+			defer si.mu.Unlock()
+			si.workers[od.GetVm()].Order(od)
+		}()
+		return true
+	}
+}
