--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -186,6 +186,11 @@
 	}
 }
 
+// withinLease returns a context that ends with the ownership lease. A machine may not check fencing tokens, so an order must not reach it after a successor's.
+func (rn *Runner) withinLease(ctx context.Context) (context.Context, context.CancelFunc) {
+	return rn.ck.WithTimeout(ctx, rn.ow.RemainingMS())
+}
+
 func (rn *Runner) step(ctx context.Context) {
 	rn.applyRules()
 	rn.pollVMs(ctx)
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -52,6 +52,9 @@
 	starts map[string]int
 	// intercept reports whether it took an order away, which then gets no answer.
 	intercept func(od *workpb.Order) bool
+	// movesHang is set while move orders get no answer; lastMoveEndMS is when the last one was given up.
+	movesHang     bool
+	lastMoveEndMS int64
 }
 
 // entry is one scheduling process with its own connection to the store.
@@ -261,7 +264,14 @@
 func (si *simulation) maintain(context.Context, string, int64, int64) error { return nil }
 
 // move fails the test if a machine with runs is moved, and rejects fencing tokens that fall.
-func (si *simulation) move(_ context.Context, machine, pool string, token int64) error {
+func (si *simulation) move(ctx context.Context, machine, pool string, token int64) error {
+	if si.movesHang {
+		<-ctx.Done()
+		si.mu.Lock()
+		defer si.mu.Unlock()
+		si.lastMoveEndMS = si.ck.Now()
+		return code.TableInDoubt.Wrap(ctx.Err())
+	}
 	si.mu.Lock()
 	defer si.mu.Unlock()
 	if token < si.tokens[machine] {
@@ -402,6 +412,33 @@
 	})
 }
 
+// An order to a machine that gets no answer must be given up before a successor can be the owner, since a machine may not check fencing tokens.
+func TestMoveOrdersEndWithTheLease(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.movesHang = true
+		si.start("one")
+		si.submit("00000000000000aa", 2)
+		for range 400 {
+			si.wait(100)
+			if si.lastMoveEnd() > 0 {
+				break
+			}
+		}
+		qt.Check(t, si.lastMoveEnd() > 0, qt.IsTrue, qt.Commentf("no move order was given up"))
+		si.entries["one"].setCut(true)
+		cutMS := si.ck.Now()
+		si.wait(5000)
+		lateMS := si.lastMoveEnd() - cutMS
+		qt.Check(t, lateMS <= ownership.LeaseMS, qt.IsTrue, qt.Commentf("given up %d ms after the cut", lateMS))
+	})
+}
+
+func (si *simulation) lastMoveEnd() int64 {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return si.lastMoveEndMS
+}
+
 // owner returns the entry named in the ownership row.
 func (si *simulation) owner() string {
 	list, _, err := si.st.Rowstore().ReadAll(context.Background(), "ownership", ownership.Partition)
--- a/internal/jobrunner/poolresizer.go
+++ b/internal/jobrunner/poolresizer.go
@@ -173,7 +173,9 @@
 	mo.sending = true
 	mo.orderedMS = rn.ck.Now()
 	go func() {
-		err := rn.deps.Move(ctx, id, mo.pool, rn.ow.Token())
+		limited, cancel := rn.withinLease(ctx)
+		defer cancel()
+		err := rn.deps.Move(limited, id, mo.pool, rn.ow.Token())
 		rn.post(ctx, func() {
 			mo.sending = false
 			pr.handleAnswer(id, mo, err)
--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -171,7 +171,9 @@
 	if !rn.ow.Held() {
 		return
 	}
-	err := rn.deps.Maintain(ctx, id, dr.spec.GetNumber(), rn.ow.Token())
+	limited, cancel := rn.withinLease(ctx)
+	defer cancel()
+	err := rn.deps.Maintain(limited, id, dr.spec.GetNumber(), rn.ow.Token())
 	rn.post(ctx, func() {
 		rn.lg.Info("maintenance-ordered", "wave", dr.spec.GetNumber(), "machine", id, "code", int(code.Of(err)))
 		switch code.Of(err) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -14,7 +14,7 @@
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
-// Ownership is one entry's view of the ownership row; only Held, SinceRenewalMS and Token are safe to call concurrently with other methods.
+// Ownership is one entry's view of the ownership row; only Held, RemainingMS, SinceRenewalMS and Token are safe to call concurrently with other methods.
 type Ownership struct {
 	st          *rowstore.Store
 	ck          *clock.Clock
@@ -346,7 +346,15 @@
 func (ow *Ownership) Token() int64 { return ow.token.Load() }
 
 // Held reports whether the lease covers a start ordered now.
-func (ow *Ownership) Held() bool { return ow.held.Load() && ow.ck.Now()-ow.renewedMS.Load() < LeaseMS }
+func (ow *Ownership) Held() bool { return ow.RemainingMS() > 0 }
+
+// RemainingMS returns for how long the lease still covers orders, 0 if it doesn't.
+func (ow *Ownership) RemainingMS() int64 {
+	if !ow.held.Load() {
+		return 0
+	}
+	return max(ow.renewedMS.Load()+LeaseMS-ow.ck.Now(), 0)
+}
 
 // SinceRenewalMS returns the time since the start of the last applied commit.
 func (ow *Ownership) SinceRenewalMS() int64 { return ow.ck.Now() - ow.renewedMS.Load() }
