--- a/internal/jobrunner/follow.go
+++ b/internal/jobrunner/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/intake"
@@ -23,38 +24,10 @@
 	registryPartition = ""
 )
 
-// restore loads jobs, progress, wave states and registrations from the store and starts to follow the changes of jobs and registrations.
-func (rn *Runner) restore(ctx context.Context) error {
-	jobs, since, err := rn.readJobs(ctx)
-	if err != nil {
-		return err
-	}
-	stored, _, err := rn.deps.Store.ReadAll(ctx, intake.ProgressTable, ownership.Partition)
-	if err != nil {
-		return err
-	}
-	progress := map[string]*workpb.Progress{}
-	for _, rw := range stored {
-		pg := &workpb.Progress{}
-		if err := proto.Unmarshal(rw.Value(), pg); err != nil {
-			rn.lg.Fail("progress-unreadable", err, "job", rw.Key())
-			continue
-		}
-		progress[rw.Key()] = pg
-	}
-	if err := rn.waves.restore(ctx); err != nil {
-		return err
-	}
-	rn.applyJobs(jobs, progress)
-	rn.cleaner.addOrphans(keySet(jobs), progress)
-	registered, registrySince, err := rn.deps.Store.ReadAll(ctx, rn.deps.RegistryTable, registryPartition)
-	if err != nil {
-		return err
-	}
-	rn.applyRegistry(registered, true)
-	go rn.followTable(ctx, intake.JobsTable, since, jobsIntervalMS, rn.readJobs, func(list []rowstore.Row, _ bool) { rn.applyJobs(list, nil) })
-	go rn.followTable(ctx, rn.deps.RegistryTable, registrySince, registryIntervalMS, rn.readRegistry, rn.applyRegistry)
-	return nil
+// startFollowing follows the changes of jobs and registrations after the versions that were restored.
+func (rn *Runner) startFollowing(ctx context.Context, sn *snapshot) {
+	go rn.followTable(ctx, intake.JobsTable, sn.jobsVersion, jobsIntervalMS, rn.readJobs, func(list []rowstore.Row, _ bool) { rn.applyJobs(list, nil) })
+	go rn.followTable(ctx, rn.deps.RegistryTable, sn.registryVersion, registryIntervalMS, rn.readRegistry, rn.applyRegistry)
 }
 
 func (rn *Runner) readRegistry(ctx context.Context) ([]rowstore.Row, int64, error) {
@@ -71,27 +44,19 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	var (
-		wg     sync.WaitGroup
-		mu     sync.Mutex
-		all    []rowstore.Row
-		anyErr error
-	)
+	var mu sync.Mutex
+	var all []rowstore.Row
+	gr, ctx := errgroup.WithContext(ctx)
 	for _, partition := range partitions {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
+		gr.Go(func() error {
 			list, _, err := rn.deps.Store.ReadAll(ctx, intake.JobsTable, partition)
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, list...)
-			if err != nil {
-				anyErr = err
-			}
-		}()
+			return err
+		})
 	}
-	wg.Wait()
-	return all, pg.Version(), anyErr
+	return all, pg.Version(), gr.Wait()
 }
 
 // followTable posts the changes of a table to the runner, or all of its rows after a gap in the change history.
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -79,6 +79,8 @@
 	finishTimeoutMS = 1500
 	// minTermMS is the minimum time that an owner keeps the ownership before it yields.
 	minTermMS = 3000
+	// stableTermMS is the term of an owner from which the load seems to be one that an entry can carry.
+	stableTermMS = 30_000
 	// commitRetryMS is the pause before a failed commit is retried.
 	commitRetryMS = 50
 )
@@ -110,7 +112,7 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	rn.applyRules()
-	if err := rn.restore(ctx); err != nil {
+	if err := rn.restore(ctx, stop); err != nil {
 		return err
 	}
 	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.ck.Now()-rn.startMS)
@@ -141,10 +143,17 @@
 	}
 }
 
-// overloaded reports whether this entry falls behind. A new owner gets minTermMS to catch up, so that a load too high for every entry does not pass the ownership around.
+// overloaded reports whether this entry falls behind and another one may do better. An owner whose predecessor held the ownership briefly keeps it for longer, so that a load too high for every entry does not pass the ownership around.
 func (rn *Runner) overloaded() bool {
 	nowMS := rn.ck.Now()
-	return rn.lag.Sustained(nowMS) && nowMS-rn.startMS >= minTermMS
+	if !rn.lag.Sustained(nowMS) {
+		return false
+	}
+	termMS := int64(minTermMS)
+	if rn.ow.PredecessorMS() < stableTermMS {
+		termMS = stableTermMS
+	}
+	return nowMS-rn.startMS >= termMS
 }
 
 // finish waits for the commit in flight, since the ownership cannot be released before its outcome is known.
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -111,6 +111,8 @@
 			en.cancel()
 			<-en.ended
 		}
+		// Calls to VMs that are still delayed must end before the test does.
+		si.wait(2000)
 	})
 }
 
@@ -477,3 +479,31 @@
 		})
 	}
 }
+
+// A load that is too high for every entry must not pass the ownership around: each change of owner interrupts all work.
+func TestOverloadOfAllEntriesKeepsTheOwner(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.start("one")
+		si.wait(500)
+		si.start("two")
+		si.start("three")
+		si.wait(16_000)
+		for _, en := range si.entries {
+			en.setSlow(500)
+		}
+		changes := 0
+		last := si.owner()
+		for at := range 100 {
+			si.submit(fmt.Sprintf("%014d%02d", 0, at), 2)
+			si.wait(200)
+			if current := si.owner(); current != last {
+				changes++
+				last = current
+			}
+		}
+		qt.Check(t, changes <= 2, qt.IsTrue, qt.Commentf("%d changes of owner in 20 s", changes))
+		for _, en := range si.entries {
+			en.setSlow(0)
+		}
+	})
+}
--- /dev/null
+++ b/internal/jobrunner/restore.go
@@ -0,0 +1,140 @@
+package jobrunner
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarloft/fulmarloft/internal/intake"
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+// snapshot holds the rows that an owner starts from and the versions after which it follows their changes.
+type snapshot struct {
+	jobs            []rowstore.Row
+	jobsVersion     int64
+	progress        []rowstore.Row
+	waves           []rowstore.Row
+	registry        []rowstore.Row
+	registryVersion int64
+}
+
+const (
+	// maxRestoreMS bounds a restore. An owner that can't finish it leaves the ownership to others.
+	maxRestoreMS = 60_000
+	// maxReadTries is how many times each read of a restore is made.
+	maxReadTries = 3
+)
+
+// restore loads the stored rows and starts to follow their changes. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
+func (rn *Runner) restore(ctx context.Context, stop <-chan struct{}) error {
+	limited, cancel := rn.ck.WithTimeout(ctx, maxRestoreMS)
+	defer cancel()
+	type result struct {
+		sn  *snapshot
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		sn, err := rn.readSnapshot(limited)
+		done <- result{sn, err}
+	}()
+	for {
+		renewal := make(chan struct{})
+		stopTimer := rn.ck.AfterFunc(renewIntervalMS, func() { close(renewal) })
+		select {
+		case rs := <-done:
+			stopTimer()
+			if rs.err != nil {
+				return rs.err
+			}
+			return rn.apply(ctx, rs.sn)
+		case <-stop:
+			stopTimer()
+			return code.TableUnavailable.New("stopped while restoring")
+		case <-renewal:
+			if err := rn.renew(limited); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// renew renews the ownership lease without other changes, until the outcome is certain.
+func (rn *Runner) renew(ctx context.Context) error {
+	for {
+		err := rn.ow.Commit(ctx, func(*rowstore.Tx) {})
+		if err == nil || code.Of(err) == code.LeaseLapsed {
+			return err
+		}
+		rn.lg.Fail("renewal-failed", err, "silent-ms", rn.ow.SinceRenewalMS())
+		if err := rn.ck.Sleep(ctx, commitRetryMS); err != nil {
+			return err
+		}
+	}
+}
+
+// readSnapshot reads all tables at once. Progress and waves are written by the owner alone, so they don't change meanwhile.
+func (rn *Runner) readSnapshot(ctx context.Context) (*snapshot, error) {
+	sn := &snapshot{}
+	gr, ctx := errgroup.WithContext(ctx)
+	read := func(fn func(context.Context) error) {
+		gr.Go(func() error { return rn.tryRead(ctx, fn) })
+	}
+	read(func(ctx context.Context) (err error) {
+		sn.jobs, sn.jobsVersion, err = rn.readJobs(ctx)
+		return err
+	})
+	read(func(ctx context.Context) (err error) {
+		sn.progress, _, err = rn.deps.Store.ReadAll(ctx, intake.ProgressTable, ownership.Partition)
+		return err
+	})
+	read(func(ctx context.Context) (err error) {
+		sn.waves, _, err = rn.deps.Store.ReadAll(ctx, wavesTable, ownership.Partition)
+		return err
+	})
+	read(func(ctx context.Context) (err error) {
+		sn.registry, sn.registryVersion, err = rn.readRegistry(ctx)
+		return err
+	})
+	return sn, gr.Wait()
+}
+
+// tryRead repeats a read that fails.
+func (rn *Runner) tryRead(ctx context.Context, read func(context.Context) error) error {
+	for try := 1; ; try++ {
+		err := read(ctx)
+		if err == nil || try == maxReadTries || ctx.Err() != nil {
+			return err
+		}
+		rn.lg.Fail("restore-read-failed", err, "try", try)
+		if err := rn.ck.Sleep(ctx, commitRetryMS); err != nil {
+			return err
+		}
+	}
+}
+
+// apply builds the owner's state from a snapshot and starts to follow the changes since.
+func (rn *Runner) apply(ctx context.Context, sn *snapshot) error {
+	progress := map[string]*workpb.Progress{}
+	for _, rw := range sn.progress {
+		pg := &workpb.Progress{}
+		if err := proto.Unmarshal(rw.Value(), pg); err != nil {
+			rn.lg.Fail("progress-unreadable", err, "job", rw.Key())
+			continue
+		}
+		progress[rw.Key()] = pg
+	}
+	if err := rn.waves.restore(sn.waves); err != nil {
+		return err
+	}
+	rn.applyJobs(sn.jobs, progress)
+	rn.cleaner.addOrphans(keySet(sn.jobs), progress)
+	rn.applyRegistry(sn.registry, true)
+	rn.startFollowing(ctx, sn)
+	return nil
+}
--- /dev/null
+++ b/internal/jobrunner/restore_test.go
@@ -0,0 +1,79 @@
+package jobrunner_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/intake"
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// startFive starts five entries and lets one of them become the owner.
+func (si *simulation) startFive() {
+	for at := range 5 {
+		si.start(fmt.Sprintf("entry-%d", at))
+	}
+	si.wait(1000)
+}
+
+// slowDownScans sets the duration of the reads of all jobs and of their progress.
+func (si *simulation) slowDownScans(ms int64) {
+	for _, table := range []string{intake.JobsTable, intake.ProgressTable} {
+		si.st.SetScanLatency(table, ms)
+	}
+}
+
+// An owner whose reads take longer than its lease must stay the owner while it restores, instead of each candidate beginning the same reads in turn.
+func TestRestoreLongerThanTheLeaseEnds(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.startFive()
+		for at := range 10 {
+			si.submit(fmt.Sprintf("%015d%d", 0, at), 4)
+		}
+		si.wait(200)
+		si.slowDownScans(10 * ownership.LeaseMS)
+		si.kill(si.owner())
+		si.wait(40 * ownership.LeaseMS)
+		for at := range 10 {
+			qt.Check(t, si.state(fmt.Sprintf("%015d%d", 0, at)), qt.Equals, workpb.State_COMPLETED)
+		}
+	})
+}
+
+// An owner that dies while it restores must be replaced like any other.
+func TestOwnerLostWhileRestoringIsReplaced(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.startFive()
+		si.submit("00000000000000aa", 4)
+		si.wait(200)
+		si.slowDownScans(3 * ownership.LeaseMS)
+		for range 3 {
+			si.kill(si.owner())
+			si.wait(3 * ownership.LeaseMS)
+		}
+		si.slowDownScans(0)
+		si.wait(12_000)
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+	})
+}
+
+// Jobs that are accepted or cancelled while the owner restores must not be missed.
+func TestChangesDuringARestoreAreTakenUp(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.startFive()
+		si.slowDownScans(2 * ownership.LeaseMS)
+		si.kill(si.owner())
+		si.wait(1800)
+		for at := range 10 {
+			si.submit(fmt.Sprintf("%015d%d", at%3, at), 1)
+			si.wait(300)
+		}
+		si.wait(20 * ownership.LeaseMS)
+		for at := range 10 {
+			qt.Check(t, si.state(fmt.Sprintf("%015d%d", at%3, at)), qt.Equals, workpb.State_COMPLETED)
+		}
+	})
+}
--- a/internal/jobrunner/scheduler.go
+++ b/internal/jobrunner/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/event"
 	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
 // Scheduler acquires the ownership of scheduling whenever it is free and runs a Runner while it holds it.
@@ -31,6 +32,8 @@
 	releaseTimeoutMS = 1500
 	// yieldBackoffMS is how long an entry that yielded the ownership does not compete for it: longer than a takeover by another entry takes.
 	yieldBackoffMS = 6000
+	// failedBackoffMS is how long an entry whose scheduling failed leaves the ownership to others.
+	failedBackoffMS = 1500
 )
 
 // NewScheduler returns the scheduler of an entry; maxLeaseMS is the longest lease that VMs grant, retentionMS how long the rows of ended jobs are kept, 0 for no limit.
@@ -77,8 +80,13 @@
 	err := rn.Run(ctx)
 	if err != nil {
 		sc.lg.Fail("scheduling-ended", err, "token", sc.ow.Token())
+	}
+	if code.Of(err) == code.LeaseLapsed {
 		return
 	}
+	if err != nil {
+		sc.backoffUntilMS = sc.ck.Now() + failedBackoffMS
+	}
 	if rn.yielded {
 		sc.lg.Info("ownership-yielded", "token", sc.ow.Token(), "held-ms", sc.ck.Now()-rn.startMS)
 		sc.backoffUntilMS = sc.ck.Now() + yieldBackoffMS
--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -6,7 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/maintenance"
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -56,12 +56,8 @@
 	return &waves{rn: rn, drivers: map[int64]*waveDriver{}, restored: map[int64]*workpb.Upkeep{}}
 }
 
-// restore reads the wave states that an earlier owner stored.
-func (wv *waves) restore(ctx context.Context) error {
-	list, _, err := wv.rn.deps.Store.ReadAll(ctx, wavesTable, ownership.Partition)
-	if err != nil {
-		return err
-	}
+// restore takes up the wave states that an earlier owner stored.
+func (wv *waves) restore(list []rowstore.Row) error {
 	for _, rw := range list {
 		row := &workpb.Upkeep{}
 		if err := proto.Unmarshal(rw.Value(), row); err != nil {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -29,6 +29,9 @@
 	freeSinceMS int64
 	deferForMS  int64
 	lastReadMS  int64
+	// tokenSinceMS is when this entry first saw the current token; predecessorMS is for how long it had seen the token of the owner before it.
+	tokenSinceMS  int64
+	predecessorMS int64
 	// rowChanged is set when the last poll found a new version of the row.
 	rowChanged bool
 	// closeWatcher is set for an entry that polls the row at short intervals, as decided at rankedMS.
@@ -80,6 +83,8 @@
 	relaxedPollIntervalMS = 800
 	// rankIntervalMS is how often an entry recomputes its rank.
 	rankIntervalMS = 10_000
+	// unknownTermMS is the assumed term of an owner that this entry found at its start.
+	unknownTermMS = 3_600_000
 	// maxReadGapMS is the maximum time between two reads for the row to count as watched in between.
 	maxReadGapMS = 1000
 )
@@ -180,6 +185,12 @@
 	if ow.rowChanged || startMS-ow.lastReadMS > maxReadGapMS {
 		ow.unchangedSinceMS = nowMS
 	}
+	switch {
+	case ow.row == nil:
+		ow.tokenSinceMS = nowMS - unknownTermMS
+	case row.GetToken() != ow.row.GetToken():
+		ow.tokenSinceMS = nowMS
+	}
 	ow.row, ow.version, ow.lastReadMS = row, rw.Version(), nowMS
 	if !ow.isFree(startMS, takeoverWaitMS+readTimeFactor*(nowMS-startMS)) {
 		ow.freeSinceMS = 0
@@ -223,6 +234,8 @@
 		return false, err
 	}
 	ow.row, ow.version = next, version
+	ow.predecessorMS = startMS - ow.tokenSinceMS
+	ow.tokenSinceMS = startMS
 	ow.renewedMS.Store(startMS)
 	ow.token.Store(next.GetToken())
 	ow.held.Store(true)
@@ -356,5 +369,8 @@
 	return max(ow.renewedMS.Load()+LeaseMS-ow.ck.Now(), 0)
 }
 
+// PredecessorMS returns for how long this entry saw its predecessor as the owner.
+func (ow *Ownership) PredecessorMS() int64 { return ow.predecessorMS }
+
 // SinceRenewalMS returns the time since the start of the last applied commit.
 func (ow *Ownership) SinceRenewalMS() int64 { return ow.ck.Now() - ow.renewedMS.Load() }
--- a/internal/rowstoretest/rowstoretest.go
+++ b/internal/rowstoretest/rowstoretest.go
@@ -42,13 +42,15 @@
 	unresponsive bool
 	// latencyMS is how long a commit takes; it is applied even if its caller gives up in the meantime.
 	latencyMS int64
+	// scanLatencyMS holds how long a read of an open-ended range of a table takes.
+	scanLatencyMS map[string]int64
 }
 
 type rowAddress struct{ table, partition, key string }
 
 // New returns an empty store.
 func New(ck *clock.Clock) *Store {
-	return &Store{ck: ck, rows: map[rowAddress]rowstore.Row{}, changed: make(chan struct{}), outcome: func(*rowstore.Tx) Outcome { return Served }}
+	return &Store{ck: ck, rows: map[rowAddress]rowstore.Row{}, changed: make(chan struct{}), scanLatencyMS: map[string]int64{}, outcome: func(*rowstore.Tx) Outcome { return Served }}
 }
 
 // Rowstore returns the store's interface.
@@ -96,6 +98,24 @@
 	st.latencyMS = ms
 }
 
+// SetScanLatency sets the duration of each read of an open-ended range of a table in milliseconds.
+func (st *Store) SetScanLatency(table string, ms int64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.scanLatencyMS[table] = ms
+}
+
+// simulateScanLatency waits for the duration of a read, or until its caller gives up.
+func (st *Store) simulateScanLatency(ctx context.Context, table, to string) error {
+	st.mu.Lock()
+	latencyMS := st.scanLatencyMS[table]
+	st.mu.Unlock()
+	if to != "" || latencyMS == 0 {
+		return nil
+	}
+	return st.ck.Sleep(ctx, latencyMS)
+}
+
 // simulateLatency waits for the duration of a commit, or until its caller gives up.
 func (st *Store) simulateLatency(ctx context.Context) {
 	st.mu.Lock()
@@ -134,6 +154,9 @@
 	if st.blockIfUnresponsive(ctx) {
 		return rowstore.Page{}, code.TableUnavailable.Wrap(ctx.Err())
 	}
+	if err := st.simulateScanLatency(ctx, table, to); err != nil {
+		return rowstore.Page{}, code.TableUnavailable.Wrap(err)
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.down {
