Limit the starts under way by the VMs' answers; poll idle VMs less often

The test of VMs on moving machines plays 20 s instead of 4 s, since a VM without work is polled each 6 s; what it asks is unchanged.

--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -1,6 +1,7 @@
 package jobcontrol
 
 import (
+	"math"
 	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
@@ -39,6 +40,11 @@
 	outbox    []*workpb.Order
 	advice    []*workpb.AdviceRequest
 	arrivals  []arrival
+	// startLimit is how many starts may be under way, startsUnderWay how many are.
+	startLimit     int
+	startsUnderWay int
+	// idlePolls is the number of polls under way of VMs without runs.
+	idlePolls int
 }
 
 const (
@@ -59,6 +65,7 @@
 		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unplaceable: map[string]*unplaceable{},
+		startLimit: math.MaxInt,
 	}
 }
 
@@ -73,6 +80,12 @@
 	}
 }
 
+// LimitStarts sets how many starts may be under way at once: planned or ordered, but not answered yet.
+func (ct *Controller) LimitStarts(limit int) { ct.startLimit = limit }
+
+// mayStartMore reports whether another start may be planned.
+func (ct *Controller) mayStartMore() bool { return ct.startsUnderWay < ct.startLimit }
+
 // Restore adds a stored job with its stored progress, which is nil if none was stored.
 func (ct *Controller) Restore(row *workpb.Job, pg *workpb.Progress) {
 	if pg.GetState() == workpb.State_COMPLETED {
@@ -222,7 +235,21 @@
 	return rn
 }
 
+// setPhase changes the phase of a run and keeps count of the starts under way.
+func (ct *Controller) setPhase(rn *run, ph phase) {
+	if rn.phase.startUnderWay() {
+		ct.startsUnderWay--
+	}
+	rn.phase = ph
+	if rn.phase.startUnderWay() {
+		ct.startsUnderWay++
+	}
+}
+
 func (ct *Controller) addRun(rn *run) {
+	if rn.phase.startUnderWay() {
+		ct.startsUnderWay++
+	}
 	rn.vm.runs[rn.key] = rn
 	rn.vm.used = rn.vm.used.Plus(rn.need)
 	ct.used[rn.team] = ct.used[rn.team].Plus(rn.capUse)
@@ -233,6 +260,9 @@
 	if _, ok := rn.vm.runs[rn.key]; !ok {
 		return nil
 	}
+	if rn.phase.startUnderWay() {
+		ct.startsUnderWay--
+	}
 	delete(rn.vm.runs, rn.key)
 	rn.vm.used = rn.vm.used.Minus(rn.need)
 	ct.used[rn.team] = ct.used[rn.team].Minus(rn.capUse)
@@ -256,7 +286,7 @@
 	if rn.phase == phasePlanned {
 		return
 	}
-	rn.phase = phaseStopping
+	ct.setPhase(rn, phaseStopping)
 	ct.sendStop(rn)
 }
 
--- a/internal/jobcontrol/duplicates.go
+++ b/internal/jobcontrol/duplicates.go
@@ -49,6 +49,6 @@
 		}
 		ct.detach(rn)
 		rn.isDuplicate = true
-		rn.phase = phaseStopping
+		ct.setPhase(rn, phaseStopping)
 	}
 }
--- a/internal/jobcontrol/end.go
+++ b/internal/jobcontrol/end.go
@@ -150,13 +150,13 @@
 	if vd == workpb.Verdict_IN_DOUBT {
 		ct.lg.Info("start-in-doubt", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run)
 		if rn.phase == phaseOrdered {
-			rn.phase = phaseInDoubt
+			ct.setPhase(rn, phaseInDoubt)
 		}
 		return
 	}
 	if vd == workpb.Verdict_ACCEPTED {
 		if rn.phase == phaseOrdered {
-			rn.phase = phaseRunning
+			ct.setPhase(rn, phaseRunning)
 			rn.startedMS = ct.ck.Now()
 			rn.progressMS = rn.startedMS
 			ct.markJobRunning(rn)
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -430,10 +431,12 @@
 	fl := newFleet(t, vmOf("a"), vmOf("b"))
 	polls := func() int {
 		count := 0
-		for range 200 {
+		for range 1000 {
 			fl.ck.Advance(stepMS)
-			if lr := fl.ct.NextPoll("a"); lr != nil {
-				count++
+			for _, lr := range fl.ct.DuePolls() {
+				if lr.GetVm() == "a" {
+					count++
+				}
 				fl.poll(lr)
 			}
 		}
@@ -445,3 +448,19 @@
 	fl.ct.KeepVM("a")
 	qt.Check(t, polls() > 1, qt.IsTrue)
 }
+
+// A new owner of a large fleet must renew the leases of running work at once, however many VMs without work it has yet to poll.
+func TestPollsOfVMsWithRunsDoNotWaitForIdleOnes(t *testing.T) {
+	vms := []*workpb.VM{vmOf("busy")}
+	fl := newFleet(t, vms...)
+	fl.submit(&workpb.Job{Id: "00000000000000aa", Steps: []*workpb.Step{{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 60_000}}})
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	fl.run(500)
+	fl.newOwner()
+	for at := range 1000 {
+		fl.ct.SetVM(vmOf(fmt.Sprintf("idle-%03d", at)))
+	}
+	due := fl.ct.DuePolls()
+	qt.Check(t, len(due) < 100, qt.IsTrue, qt.Commentf("%d polls at once", len(due)))
+	qt.Check(t, slices.ContainsFunc(due, func(lr *workpb.LookRequest) bool { return lr.GetVm() == "busy" }), qt.IsTrue)
+}
--- a/internal/jobcontrol/fleet_test.go
+++ b/internal/jobcontrol/fleet_test.go
@@ -141,12 +141,10 @@
 }
 
 func (fl *fleet) step() {
-	ids := fl.ct.VMs()
-	sort.Strings(ids)
-	for _, id := range ids {
-		if lr := fl.ct.NextPoll(id); lr != nil {
-			fl.poll(lr)
-		}
+	due := fl.ct.DuePolls()
+	sort.Slice(due, func(i, j int) bool { return due[i].GetVm() < due[j].GetVm() })
+	for _, lr := range due {
+		fl.poll(lr)
 	}
 	bt := fl.ct.Plan(true)
 	for _, row := range bt.Rows() {
--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -67,7 +67,7 @@
 		}
 		unanswered := rn.phase == phaseOrdered || rn.phase == phaseInDoubt
 		if unanswered && rn.token == ct.token && nowMS-rn.startedMS < inDoubtMS && vm.registered {
-			rn.phase = phaseStopping
+			ct.setPhase(rn, phaseStopping)
 			rn.stoppedMS = 0
 			continue
 		}
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -56,7 +56,7 @@
 		}
 		sortCandidates(list)
 		for _, cd := range list {
-			if len(ct.dirtyJobs) >= MaxRows {
+			if len(ct.dirtyJobs) >= MaxRows || !ct.mayStartMore() {
 				return
 			}
 			ct.placeStep(bt, cd, pool, nowMS)
@@ -171,6 +171,9 @@
 		if !tk.waiting(nowMS) {
 			continue
 		}
+		if !ct.mayStartMore() {
+			return
+		}
 		if !ct.withinCap(cd.st.oc.jb.row.GetTeam(), cd.st.capUse()) {
 			return
 		}
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -74,7 +74,7 @@
 		}
 		ticketText = text
 	}
-	rn.phase = phaseOrdered
+	ct.setPhase(rn, phaseOrdered)
 	rn.startedMS = nowMS
 	rn.vm.nextPollMS = min(rn.vm.nextPollMS, nowMS+busyPollIntervalMS)
 	od := ct.newOrder(workpb.Verb_START, rn)
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -11,7 +11,9 @@
 	// longPollWaitMS is how long a VM may hold a poll open until a run ends.
 	longPollWaitMS = 600
 	// idlePollIntervalMS is the interval between polls of a VM without runs.
-	idlePollIntervalMS = 1500
+	idlePollIntervalMS = 6000
+	// maxIdlePolls is the maximum number of polls under way of VMs without runs.
+	maxIdlePolls = 32
 	// unresponsivePollIntervalMS is the interval before the next poll of a VM that didn't answer.
 	unresponsivePollIntervalMS = 300
 	// maxFailedPolls is the number of consecutive unanswered polls after which a VM counts as unresponsive; a single answer may just be lost.
@@ -31,18 +33,33 @@
 	return ids
 }
 
-// NextPoll returns the poll of a VM that is due, or nil; the request also renews the run leases there.
-func (ct *Controller) NextPoll(id string) *workpb.LookRequest {
-	vm, ok := ct.vms[id]
+// DuePolls returns the polls that are due; each also renews the run leases on its VM. Polls of VMs without runs are limited in number, so that those that renew leases don't wait behind them when an owner begins.
+func (ct *Controller) DuePolls() []*workpb.LookRequest {
+	var out []*workpb.LookRequest
 	nowMS := ct.ck.Now()
-	if !ok || vm.polling || vm.reg.GetAddress() == "" || nowMS < vm.nextPollMS {
-		return nil
-	}
-	if (!vm.registered || vm.departing()) && len(vm.runs) == 0 {
-		return nil
+	for _, vm := range ct.vms {
+		if vm.polling || vm.reg.GetAddress() == "" || nowMS < vm.nextPollMS {
+			continue
+		}
+		if (!vm.registered || vm.departing()) && len(vm.runs) == 0 {
+			continue
+		}
+		if len(vm.runs) == 0 {
+			if ct.idlePolls >= maxIdlePolls {
+				continue
+			}
+			ct.idlePolls++
+			vm.idlePoll = true
+		}
+		out = append(out, ct.newPoll(vm))
 	}
+	return out
+}
+
+// newPoll returns a poll of a VM and marks it as sent.
+func (ct *Controller) newPoll(vm *vmState) *workpb.LookRequest {
 	vm.polling = true
-	req := &workpb.LookRequest{Vm: id, Address: vm.reg.GetAddress(), Token: ct.token, Acknowledged: vm.stored}
+	req := &workpb.LookRequest{Vm: vm.id, Address: vm.reg.GetAddress(), Token: ct.token, Acknowledged: vm.stored}
 	if vm.synced && !vm.unresponsive {
 		// An unresponsive VM gets no new lease, so that the controller can wait for the last one to expire.
 		req.LeaseUntilMs = ct.extendLease(vm)
@@ -53,6 +70,15 @@
 	return req
 }
 
+// pollEnded records that no poll of a VM is under way any more.
+func (ct *Controller) pollEnded(vm *vmState) {
+	vm.polling = false
+	if vm.idlePoll {
+		vm.idlePoll = false
+		ct.idlePolls--
+	}
+}
+
 // departing reports whether the VM is about to end because its machine moves, and all of its ends are stored.
 func (vm *vmState) departing() bool { return vm.leaving && vm.processed == vm.stored }
 
@@ -72,7 +98,7 @@
 	if !ok {
 		return
 	}
-	vm.polling = false
+	ct.pollEnded(vm)
 	nowMS := ct.ck.Now()
 	if vd != workpb.Verdict_ACCEPTED {
 		ct.handlePollFailure(vm, vd)
@@ -145,7 +171,7 @@
 			rn = ct.adoptUnknown(vm, key)
 		}
 		if rn.phase == phaseOrdered || rn.phase == phaseInDoubt {
-			rn.phase = phaseRunning
+			ct.setPhase(rn, phaseRunning)
 			rn.progressMS = nowMS
 			ct.markJobRunning(rn)
 		}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -32,7 +32,9 @@
 	// firstSeenMS is when the VM became known.
 	firstSeenMS int64
 	polling     bool
-	nextPollMS  int64
+	// idlePoll is set while a poll is under way that began without runs on the VM.
+	idlePoll   bool
+	nextPollMS int64
 	// failedPolls counts consecutive polls without an answer; the VM is unresponsive after maxFailedPolls.
 	failedPolls  int
 	unresponsive bool
@@ -66,6 +68,9 @@
 	phaseStopping
 )
 
+// startUnderWay reports whether a run's start is planned or ordered and not answered yet.
+func (ph phase) startUnderWay() bool { return ph == phasePlanned || ph == phaseOrdered }
+
 const fullPercent = 100
 
 // run is one execution of a task that runs, or may run, on a VM and takes resources there.
--- a/internal/jobcontrol/zone.go
+++ b/internal/jobcontrol/zone.go
@@ -6,6 +6,8 @@
 	// failures counts the unanswered polls since the last answer.
 	failures int
 	failedMS int64
+	// probedMS is when the zone's idle VMs were last polled early to find out whether the zone can be reached.
+	probedMS int64
 }
 
 const (
@@ -34,6 +36,20 @@
 	zn := ct.ensureZone(name)
 	zn.failures++
 	zn.failedMS = ct.ck.Now()
+	if zn.failedMS-zn.probedMS >= zoneUnansweredMS {
+		zn.probedMS = zn.failedMS
+		ct.pollZone(name)
+	}
+}
+
+// pollZone makes the polls of a zone's idle VMs due, which are far apart otherwise.
+func (ct *Controller) pollZone(name string) {
+	nowMS := ct.ck.Now()
+	for _, vm := range ct.vms {
+		if vm.reg.GetZone() == name && len(vm.runs) == 0 && !vm.unresponsive {
+			vm.nextPollMS = min(vm.nextPollMS, nowMS)
+		}
+	}
 }
 
 // CutOff reports whether an availability zone seems to be cut off from this entry process, so that nothing should be started or moved there.
--- a/internal/jobrunner/follow.go
+++ b/internal/jobrunner/follow.go
@@ -20,6 +20,8 @@
 	// jobsIntervalMS and registryIntervalMS are the minimum times between feed calls, which are billed: a job may be picked up slightly late, and VMs update their registrations constantly.
 	jobsIntervalMS     = 30
 	registryIntervalMS = 100
+	// maxPartitionReads bounds the concurrent reads of partitions, whose responses delay all other calls on a slow link.
+	maxPartitionReads = 3
 	// registryPartition is the partition that holds the registrations.
 	registryPartition = ""
 )
@@ -47,6 +49,7 @@
 	var mu sync.Mutex
 	var all []rowstore.Row
 	gr, ctx := errgroup.WithContext(ctx)
+	gr.SetLimit(maxPartitionReads)
 	for _, partition := range partitions {
 		gr.Go(func() error {
 			list, _, err := rn.deps.Store.ReadAll(ctx, intake.JobsTable, partition)
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/startwindow"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -61,6 +62,8 @@
 	pools         *poolResizer
 	cleaner       *rowCleaner
 	lag           *lag.Lag
+	starts        *startwindow.Window
+	nextScanMS    int64
 	// yielded is set when this entry gives up the ownership because it is overloaded.
 	yielded bool
 }
@@ -71,6 +74,8 @@
 	planIntervalMS = 15
 	// tickIntervalMS is how often due polls and timeouts are checked without an event.
 	tickIntervalMS = 30
+	// pollScanIntervalMS is the minimum time between two searches for polls that are due, which visit each VM.
+	pollScanIntervalMS = 10
 	// renewIntervalMS is the maximum time between commits; each commit renews the ownership lease.
 	renewIntervalMS = 300
 	// countsIntervalMS is how often the counts of waiting jobs are stored.
@@ -98,7 +103,7 @@
 		deps: deps, ck: ck, lg: lg, ow: ow,
 		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
 		events: make(chan func(), eventBuffer), orderQueues: map[string]*orderQueue{},
-		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(),
+		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), starts: startwindow.New(),
 	}
 	rn.waves = newWaves(rn)
 	rn.pools = newPoolResizer(rn)
@@ -237,13 +242,13 @@
 
 // pollVMs starts the polls that are due. An owner that cannot renew its own lease stops renewing run leases after jobcontrol.RenewalWindowMS, so that a successor knows when all of them have expired.
 func (rn *Runner) pollVMs(ctx context.Context) {
-	if rn.ow.SinceRenewalMS() > jobcontrol.RenewalWindowMS {
+	nowMS := rn.ck.Now()
+	if nowMS < rn.nextScanMS || rn.ow.SinceRenewalMS() > jobcontrol.RenewalWindowMS {
 		return
 	}
-	for _, id := range rn.ct.VMs() {
-		if req := rn.ct.NextPoll(id); req != nil {
-			go rn.pollVM(ctx, req)
-		}
+	rn.nextScanMS = nowMS + pollScanIntervalMS
+	for _, req := range rn.ct.DuePolls() {
+		go rn.pollVM(ctx, req)
 	}
 }
 
@@ -281,6 +286,7 @@
 	}
 	rn.planDue = false
 	rn.lastPlanMS = nowMS
+	rn.ct.LimitStarts(rn.starts.Limit())
 	bt := rn.ct.Plan(rn.ow.Held())
 	counts := rn.pendingCounts(nowMS)
 	waveRows := rn.waves.changedRows()
--- a/internal/jobrunner/orderqueue.go
+++ b/internal/jobrunner/orderqueue.go
@@ -106,6 +106,7 @@
 		oq.countUnanswered(vd)
 		oq.rn.post(ctx, func() {
 			oq.rn.recordCall(vd, tookMS)
+			oq.rn.recordOrder(vd, tookMS)
 			oq.rn.handleAnswer(od, vd)
 		})
 	}
@@ -170,6 +171,13 @@
 	}
 }
 
+// recordOrder adapts the number of starts under way to the latency of an order that was sent.
+func (rn *Runner) recordOrder(vd workpb.Verdict, tookMS int64) {
+	if vd != workpb.Verdict_NOT_SENT {
+		rn.starts.Record(rn.ck.Now(), tookMS)
+	}
+}
+
 // sendOrder sends an order; a start is not sent once the ownership lease has expired.
 func (rn *Runner) sendOrder(ctx context.Context, od *workpb.Order) workpb.Verdict {
 	if od.GetVerb() == workpb.Verb_START && !rn.ow.Held() {
--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -44,8 +44,9 @@
 )
 
 const (
-	// listIntervalMS is the pause between reads of the list of machines.
-	listIntervalMS = 700
+	// listIntervalMS is the pause between reads of the list of machines; it grows by one millisecond for every machinesPerListMS machines, since the list grows with them.
+	listIntervalMS    = 700
+	machinesPerListMS = 2
 	// drainIntervalMS is how often VMs in maintenance waves are drained further.
 	drainIntervalMS = 100
 	// statusRetryMS is the pause after publishing a wave status failed.
@@ -116,7 +117,7 @@
 	list, err := wv.rn.deps.Machines(ctx)
 	wv.rn.post(ctx, func() {
 		wv.reading = false
-		wv.nextReadMS = wv.rn.ck.Now() + listIntervalMS
+		wv.nextReadMS = wv.rn.ck.Now() + listIntervalMS + int64(len(list))/machinesPerListMS
 		if err != nil {
 			wv.rn.lg.Fail("machines-unread", err)
 			return
