Carry orders and polls through other entries where the owner's link doesn't suffice

Starts and polls must carry what they carry, and only the owner sends them.

Weighed against an owner per pool: queues peak in turn, each at four to five times its mean, so at any time one owner would still carry most of the load, and caps, moves and waves would cross owners. So one entry decides and others make its calls: a stream to four entries of each zone (internal/relay, internal/relayserver); starts go without payload, which the other entry reads from the store; a call that can't be passed on is made directly, a poll without an answer is repeated directly, an order without one is in doubt as before.

Also: a progress row names each VM once instead of in every task (commits were the largest part left: 75 KB/s). Old rows are read as before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -190,6 +190,19 @@
 	return workpb.State_QUEUED, nil
 }
 
+// Payload returns the payload of a stored job. An error with code.JobUnknown means that the job does not exist.
+func (in *Intake) Payload(ctx context.Context, id string) (string, error) {
+	rw, ok, err := in.st.Get(ctx, JobsTable, Partition(id), id)
+	if err != nil {
+		return "", err
+	}
+	stored, _ := storedJob([]rowstore.Row{rw})
+	if !ok || stored == nil || stored.GetRefused() {
+		return "", code.JobUnknown.New("job %q does not exist", id)
+	}
+	return stored.GetPayload(), nil
+}
+
 // Final reports whether a state is final.
 func Final(st workpb.State) bool {
 	return st == workpb.State_COMPLETED || st == workpb.State_FAILED || st == workpb.State_CANCELLED
--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -101,7 +101,7 @@
 	}
 	jb.state = pg.GetState()
 	for _, tr := range pg.GetTasks() {
-		ct.restoreTask(jb, tr)
+		ct.restoreTask(jb, pg, tr)
 	}
 	if jb.ended() {
 		ct.stopAll(jb)
@@ -110,7 +110,7 @@
 	}
 }
 
-func (ct *Controller) restoreTask(jb *job, tr *workpb.Task) {
+func (ct *Controller) restoreTask(jb *job, pg *workpb.Progress, tr *workpb.Task) {
 	tk := jb.task(taskNameOf(jb, tr))
 	if tk == nil {
 		ct.lg.Info("stored-task-unknown", "job", jb.row.GetId(), "step", tr.GetStep(), "index", tr.GetIndex())
@@ -125,13 +125,22 @@
 		tk.done = true
 		tk.st.done++
 	case workpb.Phase_INTENDED:
-		vm := ct.ensureVM(tr.GetVm())
-		vm.reg.Machine = tr.GetMachine()
+		host := hostOf(pg, tr)
+		vm := ct.ensureVM(host.GetVm())
+		vm.reg.Machine = host.GetMachine()
 		ct.allocate(vm, tk, phaseInDoubt).token = 0
 	case workpb.Phase_WAITING:
 	}
 }
 
+// hostOf returns the VM of a stored task; rows of earlier versions name it in the task itself.
+func hostOf(pg *workpb.Progress, tr *workpb.Task) *workpb.Host {
+	if at := int(tr.GetHost()); at >= 1 && at <= len(pg.GetHosts()) {
+		return pg.GetHosts()[at-1]
+	}
+	return &workpb.Host{Vm: tr.GetVm(), Machine: tr.GetMachine()}
+}
+
 // Submit adds an accepted job; a known job is left unchanged.
 func (ct *Controller) Submit(row *workpb.Job) {
 	if _, ok := ct.jobs[row.GetId()]; !ok && !ct.completed[row.GetId()] {
@@ -302,6 +311,7 @@
 func (ct *Controller) newOrder(verb workpb.Verb, rn *run) *workpb.Order {
 	return &workpb.Order{
 		Verb: verb, Vm: rn.vm.id, Address: rn.vm.reg.GetAddress(), Task: rn.key.task, Run: rn.key.run, Token: ct.token,
+		Zone: rn.vm.reg.GetZone(),
 	}
 }
 
--- a/internal/jobcontrol/job.go
+++ b/internal/jobcontrol/job.go
@@ -173,14 +173,30 @@
 	if jb.state == workpb.State_COMPLETED {
 		return pg
 	}
+	hosts := map[string]int32{}
 	jb.eachTask(func(tk *task) {
-		if row := tk.progressRow(); row != nil {
-			pg.Tasks = append(pg.Tasks, row)
+		row := tk.progressRow()
+		if row == nil {
+			return
+		}
+		if row.GetPhase() == workpb.Phase_INTENDED {
+			row.Host = addHost(pg, hosts, tk.current.vm.reg)
 		}
+		pg.Tasks = append(pg.Tasks, row)
 	})
 	return pg
 }
 
+// addHost returns the position of a VM in the progress row's hosts, counted from 1, and adds the VM if it isn't there yet. Most tasks of a job share a few VMs.
+func addHost(pg *workpb.Progress, hosts map[string]int32, reg *workpb.VM) int32 {
+	if at, ok := hosts[reg.GetId()]; ok {
+		return at
+	}
+	pg.Hosts = append(pg.Hosts, &workpb.Host{Vm: reg.GetId(), Machine: reg.GetMachine()})
+	hosts[reg.GetId()] = int32(len(pg.GetHosts()))
+	return hosts[reg.GetId()]
+}
+
 // ready reports whether all tasks of the steps that this step depends on are done.
 func (st *step) ready() bool {
 	for _, before := range st.row.GetAfter() {
@@ -247,8 +263,6 @@
 		row.Phase = workpb.Phase_DONE
 	case tk.current != nil:
 		row.Phase = workpb.Phase_INTENDED
-		row.Vm = tk.current.vm.id
-		row.Machine = tk.current.vm.reg.GetMachine()
 		row.Checkpoint = tk.checkpoint
 	default:
 		row.Checkpoint = tk.checkpoint
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -59,7 +59,7 @@
 // newPoll returns a poll of a VM and marks it as sent.
 func (ct *Controller) newPoll(vm *vmState) *workpb.LookRequest {
 	vm.polling = true
-	req := &workpb.LookRequest{Vm: vm.id, Address: vm.reg.GetAddress(), Token: ct.token, Acknowledged: vm.stored}
+	req := &workpb.LookRequest{Vm: vm.id, Address: vm.reg.GetAddress(), Token: ct.token, Acknowledged: vm.stored, Zone: vm.reg.GetZone()}
 	if vm.synced && !vm.unresponsive {
 		// An unresponsive VM gets no new lease, so that the controller can wait for the last one to expire.
 		req.LeaseUntilMs = ct.extendLease(vm)
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/jobcontrol"
 	"github.com/fulmarloft/fulmarloft/internal/lag"
 	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/relay"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
 	"github.com/fulmarloft/fulmarloft/internal/startwindow"
@@ -22,6 +23,8 @@
 	// Order sends an order to a VM; Poll renews the run leases on a VM and returns its running and ended runs.
 	Order func(ctx context.Context, od *workpb.Order) workpb.Verdict
 	Poll  func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict)
+	// Relays carries orders and polls through other entries where this entry's link doesn't suffice.
+	Relays *relay.Relay
 	// DecodeVM decodes a row of the table RegistryTable.
 	RegistryTable string
 	DecodeVM      func(id string, raw []byte) (*workpb.VM, error)
@@ -64,6 +67,7 @@
 	lag           *lag.Lag
 	starts        *startwindow.Window
 	nextScanMS    int64
+	nextRelaysMS  int64
 	// yielded is set when this entry gives up the ownership because it is overloaded.
 	yielded bool
 }
@@ -121,6 +125,7 @@
 		return err
 	}
 	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.ck.Now()-rn.startMS)
+	defer rn.deps.Relays.Update(nil)
 	tick := time.NewTicker(tickIntervalMS * time.Millisecond)
 	defer tick.Stop()
 	for !rn.ownershipLost {
@@ -211,6 +216,7 @@
 	rn.waves.step(ctx)
 	rn.pools.step(ctx)
 	rn.cleaner.step(ctx)
+	rn.updateRelays(ctx)
 	rn.plan(ctx)
 	rn.enqueue(ctx, rn.ct.Outbox())
 	for _, rq := range rn.ct.AdviceRequests() {
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -16,6 +16,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/intake"
 	"github.com/fulmarloft/fulmarloft/internal/jobrunner"
 	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/relay"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
 	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
@@ -164,6 +165,7 @@
 		WaveStatus: func(context.Context, int64, bool) error { return nil },
 		Rules:      rules(), Waves: func() []*workpb.Wave { return nil },
 	}
+	deps.Relays = relay.New(si.ck, event.Discard(), 0)
 	sc := jobrunner.NewScheduler(deps, si.ck, event.Discard(), ow, 0, si.retentionMS)
 	go func() {
 		sc.Run(ctx)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -20,6 +20,9 @@
 	ck          *clock.Clock
 	entry       string
 	incarnation string
+	// relayAddress and zone tell others where this entry makes calls to VMs for the owner.
+	relayAddress string
+	zone         string
 
 	row              *workpb.Ownership
 	version          int64
@@ -94,9 +97,47 @@
 	return &Ownership{st: st, ck: ck, entry: entry, incarnation: incarnation, strength: strength, hedgeDelayMS: minHedgeDelayMS}
 }
 
+// WithRelay sets the address and the availability zone at which this entry makes calls to VMs for the owner.
+func (ow *Ownership) WithRelay(address, zone string) *Ownership {
+	ow.relayAddress, ow.zone = address, zone
+	return ow
+}
+
+// Relays returns the availability zones of the other entries that make calls to VMs for the owner, by their addresses.
+func (ow *Ownership) Relays(ctx context.Context) (map[string]string, error) {
+	list, err := ow.readCandidates(ctx)
+	if err != nil {
+		return nil, err
+	}
+	zoneOf := map[string]string{}
+	for name, cd := range list {
+		if name != ow.entry && cd.GetAddress() != "" {
+			zoneOf[cd.GetAddress()] = cd.GetZone()
+		}
+	}
+	return zoneOf, nil
+}
+
+// readCandidates returns the registered entries by name.
+func (ow *Ownership) readCandidates(ctx context.Context) (map[string]*workpb.Candidate, error) {
+	list, _, err := ow.st.ReadAll(ctx, candidatesTable, candidatesPartition)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]*workpb.Candidate, len(list))
+	for _, rw := range list {
+		cd := &workpb.Candidate{}
+		if err := proto.Unmarshal(rw.Value(), cd); err != nil {
+			return nil, code.Internal.New("cannot decode row %s: %w", rw.Key(), err)
+		}
+		out[rw.Key()] = cd
+	}
+	return out, nil
+}
+
 // Register stores the strength of this entry as a candidate, so that weaker entries defer to it.
 func (ow *Ownership) Register(ctx context.Context) error {
-	raw, err := proto.Marshal(&workpb.Candidate{Strength: ow.strength})
+	raw, err := proto.Marshal(&workpb.Candidate{Strength: ow.strength, Address: ow.relayAddress, Zone: ow.zone})
 	if err != nil {
 		return code.Internal.Wrap(err)
 	}
@@ -113,22 +154,18 @@
 
 // readRank reads the candidates and returns this entry's rank among them; entries of equal strength are ordered by a hash of their names, which spreads the first ones over the availability zones.
 func (ow *Ownership) readRank(ctx context.Context) (rank, error) {
-	list, _, err := ow.st.ReadAll(ctx, candidatesTable, candidatesPartition)
+	list, err := ow.readCandidates(ctx)
 	if err != nil {
 		return rank{}, err
 	}
 	var rk rank
 	stronger := map[int64]bool{}
-	for _, rw := range list {
-		cd := &workpb.Candidate{}
-		if err := proto.Unmarshal(rw.Value(), cd); err != nil {
-			return rank{}, code.Internal.New("cannot decode row %s: %w", rw.Key(), err)
-		}
+	for name, cd := range list {
 		switch {
 		case cd.GetStrength() > ow.strength:
 			stronger[cd.GetStrength()] = true
 			rk.ahead++
-		case cd.GetStrength() == ow.strength && nameHash(rw.Key()) < nameHash(ow.entry):
+		case cd.GetStrength() == ow.strength && nameHash(name) < nameHash(ow.entry):
 			rk.ahead++
 		}
 	}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/relaypb"
+	"github.com/fulmarloft/fulmarloft/internal/taskname"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+// Relay passes calls to VMs on to entries in the VM's availability zone; it is safe for concurrent use.
+type Relay struct {
+	ck *clock.Clock
+	lg *event.Log
+	// linkBytesPerS is the rate of this entry's own link.
+	linkBytesPerS int64
+	// Dial opens a stream to the entry at an address.
+	Dial func(ctx context.Context, address string) (relaypb.DRPCRelay_CarryClient, error)
+	// Order and Poll call a VM directly.
+	Order func(ctx context.Context, od *workpb.Order) workpb.Verdict
+	Poll  func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict)
+
+	mu    sync.Mutex
+	links map[string]*link
+	// zones holds the links of each availability zone, in the order of preference.
+	zones map[string][]*link
+}
+
+const (
+	// minBytesPerVM is the rate that the link must offer for each VM for this entry to make all calls itself: orders, polls and their answers take a few kilobytes a second on a busy VM.
+	minBytesPerVM = 16_000
+	// linksPerZone is the number of entries of a zone that carry calls.
+	linksPerZone = 4
+	// orderTimeoutMS and pollMarginMS exceed the timeouts of the calls that the other entry makes, by the time to pass them on.
+	orderTimeoutMS = 450
+	pollMarginMS   = 500
+)
+
+// New returns a relay that makes all calls directly until Update names other entries; linkBytesPerS is the rate of this entry's link, 0 if it is unknown.
+func New(ck *clock.Clock, lg *event.Log, linkBytesPerS int64) *Relay {
+	return &Relay{ck: ck, lg: lg, linkBytesPerS: linkBytesPerS, links: map[string]*link{}, zones: map[string][]*link{}}
+}
+
+// Needed reports whether a fleet of so many VMs needs more than this entry's own link.
+func (re *Relay) Needed(vms int) bool {
+	return re.linkBytesPerS > 0 && int64(vms)*minBytesPerVM > re.linkBytesPerS
+}
+
+// Update sets the entries that may carry calls, with their availability zones by address; links to other entries are closed.
+func (re *Relay) Update(zoneOf map[string]string) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	byZone := map[string][]string{}
+	for address, zone := range zoneOf {
+		byZone[zone] = append(byZone[zone], address)
+	}
+	chosen := map[string]*link{}
+	re.zones = map[string][]*link{}
+	for zone, addresses := range byZone {
+		sort.Strings(addresses)
+		for _, address := range addresses[:min(len(addresses), linksPerZone)] {
+			lk, ok := re.links[address]
+			if !ok {
+				lk = newLink(re, address)
+			}
+			chosen[address] = lk
+			re.zones[zone] = append(re.zones[zone], lk)
+		}
+	}
+	for address, lk := range re.links {
+		if chosen[address] == nil {
+			lk.close()
+		}
+	}
+	re.links = chosen
+}
+
+// linkTo returns the link that carries the calls to a VM, or nil if they must be made directly. A VM's calls take the same link as long as it is up, so that few connections to VMs are needed.
+func (re *Relay) linkTo(vm, zone string) *link {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	var best *link
+	var bestHash uint64
+	for _, lk := range re.zones[zone] {
+		if !lk.ready() {
+			continue
+		}
+		if hash := pairHash(vm, lk.address); best == nil || hash > bestHash {
+			best, bestHash = lk, hash
+		}
+	}
+	return best
+}
+
+// SendOrder sends an order to a VM. Orders that start a run are passed on without their payload, which the other entry reads from the store.
+func (re *Relay) SendOrder(ctx context.Context, od *workpb.Order) workpb.Verdict {
+	lk := re.linkTo(od.GetVm(), od.GetZone())
+	if lk == nil {
+		return re.Order(ctx, od)
+	}
+	ca := &relaypb.Call{Order: od}
+	if nm, err := taskname.Parse(od.GetTask()); err == nil && od.GetVerb() == workpb.Verb_START {
+		short := proto.Clone(od).(*workpb.Order)
+		short.Payload = ""
+		ca = &relaypb.Call{Order: short, Job: nm.Job()}
+	}
+	limited, cancel := re.ck.WithTimeout(ctx, orderTimeoutMS)
+	defer cancel()
+	rs, outcome := lk.call(limited, ca)
+	switch outcome {
+	case answered:
+		return rs.GetVerdict()
+	case notSent:
+		return re.Order(ctx, od)
+	default:
+		return workpb.Verdict_IN_DOUBT
+	}
+}
+
+// SendPoll polls a VM. A poll without an answer is repeated directly, since the fault may be the other entry's.
+func (re *Relay) SendPoll(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
+	lk := re.linkTo(lr.GetVm(), lr.GetZone())
+	if lk == nil {
+		return re.Poll(ctx, lr)
+	}
+	limited, cancel := re.ck.WithTimeout(ctx, lr.GetWaitMs()+pollMarginMS)
+	defer cancel()
+	rs, outcome := lk.call(limited, &relaypb.Call{Poll: lr})
+	if outcome == answered {
+		return rs.GetLook(), rs.GetVerdict()
+	}
+	if ctx.Err() != nil {
+		return nil, workpb.Verdict_IN_DOUBT
+	}
+	repeated := proto.Clone(lr).(*workpb.LookRequest)
+	repeated.WaitMs = 0
+	return re.Poll(ctx, repeated)
+}
