--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -127,11 +127,6 @@
 	ag.onGone = gone
 }
 
-// AddHeartbeatPart adds the payload of another service to each heartbeat and its reply: encode returns the bytes to send, receive handles those of another incarnation; call it before Run.
-func (ag *Agent) AddHeartbeatPart(name string, encode func() []byte, receive func(incarnation string, value []byte)) {
-	ag.parts = append(ag.parts, heartbeatPart{name: name, encode: encode, receive: receive})
-}
-
 // Bundle returns the bundle in use, or nil before the first one is adopted.
 func (ag *Agent) Bundle() *bundle.Bundle { return ag.cf.Bundle() }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 
@@ -77,8 +78,15 @@
 	en.admin.HandleFunc("/metrics", en.metrics)
 	en.srv.caller = newServer(en.callers)
 	en.srv.admin = newServer(en.admin)
-	go func() { _ = en.srv.caller.Serve(en.srv.callerLs) }()
-	go func() { _ = en.srv.admin.Serve(en.mutualTLSListener(en.srv.adminLs)) }()
+	go en.serveHTTP("callers", en.srv.caller, en.srv.callerLs)
+	go en.serveHTTP("admin", en.srv.admin, en.mutualTLSListener(en.srv.adminLs))
+}
+
+// serveHTTP serves until the server is closed; any other end is a fault that an operator must see.
+func (en *Entry) serveHTTP(name string, sv *http.Server, ls net.Listener) {
+	if err := sv.Serve(ls); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		en.lg.Fail("listener-failed", err, "listener", name)
+	}
 }
 
 func newServer(hd http.Handler) *http.Server {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -127,9 +127,6 @@
 	fl.onMembers = fn
 }
 
-// SetFailing sets the function that reports whether this process observes a VM to fail.
-func (fl *Fleet) SetFailing(fn func(vm string) bool) { fl.failing = fn }
-
 // SetBusy sets the function that reports whether work is still placed on a VM.
 func (fl *Fleet) SetBusy(fn func(ctx context.Context, vm string) (bool, error)) { fl.busy = fn }
 
--- a/internal/idempotencykey/claims.go
+++ b/internal/idempotencykey/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -68,18 +69,27 @@
 
 // DeleteExpired deletes claims of this process whose retention period is over; call it about every second.
 func (cm *Claims) DeleteExpired(ctx context.Context) error {
-	for _, key := range cm.takeDue() {
-		row, err := cm.tc.Get(ctx, key)
-		if err != nil {
-			return err
+	due := cm.takeDue()
+	for at, pd := range due {
+		row, err := cm.tc.Get(ctx, pd.key)
+		if err == nil {
+			err = cm.remove(ctx, pd.key, row.GetVersion())
 		}
-		if err := cm.remove(ctx, key, row.GetVersion()); err != nil {
+		if err != nil {
+			cm.requeue(due[at:])
 			return err
 		}
 	}
 	return nil
 }
 
+// requeue makes claims due again that could not be deleted.
+func (cm *Claims) requeue(list []pendingDelete) {
+	cm.mu.Lock()
+	defer cm.mu.Unlock()
+	cm.pendingDeletes = append(slices.Clone(list), cm.pendingDeletes...)
+}
+
 // DeleteOrphaned deletes the claims of permanently ended processes once the retention period has passed since a call first found them; gone reports whether a process has ended. The map seen holds when each of these claims was first found; the caller keeps it between calls.
 func (cm *Claims) DeleteOrphaned(ctx context.Context, gone func(incarnation string) bool, seen map[string]int64) error {
 	rep, err := cm.tc.Read(ctx, &platformpb.ReadRequest{Prefixes: []string{keyPrefix}})
@@ -147,17 +157,17 @@
 	cm.pendingDeletes = append(cm.pendingDeletes, pendingDelete{key: key, dueMS: cm.ck.Now() + cm.retentionMS()})
 }
 
-// takeDue removes and returns the keys of claims that are due to be deleted.
-func (cm *Claims) takeDue() []string {
+// takeDue removes and returns the claims that are due to be deleted.
+func (cm *Claims) takeDue() []pendingDelete {
 	cm.mu.Lock()
 	defer cm.mu.Unlock()
 	now := cm.ck.Now()
-	var keys []string
-	for len(keys) < maxDeletesPerCall && len(cm.pendingDeletes) > 0 && cm.pendingDeletes[0].dueMS <= now {
-		keys = append(keys, cm.pendingDeletes[0].key)
+	var due []pendingDelete
+	for len(due) < maxDeletesPerCall && len(cm.pendingDeletes) > 0 && cm.pendingDeletes[0].dueMS <= now {
+		due = append(due, cm.pendingDeletes[0])
 		cm.pendingDeletes = cm.pendingDeletes[1:]
 	}
-	return keys
+	return due
 }
 
 func (cm *Claims) commit(ctx context.Context, key string, version uint64, claim *claimpb.Claim) (*platformpb.CommitReply, error) {
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -464,3 +464,19 @@
 	qt.Check(t, len(due) < 100, qt.IsTrue, qt.Commentf("%d polls at once", len(due)))
 	qt.Check(t, slices.ContainsFunc(due, func(lr *workpb.LookRequest) bool { return lr.GetVm() == "busy" }), qt.IsTrue)
 }
+
+// A start may wait long for its answer, so the age of its run counts from when a poll first lists it. Otherwise a run that has just begun would be taken for a slow one and restarted elsewhere.
+func TestRunConfirmedByAPollIsNotTakenForSlow(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	fl.setBehavior(2500, workpb.End_END_DONE)
+	fl.holdStarts = true
+	fl.submit(&workpb.Job{Id: "00000000000000aa", Steps: []*workpb.Step{{Count: 1, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 300}}})
+	fl.run(1500)
+	qt.Assert(t, len(fl.held), qt.Equals, 1)
+	fl.holdStarts = false
+	fl.workers[fl.held[0].GetVm()].Order(fl.held[0])
+	fl.run(900)
+	for task, count := range fl.starts {
+		qt.Check(t, count, qt.Equals, 1, qt.Commentf(task))
+	}
+}
--- a/internal/jobcontrol/fleet_test.go
+++ b/internal/jobcontrol/fleet_test.go
@@ -30,6 +30,9 @@
 	// unresponsive VMs answer nothing; loseAnswer selects orders that are executed but whose answer is lost.
 	unresponsive map[string]bool
 	loseAnswer   func(od *workpb.Order) bool
+	// held collects the starts that are neither executed nor answered while holdStarts is set.
+	holdStarts bool
+	held       []*workpb.Order
 	// beforeOrder is called before an order is executed.
 	beforeOrder func(od *workpb.Order)
 	stored      map[string]*workpb.Progress
@@ -175,6 +178,10 @@
 			continue
 		}
 		fl.beforeOrder(od)
+		if fl.holdStarts && od.GetVerb() == workpb.Verb_START {
+			fl.held = append(fl.held, od)
+			continue
+		}
 		vd := wk.Order(od)
 		if fl.loseAnswer(od) {
 			vd = workpb.Verdict_IN_DOUBT
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -172,7 +172,7 @@
 		}
 		if rn.phase == phaseOrdered || rn.phase == phaseInDoubt {
 			ct.setPhase(rn, phaseRunning)
-			rn.progressMS = nowMS
+			rn.startedMS, rn.progressMS = nowMS, nowMS
 			ct.markJobRunning(rn)
 		}
 		if row.GetPercent() != rn.percent {
--- a/internal/peakforecast/peakforecast.go
+++ b/internal/peakforecast/peakforecast.go
@@ -9,7 +9,8 @@
 	candidateSinceMS int64
 	// candidateJobs counts the jobs that arrived for the candidate since candidateSinceMS.
 	candidateJobs int
-	onsets        []onset
+	// onsets holds the last minOnsets starts of peaks.
+	onsets []onset
 }
 
 // series holds the arrival statistics of one service; mean and smooth are moving averages over a long and a short window.
@@ -97,6 +98,7 @@
 	}
 	fc.current, fc.candidate = top, ""
 	fc.onsets = append(fc.onsets, onset{service: top, atMS: fc.candidateSinceMS})
+	fc.onsets = fc.onsets[max(len(fc.onsets)-minOnsets, 0):]
 	se := fc.services[top]
 	se.onsetMS, se.hasOnset = fc.candidateSinceMS, true
 	se.previousPeak, se.peak = se.peak, 0
--- a/internal/rowstore/tx.go
+++ b/internal/rowstore/tx.go
@@ -8,9 +8,6 @@
 	removes   []Row
 }
 
-// MaxChanges is the maximum number of conditions and changes in one transaction.
-const MaxChanges = 100
-
 // NewTx returns an empty transaction on a partition.
 func NewTx(partition string) *Tx { return &Tx{partition: partition} }
 
