Shorten the rows of ended jobs, so that a restore reads little more than the open ones

Change: 5 s after its end a job's row is replaced by a short one (state, queue, time and work for the forecast) and its progress row is deleted. Queries find the state there, repeated submissions find the row. A test plays this across a change of owner and with lost answers: at most 100 bytes a job stay (of more than 4,000), states stay readable, repeated submissions start nothing; it fails on the old code.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -184,10 +184,12 @@
 	if err != nil {
 		return 0, err
 	}
-	if stored, _ := storedJob([]rowstore.Row{rw}); !ok || stored == nil || stored.GetRefused() {
+	stored, _ := storedJob([]rowstore.Row{rw})
+	if !ok || stored == nil || stored.GetRefused() {
 		return 0, code.JobUnknown.New("job %q does not exist", id)
 	}
-	return workpb.State_QUEUED, nil
+	in.cacheFinalState(id, stored.GetEnded())
+	return stored.GetEnded(), nil
 }
 
 // Payload returns the payload of a stored job. An error with code.JobUnknown means that the job does not exist.
--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -31,6 +31,8 @@
 	active      map[string]*job
 	// completed holds the ids of completed jobs, whose rows may be seen again.
 	completed map[string]bool
+	// shortRows holds the short rows of completed jobs whose rows are still whole.
+	shortRows map[string]*workpb.Job
 	// endedIDs holds the ids of ended jobs that Ended hasn't returned yet.
 	endedIDs  []string
 	vms       map[string]*vmState
@@ -63,7 +65,7 @@
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
 		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{},
-		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{},
+		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unplaceable: map[string]*unplaceable{},
 		startLimit: math.MaxInt,
 	}
@@ -88,10 +90,8 @@
 
 // Restore adds a stored job with its stored progress, which is nil if none was stored.
 func (ct *Controller) Restore(row *workpb.Job, pg *workpb.Progress) {
-	if pg.GetState() == workpb.State_COMPLETED {
-		ct.completed[row.GetId()] = true
-		ct.endedIDs = append(ct.endedIDs, row.GetId())
-		ct.recordArrival(newJob(row))
+	if pg.GetState() == workpb.State_COMPLETED || row.GetEnded() != workpb.State_QUEUED {
+		ct.restoreEnded(row)
 		return
 	}
 	jb := ct.addJob(row)
@@ -110,6 +110,18 @@
 	}
 }
 
+// restoreEnded adds a stored job that is completed or whose row is short.
+func (ct *Controller) restoreEnded(row *workpb.Job) {
+	jb := newJob(row)
+	jb.state = workpb.State_COMPLETED
+	ct.completed[row.GetId()] = true
+	ct.endedIDs = append(ct.endedIDs, row.GetId())
+	ct.recordArrival(jb)
+	if row.GetEnded() == workpb.State_QUEUED {
+		ct.shortRows[row.GetId()] = jb.shortRow()
+	}
+}
+
 func (ct *Controller) restoreTask(jb *job, pg *workpb.Progress, tr *workpb.Task) {
 	tk := jb.task(taskNameOf(jb, tr))
 	if tk == nil {
@@ -143,7 +155,7 @@
 
 // Submit adds an accepted job; a known job is left unchanged.
 func (ct *Controller) Submit(row *workpb.Job) {
-	if _, ok := ct.jobs[row.GetId()]; !ok && !ct.completed[row.GetId()] {
+	if _, ok := ct.jobs[row.GetId()]; !ok && !ct.completed[row.GetId()] && row.GetEnded() == workpb.State_QUEUED {
 		ct.recordArrival(ct.addJob(row))
 	}
 }
@@ -175,7 +187,27 @@
 	if st == workpb.State_COMPLETED {
 		delete(ct.jobs, jb.row.GetId())
 		ct.completed[jb.row.GetId()] = true
+		ct.shortRows[jb.row.GetId()] = jb.shortRow()
+	}
+}
+
+// ShortRow returns what is to remain of an ended job's row, nil if the row is short already. It returns false while the whole row is needed: a task may have a run, or progress is waiting to be stored.
+func (ct *Controller) ShortRow(id string) (*workpb.Job, bool) {
+	if ct.progressWaits(id) {
+		return nil, false
+	}
+	if jb, ok := ct.jobs[id]; ok {
+		return jb.shortRow(), jb.ended() && !jb.running()
 	}
+	return ct.shortRows[id], true
+}
+
+// RowShortened records that an ended job's row was replaced by its short one.
+func (ct *Controller) RowShortened(id string) { delete(ct.shortRows, id) }
+
+// progressWaits reports whether progress of a job is waiting to be stored.
+func (ct *Controller) progressWaits(id string) bool {
+	return slices.ContainsFunc(ct.dirtyJobs, func(jb *job) bool { return jb.row.GetId() == id })
 }
 
 // Ended returns the ids of the jobs that ended, or were restored as ended, since the last call.
@@ -187,7 +219,7 @@
 
 // Forget removes an ended job and reports whether its rows may be deleted: none of its tasks has a run, and none of its progress is waiting to be stored.
 func (ct *Controller) Forget(id string) bool {
-	if slices.ContainsFunc(ct.dirtyJobs, func(jb *job) bool { return jb.row.GetId() == id }) {
+	if ct.progressWaits(id) {
 		return false
 	}
 	if jb, ok := ct.jobs[id]; ok {
@@ -197,6 +229,7 @@
 		delete(ct.jobs, id)
 	}
 	delete(ct.completed, id)
+	delete(ct.shortRows, id)
 	return true
 }
 
--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -50,13 +50,7 @@
 	if qu == nil || jb.scheduled() {
 		return
 	}
-	work := int64(0)
-	for _, row := range jb.row.GetSteps() {
-		if !row.GetLasting() {
-			work += int64(row.GetCount()) * row.GetCpuMilli() * max(row.GetEstimateMs(), minStepEstimateMS) / milli
-		}
-	}
-	ct.arrivals = append(ct.arrivals, arrival{atMS: min(jb.row.GetAcceptedMs(), ct.ck.Now()), service: qu.GetService(), workCoreMS: work})
+	ct.arrivals = append(ct.arrivals, arrival{atMS: min(jb.row.GetAcceptedMs(), ct.ck.Now()), service: qu.GetService(), workCoreMS: jb.workCoreMS()})
 }
 
 const milli = 1000
--- a/internal/jobcontrol/job.go
+++ b/internal/jobcontrol/job.go
@@ -156,6 +156,28 @@
 	return found
 }
 
+// shortRow returns what is kept of the job's row once it has ended: enough to tell repeated submissions and queries of its state, and to forecast the demand.
+func (jb *job) shortRow() *workpb.Job {
+	return &workpb.Job{
+		Id: jb.row.GetId(), Queue: jb.row.GetQueue(), AcceptedMs: jb.row.GetAcceptedMs(), Occurrences: jb.row.GetOccurrences(),
+		Ended: jb.state, WorkCoreMs: jb.workCoreMS(),
+	}
+}
+
+// workCoreMS returns the estimated work of the job in milliseconds of a core, without long-running steps.
+func (jb *job) workCoreMS() int64 {
+	if jb.row.GetEnded() != workpb.State_QUEUED {
+		return jb.row.GetWorkCoreMs()
+	}
+	work := int64(0)
+	for _, row := range jb.row.GetSteps() {
+		if !row.GetLasting() {
+			work += int64(row.GetCount()) * row.GetCpuMilli() * max(row.GetEstimateMs(), minStepEstimateMS) / milli
+		}
+	}
+	return work
+}
+
 // eachTask calls fn for each task of the opened occurrences.
 func (jb *job) eachTask(fn func(*task)) {
 	for _, oc := range jb.occurrences {
--- a/internal/jobrunner/cleaner.go
+++ b/internal/jobrunner/cleaner.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/fulmarloft/fulmarloft/internal/intake"
 	"github.com/fulmarloft/fulmarloft/internal/retention"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
@@ -10,11 +12,15 @@
 )
 
 // rowCleaner deletes the rows of jobs whose retention period has ended: the job rows first and the progress afterwards, so that no successor mistakes an ended job for one that never ran.
+//
+// Some time after its end, a job's row is shortened and its progress deleted, so that a successor reads little more than the jobs that haven't ended.
 type rowCleaner struct {
-	rn        *Runner
-	rt        *retention.Retention
+	rn *Runner
+	rt *retention.Retention
+	// whole holds the ended jobs whose rows are still whole.
+	whole     *retention.Retention
 	nextRunMS int64
-	// removing is set while the rows of a partition are being deleted.
+	// removing is set while the rows of a partition are being deleted or shortened.
 	removing bool
 	// progressIDs lists the jobs whose own rows are deleted and whose progress is deleted with the next commit.
 	progressIDs []string
@@ -24,10 +30,12 @@
 	// cleanupIntervalMS is how often rows are deleted, cleanupBatch the maximum number of jobs at once; both limit the store calls that compete with those made for callers.
 	cleanupIntervalMS = 500
 	cleanupBatch      = 40
+	// shortenAfterMS is how long after its end a job's row is shortened; most callers have asked for its state by then.
+	shortenAfterMS = 5000
 )
 
 func newRowCleaner(rn *Runner, retentionMS int64) *rowCleaner {
-	return &rowCleaner{rn: rn, rt: retention.New(retentionMS)}
+	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), whole: retention.New(shortenAfterMS)}
 }
 
 // addRefused schedules the deletion of a refused job, whose row exists only to keep a late submission from taking effect.
@@ -49,6 +57,7 @@
 	nowMS := rn.ck.Now()
 	for _, id := range rn.ct.Ended() {
 		rc.rt.RecordEnded(intake.Partition(id), id, nowMS)
+		rc.whole.RecordEnded(intake.Partition(id), id, nowMS)
 	}
 	if rc.removing || nowMS < rc.nextRunMS || !rn.ow.Held() {
 		return
@@ -66,9 +75,52 @@
 	if len(ids) > 0 {
 		rc.removing = true
 		go rc.removeJobs(ctx, partition, ids)
+		return
+	}
+	rc.shortenRows(ctx, nowMS)
+}
+
+// shortenRows shortens the rows that are due in one partition.
+func (rc *rowCleaner) shortenRows(ctx context.Context, nowMS int64) {
+	partition, due := rc.whole.TakeDue(nowMS, cleanupBatch)
+	tx := rowstore.NewTx(partition)
+	var ids []string
+	for _, id := range due {
+		row, ready := rc.rn.ct.ShortRow(id)
+		if !ready {
+			rc.whole.RecordEnded(partition, id, nowMS)
+			continue
+		}
+		raw, err := proto.Marshal(row)
+		if row == nil || err != nil {
+			continue
+		}
+		tx.Put(intake.JobsTable, id, raw)
+		ids = append(ids, id)
+	}
+	if len(ids) > 0 {
+		rc.removing = true
+		go rc.commitShortRows(ctx, tx, ids)
 	}
 }
 
+// commitShortRows writes short rows; the progress of their jobs, which they replace, is deleted with the next commit.
+func (rc *rowCleaner) commitShortRows(ctx context.Context, tx *rowstore.Tx, ids []string) {
+	_, _, err := rc.rn.deps.Store.Commit(ctx, tx)
+	rc.rn.post(ctx, func() {
+		rc.removing = false
+		if err != nil {
+			rc.rn.lg.Fail("rows-unshortened", err, "part", tx.Partition(), "jobs", len(ids))
+			rc.whole.Requeue(tx.Partition(), ids, rc.rn.ck.Now())
+			return
+		}
+		for _, id := range ids {
+			rc.rn.ct.RowShortened(id)
+		}
+		rc.progressIDs = append(rc.progressIDs, ids...)
+	})
+}
+
 // removeJobs deletes the job and cancellation rows; rows that no longer exist are not an error.
 func (rc *rowCleaner) removeJobs(ctx context.Context, partition string, ids []string) {
 	tx := rowstore.NewTx(partition)
--- a/internal/jobrunner/cleaner_test.go
+++ b/internal/jobrunner/cleaner_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/intake"
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -85,3 +87,69 @@
 		qt.Assert(t, si.st.Keys(intake.JobsTable), qt.Equals, "00000000000000aa")
 	})
 }
+
+// storedBytes returns the size of the stored jobs and their progress.
+func (si *simulation) storedBytes() int {
+	sum := 0
+	partitions, err := si.st.Rowstore().Partitions(context.Background(), intake.JobsTable)
+	qt.Assert(si.t, err, qt.IsNil)
+	for _, table := range []string{intake.JobsTable, intake.ProgressTable} {
+		for _, partition := range append(partitions, ownership.Partition) {
+			list, _, err := si.st.Rowstore().ReadAll(context.Background(), table, partition)
+			qt.Assert(si.t, err, qt.IsNil)
+			for _, rw := range list {
+				sum += len(rw.Value())
+			}
+		}
+	}
+	return sum
+}
+
+// What a successor reads must not grow with the payloads and steps of jobs that have ended, while their states stay readable and repeated submissions start nothing, across a change of owner as well.
+func TestRowsOfEndedJobsAreShortened(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		disturb func(si *simulation)
+	}{
+		{"undisturbed", func(*simulation) {}},
+		{"owner lost before", func(si *simulation) { si.kill("one") }},
+		{"owner lost after", func(si *simulation) {
+			si.wait(10_000)
+			si.kill("one")
+		}},
+		{"answer to every third commit lost", dropEveryThirdAnswer},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			simulate(t, func(si *simulation) {
+				si.start("one")
+				si.wait(500)
+				si.start("two")
+				const jobs = 12
+				submit := func(at int) {
+					jb := &workpb.Job{Id: fmt.Sprintf("%x%015d", at, at), Queue: "q", Payload: strings.Repeat("x", 4000), AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{
+						{Count: 2, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 800},
+					}}
+					qt.Assert(t, si.in.Submit(context.Background(), jb), qt.IsNil)
+				}
+				for at := range jobs {
+					submit(at)
+				}
+				si.wait(3500)
+				tc.disturb(si)
+				si.wait(30_000)
+				qt.Check(t, si.storedBytes() < 100*jobs, qt.IsTrue, qt.Commentf("%d bytes stored", si.storedBytes()))
+				for at := range jobs {
+					submit(at)
+					in := intake.New(si.st.Rowstore())
+					st, err := in.State(context.Background(), fmt.Sprintf("%x%015d", at, at))
+					qt.Check(t, err, qt.IsNil)
+					qt.Check(t, st, qt.Equals, workpb.State_COMPLETED)
+				}
+				si.wait(5000)
+				for task, count := range si.starts {
+					qt.Check(t, count, qt.Equals, 1, qt.Commentf(task))
+				}
+			})
+		})
+	}
+}
