--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,6 +35,10 @@
 	// firstTimeoutMS is how long the first commit of a submission waits for its answer before the commit is repeated; secondTimeoutMS covers a store that is sixty times slower than normal.
 	firstTimeoutMS  = 400
 	secondTimeoutMS = 1100
+	// submitTimeoutMS bounds a submission including the resolution of its outcome; callers wait for three seconds or more.
+	submitTimeoutMS = 2400
+	// resolvePauseMS is the pause between two attempts to resolve an outcome.
+	resolvePauseMS = 100
 	// maxFinalStates limits the cache of final states, which is cleared when full.
 	maxFinalStates = 20000
 )
@@ -61,6 +65,8 @@
 	if err != nil {
 		return code.Internal.Wrap(err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeoutMS*time.Millisecond)
+	defer cancel()
 	version := int64(0)
 	inDoubt := false
 	for _, timeoutMS := range []int64{firstTimeoutMS, secondTimeoutMS} {
@@ -80,7 +86,7 @@
 		}
 	}
 	if inDoubt {
-		return in.resolveInDoubt(jb, version, err)
+		return in.resolveInDoubt(ctx, jb)
 	}
 	if code.Of(err) == code.Conflict {
 		return code.TableInDoubt.Wrap(err)
@@ -101,32 +107,56 @@
 	return rowstore.NewTx(Partition(jb.GetId())).Require(JobsTable, jb.GetId(), version).Put(JobsTable, jb.GetId(), raw)
 }
 
-// resolveInDoubt determines the outcome of a commit that got no answer. If the job is not stored, it writes the job as refused, so that the version check of a late commit fails.
-func (in *Intake) resolveInDoubt(jb *workpb.Job, version int64, cause error) error {
-	ctx := context.Background()
-	rw, ok, err := in.st.Get(ctx, JobsTable, Partition(jb.GetId()), jb.GetId())
+// resolveInDoubt determines the outcome of a commit that got no answer. It keeps trying until the time for the submission is over, since callers can't safely repeat a submission whose outcome they don't know.
+func (in *Intake) resolveInDoubt(ctx context.Context, jb *workpb.Job) error {
+	refused, err := proto.Marshal(&workpb.Job{Id: jb.GetId(), Refused: true})
 	if err != nil {
 		return code.TableInDoubt.Wrap(err)
 	}
-	if ok {
-		if stored, storedVersion := storedJob([]rowstore.Row{rw}); stored != nil && !stored.GetRefused() {
-			return nil
-		} else if storedVersion != version {
-			return code.TableInDoubt.Wrap(cause)
+	for {
+		err := in.resolveOnce(ctx, jb, refused)
+		if code.Of(err) != code.TableInDoubt || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-time.After(resolvePauseMS * time.Millisecond):
+		case <-ctx.Done():
+			return err
 		}
 	}
-	raw, err := proto.Marshal(&workpb.Job{Id: jb.GetId(), Refused: true})
+}
+
+// resolveOnce reads the job back. If it isn't stored, it writes the job as refused, so that the version check of a late commit fails.
+func (in *Intake) resolveOnce(ctx context.Context, jb *workpb.Job, refused []byte) error {
+	rw, ok, err := in.st.Get(ctx, JobsTable, Partition(jb.GetId()), jb.GetId())
 	if err != nil {
 		return code.TableInDoubt.Wrap(err)
 	}
-	_, current, err := in.st.Commit(ctx, in.jobTx(jb, version, raw))
-	if err == nil {
-		return code.TableUnavailable.Wrap(cause)
+	if ok {
+		return outcomeOf(rw)
+	}
+	current, err := in.commitWithTimeout(ctx, in.jobTx(jb, 0, refused), firstTimeoutMS)
+	switch {
+	case err == nil:
+		return code.TableUnavailable.New("submission withdrawn: its commit got no answer")
+	case code.Of(err) == code.Conflict && len(current) > 0 && len(current[0].Value()) > 0:
+		return outcomeOf(current[0])
+	default:
+		return code.TableInDoubt.Wrap(err)
 	}
-	if stored, _ := storedJob(current); code.Of(err) == code.Conflict && stored != nil && !stored.GetRefused() {
+}
+
+// outcomeOf returns the outcome of a submission whose row is stored: accepted, or refused for good, since a commit of the job would require another version of the row.
+func outcomeOf(rw rowstore.Row) error {
+	stored, _ := storedJob([]rowstore.Row{rw})
+	switch {
+	case stored == nil:
+		return code.TableInDoubt.New("cannot decode row %s", rw.Key())
+	case stored.GetRefused():
+		return code.TableUnavailable.New("submission withdrawn: its commit got no answer")
+	default:
 		return nil
 	}
-	return code.TableInDoubt.Wrap(err)
 }
 
 // storedJob returns the first job with a value among the rows, nil if there is none or it is unreadable, and its row version.
