--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,7 +35,7 @@
 	// firstTimeoutMS is how long the first commit of a submission waits for its answer before the commit is repeated; secondTimeoutMS covers a store that is sixty times slower than normal.
 	firstTimeoutMS  = 400
 	secondTimeoutMS = 1100
-	// submitTimeoutMS bounds a submission including the resolution of its outcome; callers wait for three seconds or more.
+	// submitTimeoutMS bounds a submission including the resolution of its outcome; callers wait for about three seconds.
 	submitTimeoutMS = 2400
 	// resolvePauseMS is the pause between two attempts to resolve an outcome.
 	resolvePauseMS = 100
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -50,6 +50,8 @@
 	percent        = 100
 	// extraLasting is how many machines with long-running tasks are drained beyond the required number, since these tasks leave a VM one after another.
 	extraLasting = 3
+	// One in lastingDivisor machines of a wave may be drained of long-running tasks from its start, and extraLasting at least: the tasks of one step leave one after another, those of different steps side by side.
+	lastingDivisor = 8
 	// listDelayMS is how long after an order was accepted a list of machines must have been read to show that the machine is back.
 	listDelayMS = 500
 )
@@ -156,10 +158,23 @@
 	return count
 }
 
-// startDraining starts to drain machines: idle ones as soon as they may go down, busy ones only as fast as the wave's duration requires.
+// countDrainingLasting counts the machines that are being drained and still have long-running tasks.
+func (wv *Wave) countDrainingLasting() int {
+	count := 0
+	for _, mc := range wv.machines {
+		if mc.state == draining && wv.hasLasting(mc.vm) {
+			count++
+		}
+	}
+	return count
+}
+
+// startDraining starts to drain machines: idle ones as soon as they may go down, some with long-running tasks beside them, other busy ones only as fast as the wave's duration requires.
 func (wv *Wave) startDraining(nowMS int64, rows map[string]*workpb.Machine) {
 	inProgress := wv.countIn(draining) + wv.countDown(rows)
 	required := wv.requiredInProgress(nowMS)
+	lasting := wv.countDrainingLasting()
+	maxLasting := max(len(wv.machines)/lastingDivisor, extraLasting)
 	for _, mc := range wv.byLoad(rows) {
 		row := rows[mc.id]
 		if mc.state != waiting || !row.GetUp() {
@@ -169,6 +184,10 @@
 		switch {
 		case wv.hasLasting(row.GetVm()):
 			limit = required + extraLasting
+			if lasting < maxLasting {
+				lasting++
+				limit = len(wv.machines)
+			}
 		case wv.load(row.GetVm()) > 0:
 			limit = min(limit, required)
 		}
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -150,3 +150,97 @@
 	}
 	qt.Assert(t, si.wv.Done(), qt.IsTrue)
 }
+
+const (
+	// restartMS is how long a task that leaves a VM takes until it is at work elsewhere; then the next task of its step may leave.
+	restartMS = 1200
+	listMS    = 1000
+	drainMS   = 100
+)
+
+// budgetedFleet is a wave over machines of which some hold long-running tasks, each step of which lets only one task be away at a time.
+type budgetedFleet struct {
+	nowMS  int64
+	wv     *maintenance.Wave
+	spec   *workpb.Wave
+	tasks  map[string][]string
+	freeMS map[string]int64
+	down   map[string]int64
+	done   map[string]bool
+}
+
+// newBudgetedFleet returns idle machines and machines that hold one task each of two of the steps.
+func newBudgetedFleet(idle, withTasks, steps int) *budgetedFleet {
+	bf := &budgetedFleet{
+		nowMS: 1000, spec: &workpb.Wave{Number: 1, AtOnce: int32(idle+withTasks) * 2 / 5, DurationMs: durationMS},
+		tasks: map[string][]string{}, freeMS: map[string]int64{}, down: map[string]int64{}, done: map[string]bool{},
+	}
+	for at := range idle + withTasks {
+		id := fmt.Sprintf("m%03d", at)
+		bf.spec.Machines = append(bf.spec.Machines, id)
+		if at >= idle {
+			bf.tasks[id] = []string{fmt.Sprintf("s%d", at%steps), fmt.Sprintf("s%d", (at+1)%steps)}
+		}
+	}
+	bf.wv = maintenance.New(bf.spec, func(string, bool) {}, bf.evacuate, func(vm string) int { return len(bf.tasks[vm]) }, func(vm string) bool { return len(bf.tasks[vm]) > 0 })
+	return bf
+}
+
+func (bf *budgetedFleet) evacuate(vm string, _ bool) bool {
+	var left []string
+	for _, step := range bf.tasks[vm] {
+		if bf.freeMS[step] > bf.nowMS {
+			left = append(left, step)
+			continue
+		}
+		bf.freeMS[step] = bf.nowMS + restartMS
+	}
+	bf.tasks[vm] = left
+	return len(left) == 0
+}
+
+func (bf *budgetedFleet) step() {
+	var list []*workpb.Machine
+	for _, id := range bf.spec.GetMachines() {
+		if since, ok := bf.down[id]; ok && bf.nowMS-since >= downForMS {
+			delete(bf.down, id)
+		}
+		_, down := bf.down[id]
+		list = append(list, &workpb.Machine{Id: id, Up: !down, InUpkeep: down, Vm: id})
+	}
+	for _, id := range bf.wv.Step(bf.nowMS, bf.nowMS, list) {
+		if !bf.done[id] {
+			bf.done[id] = true
+			bf.down[id] = bf.nowMS
+		}
+		bf.wv.RecordAccepted(id, bf.nowMS)
+	}
+}
+
+// Tasks of a long-running step leave one after the other, which may take most of a wave. So their machines must be drained from its start, beside the idle ones, to leave time for an outage.
+func TestMachinesWithLongRunningTasksAreDrainedFromTheStart(t *testing.T) {
+	for _, tc := range []struct {
+		name                   string
+		idle, withTasks, steps int
+		// nothing can be ordered during an outage.
+		outageFromMS, outageMS int64
+	}{
+		{"small fleet", 15, 6, 2, 9000, 8000},
+		{"large fleet", 145, 40, 7, 16_000, 6000},
+		{"large fleet, few steps", 160, 25, 4, 17_000, 6000},
+	} {
+		bf := newBudgetedFleet(tc.idle, tc.withTasks, tc.steps)
+		for bf.nowMS < 1000+durationMS && !bf.wv.Done() {
+			bf.nowMS += drainMS
+			sinceMS := bf.nowMS - 1000
+			if sinceMS >= tc.outageFromMS && sinceMS < tc.outageFromMS+tc.outageMS {
+				continue
+			}
+			bf.wv.Drain(bf.nowMS)
+			if sinceMS%listMS == 0 {
+				bf.step()
+			}
+		}
+		qt.Check(t, bf.wv.Done(), qt.IsTrue, qt.Commentf("%s: %d of %d machines done", tc.name, len(bf.done), tc.idle+tc.withTasks))
+	}
+}
