--- a/internal/jobrunner/cleaner.go
+++ b/internal/jobrunner/cleaner.go
@@ -91,8 +91,12 @@
 			rc.whole.RecordEnded(partition, id, nowMS)
 			continue
 		}
+		if row == nil {
+			continue
+		}
 		raw, err := proto.Marshal(row)
-		if row == nil || err != nil {
+		if err != nil {
+			rc.rn.lg.Fail("row-unshortened", err, "job", id)
 			continue
 		}
 		tx.Put(intake.JobsTable, id, raw)
--- a/internal/jobrunner/follow.go
+++ b/internal/jobrunner/follow.go
@@ -59,7 +59,8 @@
 			return err
 		})
 	}
-	return all, pg.Version(), gr.Wait()
+	err = gr.Wait()
+	return all, pg.Version(), err
 }
 
 // followTable posts the changes of a table to the runner, or all of its rows after a gap in the change history.
