--- a/internal/jobrunner/restore.go
+++ b/internal/jobrunner/restore.go
@@ -30,10 +30,17 @@
 	maxReadTries = 3
 )
 
-// restore loads the stored rows and starts to follow their changes. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
+// restore loads the stored rows and starts to follow their changes, unless stop is closed before. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
 func (rn *Runner) restore(ctx context.Context, stop <-chan struct{}) error {
 	limited, cancel := rn.ck.WithTimeout(ctx, maxRestoreMS)
 	defer cancel()
+	go func() {
+		select {
+		case <-stop:
+			cancel()
+		case <-limited.Done():
+		}
+	}()
 	type result struct {
 		sn  *snapshot
 		err error
@@ -53,9 +60,6 @@
 				return rs.err
 			}
 			return rn.apply(ctx, rs.sn)
-		case <-stop:
-			stopTimer()
-			return code.TableUnavailable.New("stopped while restoring")
 		case <-renewal:
 			if err := rn.renew(limited); err != nil {
 				return err
--- a/internal/jobrunner/restore_test.go
+++ b/internal/jobrunner/restore_test.go
@@ -77,3 +77,22 @@
 		}
 	})
 }
+
+// An owner that is stopped while it restores must not keep its process from ending, even if the store doesn't answer.
+func TestRestoreEndsWhenTheEntryIsStopped(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.startFive()
+		si.slowDownScans(20 * ownership.LeaseMS)
+		si.kill(si.owner())
+		si.wait(2500)
+		si.st.SetUnresponsive(true)
+		si.wait(1000)
+		begun := si.ck.Now()
+		for _, en := range si.entries {
+			en.cancel()
+			<-en.ended
+		}
+		qt.Check(t, si.ck.Now()-begun <= 4000, qt.IsTrue, qt.Commentf("entries ended after %d ms", si.ck.Now()-begun))
+		si.st.SetUnresponsive(false)
+	})
+}
