Mend three faults found when the change was read again

A submission after a refused one writes under the refused row's version. With that commit in doubt, the refused row read back was taken for a final answer, though the late commit could still apply: 'not run' could be untrue. The row is written again under the version that was read. A start that waited for a VM which stopped answering polls was still sent after the task had run elsewhere as a duplicate; only a stop withdrew it, and none is sent to such a VM until it answers. Idle VMs that don't answer could fill the places for polls of idle VMs and keep a new VM from its first poll; they are counted apart.

Each has a test that failed first.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -126,37 +126,33 @@
 	}
 }
 
-// resolveOnce reads the job back. If it isn't stored, it writes the job as refused, so that the version check of a late commit fails.
+// resolveOnce reads the job back. If it isn't accepted, it writes the job as refused under the version that it read, so that the version check of a late commit fails; a refused row that is there already may be the very one that the late commit requires.
 func (in *Intake) resolveOnce(ctx context.Context, jb *workpb.Job, refused []byte) error {
 	rw, ok, err := in.st.Get(ctx, JobsTable, Partition(jb.GetId()), jb.GetId())
 	if err != nil {
 		return code.TableInDoubt.Wrap(err)
 	}
-	if ok {
-		return outcomeOf(rw)
+	if ok && accepted([]rowstore.Row{rw}) {
+		return nil
+	}
+	if stored, _ := storedJob([]rowstore.Row{rw}); ok && stored == nil {
+		return code.TableInDoubt.New("cannot decode row %s", rw.Key())
 	}
-	current, err := in.commitWithTimeout(ctx, in.jobTx(jb, 0, refused), firstTimeoutMS)
+	current, err := in.commitWithTimeout(ctx, in.jobTx(jb, rw.Version(), refused), firstTimeoutMS)
 	switch {
 	case err == nil:
 		return code.TableUnavailable.New("submission withdrawn: its commit got no answer")
-	case code.Of(err) == code.Conflict && len(current) > 0 && len(current[0].Value()) > 0:
-		return outcomeOf(current[0])
+	case code.Of(err) == code.Conflict && accepted(current):
+		return nil
 	default:
 		return code.TableInDoubt.Wrap(err)
 	}
 }
 
-// outcomeOf returns the outcome of a submission whose row is stored: accepted, or refused for good, since a commit of the job would require another version of the row.
-func outcomeOf(rw rowstore.Row) error {
-	stored, _ := storedJob([]rowstore.Row{rw})
-	switch {
-	case stored == nil:
-		return code.TableInDoubt.New("cannot decode row %s", rw.Key())
-	case stored.GetRefused():
-		return code.TableUnavailable.New("submission withdrawn: its commit got no answer")
-	default:
-		return nil
-	}
+// accepted reports whether rows hold an accepted job.
+func accepted(list []rowstore.Row) bool {
+	stored, _ := storedJob(list)
+	return stored != nil && !stored.GetRefused()
 }
 
 // storedJob returns the first job with a value among the rows, nil if there is none or it is unreadable, and its row version.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -163,3 +163,19 @@
 		st.SetDown(true)
 	}
 }
+
+// A submission that follows a refused one writes under the refused row's version. While that commit may still be applied, reading the refused row back proves nothing: a submission reported as not stored must not be stored later.
+func TestSubmissionAfterARefusedOneIsNotStoredLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := rowstoretest.New(clock.NewFake(0))
+		in := intake.New(st.Rowstore())
+		st.SetCommitOutcome(outcomes(rowstoretest.Late, rowstoretest.Late))
+		qt.Assert(t, code.Of(in.Submit(context.Background(), job())), qt.Equals, code.TableUnavailable)
+		st.ApplyLate()
+		st.SetCommitOutcome(outcomes(rowstoretest.Served, rowstoretest.Late))
+		qt.Assert(t, code.Of(in.Submit(context.Background(), job())), qt.Equals, code.TableUnavailable)
+		qt.Check(t, st.ApplyLate(), qt.Equals, 0)
+		_, err := in.State(context.Background(), jobID)
+		qt.Check(t, code.Of(err), qt.Equals, code.JobUnknown)
+	})
+}
--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -45,8 +45,9 @@
 	// startLimit is how many starts may be under way, startsUnderWay how many are.
 	startLimit     int
 	startsUnderWay int
-	// idlePolls is the number of polls under way of VMs without runs.
-	idlePolls int
+	// idlePolls is the number of polls under way of VMs without runs that answer or are new, unresponsivePolls that of those that don't answer.
+	idlePolls         int
+	unresponsivePolls int
 }
 
 const (
--- a/internal/jobcontrol/duplicates.go
+++ b/internal/jobcontrol/duplicates.go
@@ -49,6 +49,10 @@
 		}
 		ct.detach(rn)
 		rn.isDuplicate = true
+		if rn.phase == phaseOrdered {
+			// Its start may still wait to be sent.
+			ct.sendStop(rn)
+		}
 		ct.setPhase(rn, phaseStopping)
 	}
 }
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -480,3 +480,24 @@
 		qt.Check(t, count, qt.Equals, 1, qt.Commentf(task))
 	}
 }
+
+// Idle VMs that don't answer must not keep a new VM from its first poll, before which nothing is placed on it.
+func TestUnresponsiveIdleVMsDoNotDelayTheFirstPollOfAnother(t *testing.T) {
+	fl := newFleet(t)
+	for at := range 300 {
+		fl.ct.SetVM(vmOf(fmt.Sprintf("silent-%03d", at)))
+	}
+	for range 200 {
+		fl.ck.Advance(stepMS)
+		for _, lr := range fl.ct.DuePolls() {
+			fl.ct.HandlePoll(lr.GetVm(), fl.ck.Now(), nil, workpb.Verdict_IN_DOUBT)
+		}
+	}
+	fl.ck.Advance(1000)
+	for range 50 {
+		fl.ct.DuePolls()
+	}
+	fl.ct.SetVM(vmOf("new"))
+	due := fl.ct.DuePolls()
+	qt.Assert(t, slices.ContainsFunc(due, func(lr *workpb.LookRequest) bool { return lr.GetVm() == "new" }), qt.IsTrue)
+}
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -12,7 +12,7 @@
 	longPollWaitMS = 600
 	// idlePollIntervalMS is the interval between polls of a VM without runs.
 	idlePollIntervalMS = 6000
-	// maxIdlePolls is the maximum number of polls under way of VMs without runs.
+	// maxIdlePolls is the maximum number of polls under way of VMs without runs, for responsive and unresponsive ones each.
 	maxIdlePolls = 32
 	// unresponsivePollIntervalMS is the interval before the next poll of a VM that didn't answer.
 	unresponsivePollIntervalMS = 300
@@ -44,18 +44,28 @@
 		if (!vm.registered || vm.departing()) && len(vm.runs) == 0 {
 			continue
 		}
-		if len(vm.runs) == 0 {
-			if ct.idlePolls >= maxIdlePolls {
-				continue
-			}
-			ct.idlePolls++
-			vm.idlePoll = true
+		if len(vm.runs) == 0 && !ct.countIdlePoll(vm) {
+			continue
 		}
 		out = append(out, ct.newPoll(vm))
 	}
 	return out
 }
 
+// countIdlePoll counts a poll of a VM without runs and reports whether it may be sent now. Unresponsive VMs are counted apart, since their polls last until they time out.
+func (ct *Controller) countIdlePoll(vm *vmState) bool {
+	count := &ct.idlePolls
+	if vm.unresponsive {
+		count = &ct.unresponsivePolls
+	}
+	if *count >= maxIdlePolls {
+		return false
+	}
+	*count++
+	vm.pollCount = count
+	return true
+}
+
 // newPoll returns a poll of a VM and marks it as sent.
 func (ct *Controller) newPoll(vm *vmState) *workpb.LookRequest {
 	vm.polling = true
@@ -73,9 +83,9 @@
 // pollEnded records that no poll of a VM is under way any more.
 func (ct *Controller) pollEnded(vm *vmState) {
 	vm.polling = false
-	if vm.idlePoll {
-		vm.idlePoll = false
-		ct.idlePolls--
+	if vm.pollCount != nil {
+		*vm.pollCount--
+		vm.pollCount = nil
 	}
 }
 
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -32,8 +32,8 @@
 	// firstSeenMS is when the VM became known.
 	firstSeenMS int64
 	polling     bool
-	// idlePoll is set while a poll is under way that began without runs on the VM.
-	idlePoll   bool
+	// pollCount is the count that includes the poll under way, nil if the poll isn't counted.
+	pollCount  *int
 	nextPollMS int64
 	// failedPolls counts consecutive polls without an answer; the VM is unresponsive after maxFailedPolls.
 	failedPolls  int
--- a/internal/jobrunner/orderqueue_test.go
+++ b/internal/jobrunner/orderqueue_test.go
@@ -166,3 +166,25 @@
 		return true
 	}
 }
+
+// A start that waits for a VM which stops answering polls must not be sent once the task has run elsewhere as a duplicate.
+func TestQueuedStartOnAnUnresponsiveVMIsWithdrawn(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.allowDuplicates = true
+		si.start("one")
+		si.wait(3000)
+		si.mu.Lock()
+		si.answerDelayMS["vm-0"] = slowAnswerMS
+		si.mu.Unlock()
+		jb := &workpb.Job{Id: "00000000000000aa", Queue: "q", AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{
+			{Count: 8, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 800, Duplicates: true},
+		}}
+		qt.Assert(t, si.in.Submit(context.Background(), jb), qt.IsNil)
+		si.wait(50)
+		si.setUnresponsive("vm-0", true)
+		si.wait(6000)
+		si.setUnresponsive("vm-0", false)
+		si.wait(6000)
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+	})
+}
