Log what the list of machines shows of VMs whose runs are unresolved

Nothing said why a successor waited for the leases of a VM that had left: not listed, down, machine unknown, or list unread. One line for each change of that status, for VMs with runs that aren't registered or don't answer.

--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -33,6 +33,7 @@
 	}
 	for id, vm := range ct.vms {
 		row, ok := rows[vm.reg.GetMachine()]
+		ct.logUnresolved(vm, row)
 		if !ok || vm.firstSeenMS >= readMS || vm.answeredMS >= readMS || len(vm.runs) == 0 {
 			continue
 		}
@@ -45,6 +46,37 @@
 	}
 }
 
+// logUnresolved logs what the list of machines says of a VM that has runs but isn't registered or doesn't answer, once for each change.
+func (ct *Controller) logUnresolved(vm *vmState, row *workpb.Machine) {
+	if len(vm.runs) == 0 || (vm.registered && !vm.unresponsive) {
+		vm.machineStatus = ""
+		return
+	}
+	status := machineStatus(row)
+	if vm.machineStatus == status {
+		return
+	}
+	vm.machineStatus = status
+	ct.lg.Info("vm-unresolved", "vm", vm.id, "machine", vm.reg.GetMachine(), "machine-status", status, "hosts", row.GetVm(),
+		"registered", vm.registered, "runs", len(vm.runs), "wait-ms", vm.leaseUntilMS-ct.ck.Now())
+}
+
+// machineStatus names the status of a listed machine for the log; row is nil for a machine that isn't listed.
+func machineStatus(row *workpb.Machine) string {
+	switch {
+	case row == nil:
+		return "unlisted"
+	case row.GetUp():
+		return "up"
+	case row.GetMoving():
+		return "moving"
+	case row.GetInUpkeep():
+		return "in-maintenance"
+	default:
+		return "down"
+	}
+}
+
 // handleRestart records that a VM has restarted: its end numbers begin at 0 again, and stops accepted before the restart no longer hold. Its earlier runs are over unless the VM lists them, since a start may already have been executed in the new incarnation.
 func (ct *Controller) handleRestart(vm *vmState, startMS int64) {
 	ct.lg.Info("vm-restarted", "vm", vm.id, "born", startMS, "runs", len(vm.runs))
