--- /dev/null
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -0,0 +1,83 @@
+package jobcontrol_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
+
+const (
+	// maxTaskDowntimeMS is how long a long-running task may be without a run while a VM has room for it.
+	maxTaskDowntimeMS = 6000
+	// listIntervalMS is the time between two lists of machines.
+	listIntervalMS = 700
+	// settledMS is the age of an owner from which no lease of an earlier owner can hold.
+	settledMS = 12_000
+)
+
+// hostedVM returns a VM on a machine of its own.
+func hostedVM(id string) *workpb.VM {
+	vm := vmOf(id)
+	vm.Machine = "m-" + id
+	return vm
+}
+
+// machines lists the machines of the VMs that exist.
+func (fl *fleet) machines() []*workpb.Machine {
+	var out []*workpb.Machine
+	for id := range fl.workers {
+		out = append(out, &workpb.Machine{Id: "m-" + id, Vm: id, Pool: "s", Up: true})
+	}
+	return out
+}
+
+// runWithLists runs the fleet for forMS milliseconds and passes the list of machines to the controller at each interval.
+func (fl *fleet) runWithLists(forMS int64, list func() []*workpb.Machine) {
+	for atMS := int64(0); atMS < forMS; atMS += stepMS {
+		if atMS%listIntervalMS == 0 {
+			fl.ct.SetMachines(fl.ck.Now(), list())
+		}
+		fl.run(stepMS)
+	}
+}
+
+// leave ends a VM for good, with everything that runs on it.
+func (fl *fleet) leave(id string) {
+	fl.workers[id].Restart()
+	delete(fl.workers, id)
+	fl.ct.DropVM(id)
+}
+
+// newLastingTask starts one long-running task on one of the VMs and returns the VM's id.
+func newLastingTask(t *testing.T, vms ...*workpb.VM) (*fleet, string) {
+	fl := newFleet(t, vms...)
+	fl.setBehavior(0, workpb.End_END_UNKNOWN)
+	st := stepOf(1)
+	st.Lasting = true
+	fl.submit(jobOf("j1", st))
+	fl.run(settledMS)
+	return fl, fl.runningOn["j1.0.0.0"]
+}
+
+func TestLastingTaskOfAVMThatLeftRunsAgainAlsoUnderANewOwner(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		newOwner bool
+	}{
+		{name: "same owner"},
+		{name: "new owner", newOwner: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl, host := newLastingTask(t, hostedVM("a"), hostedVM("b"))
+			fl.leave(host)
+			if tc.newOwner {
+				fl.newOwner()
+			}
+			fl.runWithLists(maxTaskDowntimeMS, fl.machines)
+			qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+			qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Not(qt.Equals), host)
+		})
+	}
+}
