End the runs of VMs whose machine is no longer listed

Cause: a VM counted as ended when its machine hosts another VM, moves or is in maintenance, but not when the machine is gone from the list. Such a VM's runs waited for their leases: 4.3 s under the same owner and 9.3 s under a new one, which must add the time for which its predecessor may have renewed them. Ruled out, by vm-unresolved lines: a machine listed as down, a machine without a name in the stored row, a list that wasn't read. Why it works: the list is the platform's own record of lives, so that no owner's lease has to be waited for. Two lists in a row must lack the machine, since a list is read in pages; an empty list ends nothing; a VM that answered since the list was read isn't touched.

--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -25,25 +25,47 @@
 	}
 }
 
-// SetMachines applies a list of machines whose read began at readMS: a VM has ended if its machine hosts another VM, or none because the machine is being moved or maintained.
+// minUnlistedReads is how many lists in a row must lack a machine before it counts as removed: a list is read in pages, and a machine may be missed while others come and go.
+const minUnlistedReads = 2
+
+// SetMachines applies a list of machines whose read began at readMS and ends the runs of VMs that, by this list, have ended.
 func (ct *Controller) SetMachines(readMS int64, list []*workpb.Machine) {
+	if len(list) == 0 {
+		return
+	}
 	rows := make(map[string]*workpb.Machine, len(list))
 	for _, row := range list {
 		rows[row.GetId()] = row
 	}
-	for id, vm := range ct.vms {
-		row, ok := rows[vm.reg.GetMachine()]
+	for _, vm := range ct.vms {
+		row := rows[vm.reg.GetMachine()]
+		vm.countUnlisted(row)
 		ct.logUnresolved(vm, row)
-		if !ok || vm.firstSeenMS >= readMS || vm.answeredMS >= readMS || len(vm.runs) == 0 {
+		if vm.firstSeenMS >= readMS || vm.answeredMS >= readMS || len(vm.runs) == 0 || !vm.endedBy(row) {
 			continue
 		}
-		replaced := row.GetUp() && row.GetVm() != "" && row.GetVm() != id
-		if replaced || row.GetMoving() || row.GetInUpkeep() {
-			ct.lg.Info("vm-ended", "vm", id, "machine", row.GetId(), "runs", len(vm.runs))
-			vm.synced = false
-			ct.expireRuns(vm)
-		}
+		ct.lg.Info("vm-ended", "vm", vm.id, "machine", vm.reg.GetMachine(), "machine-status", machineStatus(row), "runs", len(vm.runs))
+		vm.synced = false
+		ct.expireRuns(vm)
+	}
+}
+
+// countUnlisted counts the lists in a row that lack the VM's machine; row is nil for such a list.
+func (vm *vmState) countUnlisted(row *workpb.Machine) {
+	if row != nil || vm.reg.GetMachine() == "" {
+		vm.unlistedReads = 0
+		return
+	}
+	vm.unlistedReads++
+}
+
+// endedBy reports whether the row of the VM's machine proves that the VM has ended: the machine is removed for good, hosts another VM, or hosts none because it is being moved or maintained.
+func (vm *vmState) endedBy(row *workpb.Machine) bool {
+	if row == nil {
+		return vm.unlistedReads >= minUnlistedReads
 	}
+	replaced := row.GetUp() && row.GetVm() != "" && row.GetVm() != vm.id
+	return replaced || row.GetMoving() || row.GetInUpkeep()
 }
 
 // logUnresolved logs what the list of machines says of a VM that has runs but isn't registered or doesn't answer, once for each change.
--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -81,3 +81,29 @@
 		})
 	}
 }
+
+// A VM that is only cut off runs on, and its machine may be missing from one list while others come and go.
+func TestVMWhoseMachineIsMissingFromOneListIsNotTakenForEnded(t *testing.T) {
+	fl, host := newLastingTask(t, hostedVM("a"), hostedVM("b"))
+	fl.newOwner()
+	fl.unresponsive[host] = true
+	lists := 0
+	fl.runWithLists(3000, func() []*workpb.Machine {
+		lists++
+		if lists == 2 {
+			return []*workpb.Machine{{Id: "m-other", Vm: "other", Pool: "s", Up: true}}
+		}
+		return fl.machines()
+	})
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+	fl.unresponsive[host] = false
+	fl.runWithLists(3000, fl.machines)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, host)
+}
+
+func TestEmptyListsOfMachinesEndNoVM(t *testing.T) {
+	fl, host := newLastingTask(t, hostedVM("a"), hostedVM("b"))
+	fl.unresponsive[host] = true
+	fl.runWithLists(3000, func() []*workpb.Machine { return nil })
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -44,6 +44,8 @@
 	leaving         bool
 	reserved        bool
 	suspicion       *suspicion.Suspicion
+	// unlistedReads counts the lists of machines in a row that lacked the VM's machine.
+	unlistedReads int
 	// machineStatus is the status of the VM's machine that was logged last, empty while the VM answers.
 	machineStatus string
 	// pace is the pace last set for best-effort tasks on the VM, in percent; 100 is unthrottled.
