Move long-running tasks off VMs that are about to leave

The incident's tasks stayed on a VM for the 4 s between its notice and its end, then had no run until the end was known. Cause: only maintenance waves moved long-running tasks; a VM that leaves by itself was just given no new work. TestLastingTaskLeavesADrainingVMBeforeItEnds failed before (1 run left on the draining VM, want 0); two more tests hold the limits: a task without room elsewhere stays, and the tasks of a step leave one after another.

--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -181,3 +181,39 @@
 		})
 	}
 }
+
+// drain announces the end of a VM.
+func (fl *fleet) drain(id string) {
+	fl.workers[id].VM().Draining = true
+	fl.ct.SetVM(fl.workers[id].VM())
+}
+
+func TestLastingTaskLeavesADrainingVMBeforeItEnds(t *testing.T) {
+	fl, host := newLastingTask(t, hostedVM("a"), hostedVM("b"))
+	fl.drain(host)
+	fl.run(1000)
+	qt.Assert(t, fl.workers[host].Running(), qt.Equals, 0)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+}
+
+func TestLastingTaskStaysOnADrainingVMWithoutRoomElsewhere(t *testing.T) {
+	other := hostedVM("b")
+	other.MemoryMb = 1
+	fl, host := newLastingTask(t, hostedVM("a"), other)
+	fl.drain(host)
+	fl.run(3000)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, host)
+}
+
+func TestTasksOfAStepLeaveDrainingVMsOneAfterAnother(t *testing.T) {
+	fl, hosts := newLastingFleet(t)
+	fl.run(settledMS)
+	for _, id := range hosts {
+		fl.drain(id)
+	}
+	for range 100 {
+		fl.run(stepMS)
+		qt.Assert(t, len(fl.runningOn) >= 1, qt.IsTrue, qt.Commentf("no task runs while %v drain", hosts))
+	}
+}
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -40,8 +40,7 @@
 )
 
 // place plans starts of waiting tasks of all services, in order of their rank, since queues may ask for several times the capacity of their pool.
-func (ct *Controller) place(bt *Batch, nowMS int64) {
-	pools := ct.pools(nowMS)
+func (ct *Controller) place(bt *Batch, pools map[string][]*vmState, nowMS int64) {
 	if len(pools) == 0 {
 		return
 	}
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -25,7 +25,9 @@
 	ct.openDueOccurrences(nowMS)
 	bt := &Batch{acknowledged: map[*vmState]int64{}}
 	if mayStart && ct.rules != nil && len(ct.dirtyJobs) < MaxRows {
-		ct.place(bt, nowMS)
+		pools := ct.pools(nowMS)
+		ct.evacuateDraining(pools)
+		ct.place(bt, pools, nowMS)
 	}
 	count := min(len(ct.dirtyJobs), MaxRows)
 	for _, jb := range ct.dirtyJobs[:count] {
