Repeat unanswered starts long before their time is over

Callers saw: with a part of the orders to VMs unanswered, jobs waited 0.3 s and more for each lost start, behind which others queued. Cause: a start was repeated once, after its whole time of 0.3 s. Now it is sent again after 50 ms, or five times the average of answered starts, up to four times in all, beside the copies under way; a VM executes the start of a run once. Where all answers are slow the delay exceeds the order's time, so that no copies are sent; VMs that don't answer at all get none after the first. A refusal ends the copies, and doesn't tell while another copy is in doubt. A copy may be executed after another was confirmed: by the VM's next incarnation. So a run whose start was sent twice is in doubt again after a restart and is stopped there first, and isn't taken for ended when its machine is down, until it is settled. Tests: TestUnansweredStartIsRepeatedBeforeItsTimeIsOver failed before (0 starts after 150 ms, want 1); TestStartsAreNotRepeatedWhereAllAnswersAreSlow, TestCopyOfAStartExecutedAfterARestartIsNotASecondRun and TestRepeatedStartOnACrashedVMIsNotRepeatedElsewhere hold the limits.

--- a/internal/jobcontrol/end.go
+++ b/internal/jobcontrol/end.go
@@ -134,6 +134,17 @@
 	}
 }
 
+// MarkRepeated records that a start was sent more than once.
+func (ct *Controller) MarkRepeated(od *workpb.Order) {
+	vm, ok := ct.vms[od.GetVm()]
+	if !ok {
+		return
+	}
+	if rn, ok := vm.runs[runKey{od.GetTask(), od.GetRun()}]; ok {
+		rn.repeated = true
+	}
+}
+
 // HandleWithdrawn records that the start of a run that is to be stopped was withdrawn before it was sent.
 func (ct *Controller) HandleWithdrawn(od *workpb.Order) {
 	vm, ok := ct.vms[od.GetVm()]
--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -60,7 +60,7 @@
 func (ct *Controller) endBegunRuns(vm *vmState) {
 	before := len(vm.runs)
 	for _, rn := range vm.runs {
-		if rn.phase == phaseRunning || rn.settled {
+		if rn.settled || (rn.phase == phaseRunning && !rn.repeated) {
 			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 		}
 	}
@@ -130,6 +130,10 @@
 	vm.leaseUntilMS = max(vm.leaseUntilMS, ct.ck.Now()+inDoubtMS)
 	for _, rn := range vm.runs {
 		rn.stoppedMS = 0
+		if rn.phase == phaseRunning && rn.repeated && !rn.settled {
+			// The next incarnation may execute another copy of the start, so the run must be stopped there before its task may start elsewhere.
+			ct.setPhase(rn, phaseInDoubt)
+		}
 	}
 }
 
--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -217,3 +217,32 @@
 		qt.Assert(t, len(fl.runningOn) >= 1, qt.IsTrue, qt.Commentf("no task runs while %v drain", hosts))
 	}
 }
+
+// Of a start that was sent twice, one copy may be executed by the incarnation after the one that confirmed the run.
+func TestCopyOfAStartExecutedAfterARestartIsNotASecondRun(t *testing.T) {
+	fl := newFleet(t, hostedVM("a"), hostedVM("b"))
+	fl.setBehavior(0, workpb.End_END_UNKNOWN)
+	var copied *workpb.Order
+	fl.beforeOrder = func(od *workpb.Order) {
+		if copied == nil && od.GetVerb() == workpb.Verb_START {
+			copied = od
+			fl.ct.MarkRepeated(od)
+		}
+	}
+	fl.submit(jobOf("j1", stepOf(1)))
+	fl.run(500)
+	fl.workers[copied.GetVm()].Restart()
+	fl.run(200)
+	fl.workers[copied.GetVm()].Order(copied)
+	fl.run(3000)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Not(qt.Equals), "")
+}
+
+// A copy of a confirmed start may be executed by the next incarnation of a VM whose machine is down.
+func TestRepeatedStartOnACrashedVMIsNotRepeatedElsewhere(t *testing.T) {
+	fl, host := newLastingTask(t, hostedVM("a"), hostedVM("b"))
+	fl.ct.MarkRepeated(&workpb.Order{Vm: host, Task: "j1.0.0.0", Run: 1})
+	fl.crash(host)
+	fl.runWithLists(3000, fl.machinesWithDown)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -90,6 +90,8 @@
 	capUse size.Size
 	phase  phase
 	token  int64
+	// repeated is set for a run whose start was sent more than once, so that a copy may still be executed after the run was confirmed.
+	repeated bool
 	// settled is set once no order can start the run any more: it was confirmed, and inDoubtMS has passed since its start was ordered.
 	settled bool
 	// startedMS is when the run was created, its start was ordered or the start was accepted, whichever came last.
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/relay"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/startretry"
 	"github.com/fulmarloft/fulmarloft/internal/startwindow"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
@@ -66,6 +67,7 @@
 	cleaner       *rowCleaner
 	lag           *lag.Lag
 	starts        *startwindow.Window
+	startRetry    *startretry.Delay
 	nextScanMS    int64
 	nextRelaysMS  int64
 	// yielded is set when this entry gives up the ownership because it is overloaded.
@@ -107,7 +109,7 @@
 		deps: deps, ck: ck, lg: lg, ow: ow,
 		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
 		events: make(chan func(), eventBuffer), orderQueues: map[string]*orderQueue{},
-		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), starts: startwindow.New(),
+		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), starts: startwindow.New(), startRetry: startretry.New(),
 	}
 	rn.waves = newWaves(rn)
 	rn.pools = newPoolResizer(rn)
--- a/internal/jobrunner/orderqueue.go
+++ b/internal/jobrunner/orderqueue.go
@@ -95,43 +95,31 @@
 			return
 		}
 		sentMS := oq.rn.ck.Now()
-		vd := workpb.Verdict_NOT_SENT
+		vd, copies := workpb.Verdict_NOT_SENT, 0
 		if send {
-			vd = oq.send(ctx, od)
-		}
-		if vd == workpb.Verdict_IN_DOUBT && oq.shouldRepeat(od) {
-			vd = repeatedVerdict(oq.send(ctx, od))
+			vd, copies = oq.send(ctx, od)
 		}
 		tookMS := oq.rn.ck.Now() - sentMS
 		oq.countUnanswered(vd)
 		oq.rn.post(ctx, func() {
 			oq.rn.recordCall(vd, tookMS)
 			oq.rn.recordOrder(vd, tookMS)
+			if copies > 1 {
+				oq.rn.ct.MarkRepeated(od)
+			}
 			oq.rn.handleAnswer(od, vd)
 		})
 	}
 }
 
-// send sends an order; while its answer is late, another sender takes over the orders behind it.
-func (oq *orderQueue) send(ctx context.Context, od *workpb.Order) workpb.Verdict {
+// send sends an order and returns its verdict and how often it was sent; while its answer is late, another sender takes over the orders behind it.
+func (oq *orderQueue) send(ctx context.Context, od *workpb.Order) (vd workpb.Verdict, copies int) {
 	stopTimer := oq.rn.ck.AfterFunc(lateAnswerMS, func() { oq.addSender(ctx) })
 	defer stopTimer()
-	return oq.rn.sendOrder(ctx, od)
-}
-
-// shouldRepeat reports whether an unanswered order is a start that is still wanted. A VM executes the start of a run only once, so repeating it is safe even if the first one is executed later.
-func (oq *orderQueue) shouldRepeat(od *workpb.Order) bool {
-	oq.mu.Lock()
-	defer oq.mu.Unlock()
-	return od.GetVerb() == workpb.Verb_START && oq.unanswered == 0 && !oq.stopWaits(od)
-}
-
-// repeatedVerdict returns the verdict of a start that was sent again without knowing whether the first one is executed: a refusal doesn't tell, since the run may have ended already.
-func repeatedVerdict(vd workpb.Verdict) workpb.Verdict {
-	if vd == workpb.Verdict_ACCEPTED || vd == workpb.Verdict_FENCED {
-		return vd
+	if od.GetVerb() == workpb.Verb_START {
+		return oq.sendStart(ctx, od)
 	}
-	return workpb.Verdict_IN_DOUBT
+	return oq.rn.sendOrder(ctx, od), 1
 }
 
 // stopWaits reports whether a stop of an order's run is waiting.
--- a/internal/jobrunner/orderqueue_test.go
+++ b/internal/jobrunner/orderqueue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -113,6 +114,68 @@
 	})
 }
 
+// Callers wait for the task, so an unanswered start is repeated long before its time is over.
+func TestUnansweredStartIsRepeatedBeforeItsTimeIsOver(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.start("one")
+		si.wait(3000)
+		si.loseFirstStart()
+		jb := &workpb.Job{Id: "00000000000000aa", Queue: "q", AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{
+			{Count: 1, CpuMilli: 2000, MemoryMb: 100, EstimateMs: 800},
+		}}
+		qt.Assert(t, si.in.Submit(context.Background(), jb), qt.IsNil)
+		si.wait(unansweredMS / 2)
+		qt.Check(t, si.startsOf("00000000000000aa.0.0.0"), qt.Equals, 1)
+		si.wait(executedLateMS)
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+	})
+}
+
+// Where all answers are slow, copies of starts would slow them further.
+func TestStartsAreNotRepeatedWhereAllAnswersAreSlow(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.start("one")
+		si.wait(3000)
+		si.mu.Lock()
+		for id := range si.workers {
+			si.answerDelayMS[id] = 200
+		}
+		si.mu.Unlock()
+		si.submit("00000000000000aa", 16)
+		si.wait(8000)
+		copies := si.countCopies()
+		si.submit("00000000000000bb", 16)
+		si.wait(8000)
+		si.mu.Lock()
+		defer si.mu.Unlock()
+		qt.Check(t, len(copies) >= 16, qt.IsTrue)
+		for name, count := range copies {
+			qt.Check(t, count, qt.Equals, 1, qt.Commentf(name))
+		}
+	})
+}
+
+// countCopies counts from now on how often the start of each run is sent.
+func (si *simulation) countCopies() map[string]int {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	copies := map[string]int{}
+	si.intercept = func(od *workpb.Order) bool {
+		if od.GetVerb() == workpb.Verb_START {
+			copies[fmt.Sprintf("%s run %d", od.GetTask(), od.GetRun())]++
+		}
+		return false
+	}
+	return copies
+}
+
+// startsOf returns how often a task was started.
+func (si *simulation) startsOf(task string) int {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return si.starts[task]
+}
+
 // A start whose answer is lost is executed, and its run may end before the start is repeated. The refusal of the repeated start must not be taken for a start that never happened.
 func TestRepeatedStartOfAnEndedRunIsNotTakenForUnexecuted(t *testing.T) {
 	simulate(t, func(si *simulation) {
--- /dev/null
+++ b/internal/startretry/startretry.go
@@ -0,0 +1,36 @@
+package startretry
+
+import "sync"
+
+// Delay is the time to wait for the answer to a start before it is repeated, adapted to how long answers take; it is safe for concurrent use.
+type Delay struct {
+	mu sync.Mutex
+	// meanMS is the moving average of how long answers took.
+	meanMS float64
+}
+
+const (
+	// minDelayMS is longer than an answer from another availability zone takes.
+	minDelayMS = 50
+	// delayFactor times the average is the delay: where answers are slow in general, repeating starts would slow them further.
+	delayFactor = 5
+	// weight is the weight of a new value in the moving average.
+	weight = 0.05
+)
+
+// New returns the shortest delay.
+func New() *Delay { return &Delay{} }
+
+// Record records how long an answer took.
+func (dl *Delay) Record(tookMS int64) {
+	dl.mu.Lock()
+	defer dl.mu.Unlock()
+	dl.meanMS += weight * (float64(tookMS) - dl.meanMS)
+}
+
+// MS returns the delay in milliseconds.
+func (dl *Delay) MS() int64 {
+	dl.mu.Lock()
+	defer dl.mu.Unlock()
+	return max(int64(delayFactor*dl.meanMS), minDelayMS)
+}
--- /dev/null
+++ b/internal/startretry/startretry_test.go
@@ -0,0 +1,29 @@
+package startretry_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/startretry"
+)
+
+func TestDelayFollowsTheAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		tookMS int64
+		minMS  int64
+		maxMS  int64
+	}{
+		{name: "fast answers", tookMS: 5, minMS: 50, maxMS: 50},
+		{name: "slow answers", tookMS: 100, minMS: 400, maxMS: 500},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			dl := startretry.New()
+			for range 100 {
+				dl.Record(tc.tookMS)
+			}
+			qt.Assert(t, dl.MS() >= tc.minMS && dl.MS() <= tc.maxMS, qt.IsTrue, qt.Commentf("%d ms", dl.MS()))
+		})
+	}
+}
