--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -94,6 +94,9 @@
 func (wv *waves) addDriver(spec *workpb.Wave) {
 	ct := wv.rn.ct
 	dr := &waveDriver{spec: spec, wave: maintenance.New(spec, ct.Cordon, ct.Evacuate, ct.Load, ct.HasLasting)}
+	dr.wave.OnDone = func(machine, reason string, readMS int64) {
+		wv.rn.lg.Info("machine-maintained", "wave", spec.GetNumber(), "machine", machine, "reason", reason, "list-read-ms", readMS)
+	}
 	if row, ok := wv.restored[spec.GetNumber()]; ok {
 		dr.wave.Restore(row)
 		dr.storedRow = row
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -8,6 +8,9 @@
 
 // Wave is the state machine that carries out one maintenance wave; it is not safe for concurrent use.
 type Wave struct {
+	// OnDone is called with each machine that the wave counts as done, what decided it and the time at which the read of the deciding list began.
+	OnDone func(machine, reason string, readMS int64)
+
 	spec     *workpb.Wave
 	machines map[string]*machine
 	// cordon keeps new work from a VM. evacuate drains a VM, with force also of runs that would end by themselves, and reports whether it is empty. load counts its runs.
@@ -38,6 +41,8 @@
 	state      state
 	vm         string
 	acceptedMS int64
+	// seenInUpkeep is set where the state orderAccepted follows from a list alone.
+	seenInUpkeep bool
 }
 
 const (
@@ -59,6 +64,7 @@
 // New returns the state machine of a wave.
 func New(spec *workpb.Wave, cordon func(string, bool), evacuate func(string, bool) bool, load func(string) int, hasLasting func(string) bool) *Wave {
 	wv := &Wave{spec: spec, machines: map[string]*machine{}, cordon: cordon, evacuate: evacuate, load: load, hasLasting: hasLasting}
+	wv.OnDone = func(string, string, int64) {}
 	for _, id := range spec.GetMachines() {
 		wv.machines[id] = &machine{id: id}
 	}
@@ -70,6 +76,7 @@
 	for _, id := range row.GetDone() {
 		if mc, ok := wv.machines[id]; ok {
 			mc.state = finished
+			wv.OnDone(id, "stored", 0)
 		}
 	}
 	wv.done = row.GetCompleted()
@@ -119,16 +126,25 @@
 	for id, mc := range wv.machines {
 		row, ok := rows[id]
 		if !ok {
+			if mc.state != finished {
+				wv.OnDone(id, "unlisted", readMS)
+			}
 			mc.state = finished
 			continue
 		}
 		if row.GetInUpkeep() && mc.state != finished && mc.state != orderAccepted {
 			mc.state = orderAccepted
 			mc.acceptedMS = readMS
+			mc.seenInUpkeep = true
 		}
 		if mc.state == orderAccepted && row.GetUp() && readMS >= mc.acceptedMS+listDelayMS {
 			mc.state = finished
 			wv.cordon(mc.vm, false)
+			reason := "up-after-order"
+			if mc.seenInUpkeep {
+				reason = "up-after-listed-in-maintenance"
+			}
+			wv.OnDone(id, reason, readMS)
 		}
 		if mc.state != finished {
 			rest++
