Count a machine of a wave only by an accepted order of that wave

Where waves share a machine, the second counted it as done when it came back from the first's maintenance and never ordered it. Likewise a machine that one list lacked was done for good, although the list may be older than the wave or miss a machine between its pages, and a list without any machine completed the wave.

Now only an accepted order counts, then a list that shows the machine up. The acceptance is stored, so that a new owner need not ask again; without it the order stays in doubt: the machine counts as down, its VM of now is drained, the order is repeated, and a refusal in between frees nothing (before, it freed the place of an order that may be executed late). Gone is a machine that two lists in a row lack, and only while they do.

--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -56,6 +56,10 @@
 	// movesHang is set while move orders get no answer; lastMoveEndMS is when the last one was given up.
 	movesHang     bool
 	lastMoveEndMS int64
+	// waves are the maintenance waves that operators requested, maintained holds the machines whose maintenance began for each, completed the waves reported as completed.
+	waves      []*workpb.Wave
+	maintained map[int64]map[string]bool
+	completed  map[int64]bool
 }
 
 // entry is one scheduling process with its own connection to the store.
@@ -101,6 +105,7 @@
 			t: t, ck: ck, st: rowstoretest.New(ck), workers: map[string]*workertest.Worker{}, moves: map[string]string{},
 			tokens: map[string]int64{}, live: map[string]bool{}, done: map[string]bool{}, entries: map[string]*entry{},
 			unresponsive: map[string]bool{}, answerDelayMS: map[string]int64{}, starts: map[string]int{},
+			maintained: map[int64]map[string]bool{}, completed: map[int64]bool{},
 		}
 		si.intercept = func(*workpb.Order) bool { return false }
 		si.in = intake.New(si.st.Rowstore())
@@ -162,8 +167,8 @@
 		},
 		RegistryTable: registryTable, DecodeVM: decodeVM,
 		Machines: si.list, Maintain: si.maintain, Move: si.move,
-		WaveStatus: func(context.Context, int64, bool) error { return nil },
-		Rules:      rules(), Waves: func() []*workpb.Wave { return nil },
+		WaveStatus: si.waveStatus,
+		Rules:      rules(), Waves: si.waveSpecs,
 	}
 	deps.Relays = relay.New(si.ck, event.Discard(), 0)
 	sc := jobrunner.NewScheduler(deps, si.ck, event.Discard(), ow, 0, si.retentionMS)
@@ -265,8 +270,6 @@
 	return out, nil
 }
 
-func (si *simulation) maintain(context.Context, string, int64, int64) error { return nil }
-
 // move fails the test if a machine with runs is moved, and rejects fencing tokens that fall.
 func (si *simulation) move(ctx context.Context, machine, pool string, token int64) error {
 	if si.movesHang {
--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -182,6 +182,7 @@
 		case code.LeaseLapsed:
 			rn.ownershipLost = true
 		case code.TableInDoubt:
+			dr.wave.RecordUnanswered(id)
 		default:
 			dr.wave.RecordRefused(id)
 		}
--- /dev/null
+++ b/internal/jobrunner/waves_test.go
@@ -0,0 +1,99 @@
+package jobrunner_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+// maintenanceMS is how long the maintenance of a machine takes.
+const maintenanceMS = 2000
+
+func (si *simulation) waveSpecs() []*workpb.Wave {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return slices.Clone(si.waves)
+}
+
+func (si *simulation) addWave(number int64, atOnce int32, durationMS int64) {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	wave := &workpb.Wave{Number: number, AtOnce: atOnce, DurationMs: durationMS}
+	for _, mc := range si.machines {
+		wave.Machines = append(wave.Machines, mc.GetId())
+	}
+	si.waves = append(si.waves, wave)
+	si.maintained[number] = map[string]bool{}
+}
+
+// waveStatus fails the test if a wave is reported as completed while a machine of it hasn't begun its maintenance.
+func (si *simulation) waveStatus(_ context.Context, wave int64, completed bool) error {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	if completed && len(si.maintained[wave]) < len(si.machines) {
+		si.t.Errorf("wave %d is reported as completed after the maintenance of %d machines of %d", wave, len(si.maintained[wave]), len(si.machines))
+	}
+	si.completed[wave] = completed
+	return nil
+}
+
+// maintain begins the maintenance of a machine that is up.
+func (si *simulation) maintain(_ context.Context, id string, wave, _ int64) error {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	at := slices.IndexFunc(si.machines, func(mc *workpb.Machine) bool { return mc.GetId() == id })
+	mc := si.machines[at]
+	if si.maintained[wave][id] {
+		return nil
+	}
+	if !mc.GetUp() {
+		return code.Conflict.New("machine %s is busy", id)
+	}
+	si.maintained[wave][id] = true
+	mc.Up, mc.InUpkeep = false, true
+	go func() {
+		time.Sleep(maintenanceMS * time.Millisecond)
+		si.mu.Lock()
+		defer si.mu.Unlock()
+		mc.Up, mc.InUpkeep = true, false
+	}()
+	return nil
+}
+
+func (si *simulation) isCompleted(wave int64) bool {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return si.completed[wave]
+}
+
+// Two waves share their machines, commits are slow and the owner loses the store within both.
+func TestOverlappingWavesCountOnlyTheirOwnMaintenance(t *testing.T) {
+	for _, latencyMS := range []int64{0, 250, 400, 600, 900} {
+		simulate(t, func(si *simulation) {
+			si.st.SetLatency(latencyMS)
+			si.start("one")
+			si.start("two")
+			si.wait(3000)
+			si.addWave(1, 2, 40_000)
+			si.wait(3500)
+			si.addWave(2, 1, 40_000)
+			si.wait(2500)
+			first := si.owner()
+			si.entries[first].setCut(true)
+			for range 600 {
+				si.wait(100)
+				if si.isCompleted(1) && si.isCompleted(2) {
+					break
+				}
+			}
+			qt.Check(t, si.owner() != first, qt.IsTrue)
+			qt.Check(t, si.isCompleted(1) && si.isCompleted(2), qt.IsTrue, qt.Commentf("commits of %d ms", latencyMS))
+		})
+	}
+}
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -29,22 +29,28 @@
 	waiting state = iota
 	// draining: the VM of the machine is cordoned and being drained.
 	draining
-	// orderPending: the maintenance order is to be stored and sent.
+	// orderPending: the maintenance order is to be stored and sent, or its outcome is unknown.
 	orderPending
-	// orderAccepted: the platform accepted the order.
+	// orderAccepted: the platform accepted this wave's order.
 	orderAccepted
 	finished
 )
 
 type machine struct {
-	id         string
-	state      state
-	vm         string
+	id    string
+	state state
+	vm    string
+	// acceptedMS is when the order was accepted, 0 if an earlier owner stored it as accepted.
 	acceptedMS int64
-	// seenInUpkeep is set where the state orderAccepted follows from a list alone.
-	seenInUpkeep bool
+	// inDoubt is set once an order may be executed without an answer; a refusal of a later one then doesn't show that none is.
+	inDoubt bool
+	// absences counts the lists in a row that didn't contain the machine.
+	absences int
 }
 
+// gone reports whether the machine has left the fleet.
+func (mc *machine) gone() bool { return mc.absences >= minAbsences }
+
 const (
 	// cycleMS is the approximate time from the start of draining a machine until it is back.
 	cycleMS = 5000
@@ -59,6 +65,8 @@
 	lastingDivisor = 8
 	// listDelayMS is how long after an order was accepted a list of machines must have been read to show that the machine is back.
 	listDelayMS = 500
+	// minAbsences is how many lists in a row must lack a machine that has left: a list of several pages may miss one while others leave, and the first list may be older than the wave.
+	minAbsences = 2
 )
 
 // New returns the state machine of a wave.
@@ -71,7 +79,7 @@
 	return wv
 }
 
-// Restore resumes from the state that an earlier owner stored; orders whose outcome is not stored are sent again, which is idempotent.
+// Restore resumes from the state that an earlier owner stored; orders whose outcome is not stored are in doubt.
 func (wv *Wave) Restore(row *workpb.Upkeep) {
 	for _, id := range row.GetDone() {
 		if mc, ok := wv.machines[id]; ok {
@@ -79,6 +87,16 @@
 			wv.OnDone(id, "stored", 0)
 		}
 	}
+	for _, id := range row.GetAccepted() {
+		if mc, ok := wv.machines[id]; ok {
+			mc.state = orderAccepted
+		}
+	}
+	for _, id := range row.GetOrdered() {
+		if mc, ok := wv.machines[id]; ok {
+			mc.state, mc.inDoubt = orderPending, true
+		}
+	}
 	wv.done = row.GetCompleted()
 	wv.startedMS = row.GetBeganMs()
 }
@@ -88,14 +106,17 @@
 	row := &workpb.Upkeep{Wave: wv.spec.GetNumber(), Completed: wv.done, BeganMs: wv.startedMS}
 	for _, mc := range wv.machines {
 		switch mc.state {
-		case orderPending, orderAccepted:
+		case orderPending:
 			row.Ordered = append(row.Ordered, mc.id)
+		case orderAccepted:
+			row.Accepted = append(row.Accepted, mc.id)
 		case finished:
 			row.Done = append(row.Done, mc.id)
 		default:
 		}
 	}
 	sort.Strings(row.Ordered)
+	sort.Strings(row.Accepted)
 	sort.Strings(row.Done)
 	return row
 }
@@ -105,7 +126,7 @@
 
 // Step applies a list of machines whose read began at readMS and returns the machines whose maintenance is to be ordered once Row is stored.
 func (wv *Wave) Step(nowMS, readMS int64, list []*workpb.Machine) []string {
-	if wv.done {
+	if wv.done || len(list) == 0 {
 		return nil
 	}
 	if wv.startedMS == 0 {
@@ -120,33 +141,32 @@
 	return wv.planOrders(nowMS, rows)
 }
 
-// updateStates marks machines that are in maintenance, back from it or no longer listed.
+// updateStates marks machines that are back from their maintenance or have left the fleet. A list shows that a machine is in maintenance, but not for which wave, so only an accepted order shows that it is for this one.
 func (wv *Wave) updateStates(readMS int64, rows map[string]*workpb.Machine) {
 	rest := 0
 	for id, mc := range wv.machines {
+		if mc.state == finished {
+			continue
+		}
 		row, ok := rows[id]
 		if !ok {
-			if mc.state != finished {
+			mc.absences++
+			if mc.absences == minAbsences {
 				wv.OnDone(id, "unlisted", readMS)
 			}
-			mc.state = finished
-			continue
+		} else {
+			mc.absences = 0
 		}
-		if row.GetInUpkeep() && mc.state != finished && mc.state != orderAccepted {
-			mc.state = orderAccepted
+		if mc.state == orderAccepted && mc.acceptedMS == 0 {
 			mc.acceptedMS = readMS
-			mc.seenInUpkeep = true
 		}
 		if mc.state == orderAccepted && row.GetUp() && readMS >= mc.acceptedMS+listDelayMS {
 			mc.state = finished
 			wv.cordon(mc.vm, false)
-			reason := "up-after-order"
-			if mc.seenInUpkeep {
-				reason = "up-after-listed-in-maintenance"
-			}
-			wv.OnDone(id, reason, readMS)
+			wv.OnDone(id, "up-after-order", readMS)
+			continue
 		}
-		if mc.state != finished {
+		if !mc.gone() {
 			rest++
 		}
 	}
@@ -157,7 +177,8 @@
 func (wv *Wave) countDown(rows map[string]*workpb.Machine) int {
 	count := 0
 	for id, mc := range wv.machines {
-		if mc.state == orderPending || mc.state == orderAccepted || rows[id].GetInUpkeep() {
+		ordered := mc.state == orderPending || mc.state == orderAccepted
+		if (ordered && !mc.gone()) || rows[id].GetInUpkeep() {
 			count++
 		}
 	}
@@ -220,7 +241,7 @@
 // Drain continues to drain the VMs of machines in progress.
 func (wv *Wave) Drain(nowMS int64) {
 	for _, mc := range wv.machines {
-		if mc.state == draining {
+		if mc.state == draining || mc.state == orderPending {
 			wv.evacuate(mc.vm, wv.urgent(nowMS))
 		}
 	}
@@ -233,7 +254,12 @@
 
 // requiredInProgress returns how many machines must be in progress at once for the wave to end in time.
 func (wv *Wave) requiredInProgress(nowMS int64) int {
-	rest := len(wv.machines) - wv.countIn(finished)
+	rest := 0
+	for _, mc := range wv.machines {
+		if mc.state != finished && !mc.gone() {
+			rest++
+		}
+	}
 	left := wv.startedMS + wv.spec.GetDurationMs()*(percent-reservePercent)/percent - nowMS
 	rounds := max(left/cycleMS, 1)
 	return (rest + int(rounds) - 1) / int(rounds)
@@ -264,27 +290,28 @@
 	headroom := wv.maxDown() - wv.countDown(rows)
 	for _, mc := range wv.byLoad(rows) {
 		row := rows[mc.id]
-		if mc.state == orderPending && row.GetUp() {
-			orders = append(orders, mc.id)
+		if (mc.state != draining && mc.state != orderPending) || !row.GetUp() || !wv.emptied(nowMS, mc, row.GetVm()) {
 			continue
 		}
-		if mc.state != draining || !row.GetUp() {
-			continue
-		}
-		if mc.vm != row.GetVm() {
-			mc.vm = row.GetVm()
-			wv.cordon(mc.vm, true)
-		}
-		if !wv.evacuate(mc.vm, wv.urgent(nowMS)) || headroom <= 0 {
-			continue
+		if mc.state == draining {
+			if headroom <= 0 {
+				continue
+			}
+			mc.state = orderPending
+			headroom--
 		}
-		mc.state = orderPending
 		orders = append(orders, mc.id)
-		headroom--
 	}
 	return orders
 }
 
+// emptied keeps the machine's current VM cordoned, drains it and reports whether it is empty; the VM changes with a crash, a move or another wave.
+func (wv *Wave) emptied(nowMS int64, mc *machine, vm string) bool {
+	mc.vm = vm
+	wv.cordon(vm, true)
+	return wv.evacuate(vm, wv.urgent(nowMS))
+}
+
 // RecordAccepted records that the platform accepted a machine's maintenance.
 func (wv *Wave) RecordAccepted(id string, nowMS int64) {
 	if mc, ok := wv.machines[id]; ok && mc.state == orderPending {
@@ -293,13 +320,20 @@
 	}
 }
 
-// RecordRefused records that a machine's maintenance definitely did not begin.
+// RecordRefused records that the platform refused an order, so that the machine's maintenance didn't begin unless an earlier order is in doubt.
 func (wv *Wave) RecordRefused(id string) {
-	if mc, ok := wv.machines[id]; ok && mc.state == orderPending {
+	if mc, ok := wv.machines[id]; ok && mc.state == orderPending && !mc.inDoubt {
 		mc.state = draining
 	}
 }
 
+// RecordUnanswered records that a machine's maintenance may have begun or begin later.
+func (wv *Wave) RecordUnanswered(id string) {
+	if mc, ok := wv.machines[id]; ok {
+		mc.inDoubt = true
+	}
+}
+
 // InProgress reports whether a machine is being drained or in maintenance, so that nothing else may operate on it.
 func (wv *Wave) InProgress(id string) bool {
 	mc, ok := wv.machines[id]
