Send a maintenance order only once its own intent is stored

And each list repeated an order that had no answer yet, so that the refusal of the second could hide that the first is being executed. Now only orders that the stored row contains are sent, and one of a machine at a time.

Test: TestOverlappingWavesCountOnlyTheirOwnMaintenance now checks the stored row at each order; it failed before with commits of 250 ms and more ("ordered before that is stored").

--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -29,7 +30,9 @@
 	wave *maintenance.Wave
 	// storedRow is the last state that was stored or is being stored.
 	storedRow *workpb.Upkeep
-	orders    []string
+	// orders lists the machines whose maintenance is to be ordered once storedRow is stored, sending those whose order has no answer yet.
+	orders  []string
+	sending map[string]bool
 	// reported is the status last published to the operators.
 	reported  reportedStatus
 	reporting bool
@@ -93,7 +96,7 @@
 
 func (wv *waves) addDriver(spec *workpb.Wave) {
 	ct := wv.rn.ct
-	dr := &waveDriver{spec: spec, wave: maintenance.New(spec, ct.Cordon, ct.Evacuate, ct.Load, ct.HasLasting)}
+	dr := &waveDriver{spec: spec, sending: map[string]bool{}, wave: maintenance.New(spec, ct.Cordon, ct.Evacuate, ct.Load, ct.HasLasting)}
 	dr.wave.OnDone = func(machine, reason string, readMS int64) {
 		wv.rn.lg.Info("machine-maintained", "wave", spec.GetNumber(), "machine", machine, "reason", reason, "list-read-ms", readMS)
 	}
@@ -155,26 +158,31 @@
 	return out
 }
 
-// rowsStored sends the maintenance orders of the waves whose states were just stored.
+// rowsStored sends the maintenance orders that the rows just stored contain.
 func (wv *waves) rowsStored(ctx context.Context, rows []*workpb.Upkeep) {
 	for _, row := range rows {
 		dr := wv.drivers[row.GetWave()]
+		var unstored []string
 		for _, id := range dr.orders {
-			go wv.orderMaintenance(ctx, dr, id)
+			switch {
+			case !slices.Contains(row.GetOrdered(), id):
+				unstored = append(unstored, id)
+			case !dr.sending[id] && wv.rn.ow.Held():
+				dr.sending[id] = true
+				go wv.orderMaintenance(ctx, dr, id)
+			}
 		}
-		dr.orders = nil
+		dr.orders = unstored
 	}
 }
 
 func (wv *waves) orderMaintenance(ctx context.Context, dr *waveDriver, id string) {
 	rn := wv.rn
-	if !rn.ow.Held() {
-		return
-	}
 	limited, cancel := rn.withinLease(ctx)
 	defer cancel()
 	err := rn.deps.Maintain(limited, id, dr.spec.GetNumber(), rn.ow.Token())
 	rn.post(ctx, func() {
+		delete(dr.sending, id)
 		rn.lg.Info("maintenance-ordered", "wave", dr.spec.GetNumber(), "machine", id, "code", int(code.Of(err)))
 		switch code.Of(err) {
 		case code.OK:
--- a/internal/jobrunner/waves_test.go
+++ b/internal/jobrunner/waves_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmarloft/fulmarloft/internal/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -43,8 +46,22 @@
 	return nil
 }
 
-// maintain begins the maintenance of a machine that is up.
+// storedWave returns the stored state of a wave.
+func (si *simulation) storedWave(wave int64) *workpb.Upkeep {
+	row := &workpb.Upkeep{}
+	rw, ok, err := si.st.Rowstore().Get(context.Background(), "upkeep", ownership.Partition, strconv.FormatInt(wave, 10))
+	qt.Check(si.t, err, qt.IsNil)
+	if ok {
+		qt.Check(si.t, proto.Unmarshal(rw.Value(), row), qt.IsNil)
+	}
+	return row
+}
+
+// maintain begins the maintenance of a machine that is up; it fails the test if the order wasn't stored before.
 func (si *simulation) maintain(_ context.Context, id string, wave, _ int64) error {
+	if !slices.Contains(si.storedWave(wave).GetOrdered(), id) {
+		si.t.Errorf("maintenance of %s for wave %d is ordered before that is stored", id, wave)
+	}
 	si.mu.Lock()
 	defer si.mu.Unlock()
 	at := slices.IndexFunc(si.machines, func(mc *workpb.Machine) bool { return mc.GetId() == id })
