--- a/internal/maintenance/counted_test.go
+++ b/internal/maintenance/counted_test.go
@@ -14,6 +14,9 @@
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 )
 
+// moveMS is how long the move of a machine to another pool takes.
+const moveMS = 1500
+
 // fleet simulates machines that several waves share. A VM has work until it was cordoned for workMS.
 type fleet struct {
 	fail   func(format string, args ...any)
@@ -26,11 +29,12 @@
 }
 
 type host struct {
-	id         string
-	lives      int
-	busyLeft   int64
-	cordoned   bool
-	downForMS  int64
+	id        string
+	lives     int
+	busyLeft  int64
+	cordoned  bool
+	downForMS int64
+	// downFor is the wave that the machine is down for, 0 while it moves to another pool.
 	downFor    int64
 	maintained map[int64]bool
 	left       bool
@@ -102,7 +106,7 @@
 	var out []*workpb.Machine
 	for id, ho := range fl.hosts {
 		if !ho.left && !slices.Contains(hidden, id) {
-			out = append(out, &workpb.Machine{Id: id, Up: ho.downForMS == 0, InUpkeep: ho.downForMS > 0, Vm: ho.vm()})
+			out = append(out, &workpb.Machine{Id: id, Up: ho.downForMS == 0, InUpkeep: ho.downForMS > 0 && ho.downFor > 0, Moving: ho.downForMS > 0 && ho.downFor == 0, Vm: ho.vm()})
 		}
 	}
 	return out
@@ -230,7 +234,7 @@
 // An earlier owner may have sent an order or not, so the next one must not count it as executed, nor end the VM's new work with it.
 func TestOrderOfAnEarlierOwnerIsNotTakenForExecuted(t *testing.T) {
 	fl := newFleet(t.Fatalf, "m0", "m1")
-	fl.hosts["m0"].downForMS = downForMS
+	fl.hosts["m0"].downForMS, fl.hosts["m0"].downFor = downForMS, 2
 	ow := fl.addWave(1, 1, "m0", "m1")
 	ow.stored = &workpb.Upkeep{Wave: 1, Ordered: []string{"m0"}, BeganMs: fl.nowMS}
 	fl.changeOwner(ow)
@@ -279,7 +283,7 @@
 	qt.Assert(t, ordered, qt.HasLen, 1)
 }
 
-// Overlapping waves, lost and late answers, incomplete and old lists, a store that doesn't take the state and changes of owner must not make a wave count a machine that hasn't begun its maintenance for it, nor break its limit.
+// Overlapping waves, lost and late answers, incomplete and old lists, a store that doesn't take the state and machines that move and changes of owner must not make a wave count a machine that hasn't begun its maintenance for it, nor break its limit.
 func TestWaveCountsOnlyItsOwnMaintenance(t *testing.T) {
 	property.Check(t, func(rt *rapid.T) {
 		ids := []string{"m0", "m1", "m2", "m3", "m4", "m5"}
@@ -301,6 +305,9 @@
 			for range rapid.IntRange(0, 8).Draw(rt, "delay") {
 				fl.pass()
 			}
+			if ho := fl.hosts[rapid.SampledFrom(ids).Draw(rt, "moved")]; ho.downForMS == 0 && rapid.IntRange(0, 9).Draw(rt, "move") == 0 {
+				ho.downForMS, ho.downFor = moveMS, 0
+			}
 			fl.disturb(rt, list, readMS)
 			fl.pass()
 		}
