Test that an order in doubt keeps its place across owners, and lists older than an acceptance

Both mutations survived before: a Restore that ignores the ordered machines, and a list read before the order was accepted taken as proof. TestUnansweredOrderKeepsItsPlace replaces TestRefusalAfterAnUnanswered- OrderFreesNoPlace, whose case it keeps.

--- a/internal/maintenance/counted_test.go
+++ b/internal/maintenance/counted_test.go
@@ -262,25 +262,52 @@
 	qt.Assert(t, ow.wv.Done(), qt.IsTrue)
 }
 
-// An unanswered order may be executed late, so a refusal of its repetition doesn't free the place that it takes.
-func TestRefusalAfterAnUnansweredOrderFreesNoPlace(t *testing.T) {
-	fl := newFleet(t.Fatalf, "m0", "m1")
-	fl.lasting = true
-	ow := fl.addWave(1, 1, "m0", "m1")
-	ordered := map[string]int{}
-	for range 100 {
-		fl.pass()
-		for _, id := range ow.wv.Step(fl.nowMS, fl.nowMS, fl.list()) {
-			ordered[id]++
-			if ordered[id] == 1 {
-				ow.wv.RecordUnanswered(id)
-				continue
+// An unanswered order may be executed late, so neither a refusal of its repetition nor a change of owner frees the place that it takes.
+func TestUnansweredOrderKeepsItsPlace(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		ownerChange bool
+	}{
+		{name: "repetition refused"},
+		{name: "next owner", ownerChange: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t.Fatalf, "m0", "m1")
+			fl.lasting = true
+			ow := fl.addWave(1, 1, "m0", "m1")
+			ordered := map[string]int{}
+			for range 100 {
+				fl.pass()
+				for _, id := range ow.wv.Step(fl.nowMS, fl.nowMS, fl.list()) {
+					ordered[id]++
+					ow.stored = ow.wv.Row()
+					switch {
+					case ordered[id] > 1:
+						ow.wv.RecordRefused(id)
+					case tc.ownerChange:
+						fl.changeOwner(ow)
+					default:
+						ow.wv.RecordUnanswered(id)
+						continue
+					}
+					fl.hosts[id].busyLeft = 2 * fl.workMS
+				}
 			}
-			ow.wv.RecordRefused(id)
-			fl.hosts[id].busyLeft = 2 * fl.workMS
-		}
+			qt.Assert(t, ordered, qt.HasLen, 1)
+		})
+	}
+}
+
+func TestListOlderThanTheAcceptedOrderDecidesNothing(t *testing.T) {
+	fl := newFleet(t.Fatalf, "m0")
+	ow := fl.addWave(1, 1, "m0")
+	for fl.hosts["m0"].downForMS == 0 {
+		fl.pass()
+		list := fl.list()
+		fl.step(ow, fl.nowMS, list, true)
+		ow.wv.Step(fl.nowMS, fl.nowMS, list)
 	}
-	qt.Assert(t, ordered, qt.HasLen, 1)
+	qt.Assert(t, ow.wv.Done(), qt.IsFalse)
 }
 
 // Overlapping waves, lost and late answers, incomplete and old lists, a store that doesn't take the state and machines that move and changes of owner must not make a wave count a machine that hasn't begun its maintenance for it, nor break its limit.
