--- a/internal/maintenance/counted_test.go
+++ b/internal/maintenance/counted_test.go
@@ -231,6 +231,16 @@
 	}
 }
 
+func TestEmptyListsCompleteNothing(t *testing.T) {
+	fl := newFleet(t.Fatalf, "m0", "m1")
+	ow := fl.addWave(1, 1, "m0", "m1")
+	for range 10 {
+		fl.pass()
+		fl.step(ow, fl.nowMS, nil, true)
+	}
+	fl.finish(20_000)
+}
+
 // An earlier owner may have sent an order or not, so the next one must not count it as executed, nor end the VM's new work with it.
 func TestOrderOfAnEarlierOwnerIsNotTakenForExecuted(t *testing.T) {
 	fl := newFleet(t.Fatalf, "m0", "m1")
