Free the place of a machine that leaves while it is being drained

Test: TestMachineThatLeavesFreesItsPlace; its case "being drained" failed before (wave 1 isn't completed).

--- a/internal/maintenance/counted_test.go
+++ b/internal/maintenance/counted_test.go
@@ -145,7 +145,7 @@
 	ho.maintained[number], ho.downForMS, ho.downFor = true, downForMS, number
 	down := 0
 	for _, other := range fl.hosts {
-		if other.downForMS > 0 && other.downFor == number {
+		if !other.left && other.downForMS > 0 && other.downFor == number {
 			down++
 		}
 	}
@@ -231,6 +231,31 @@
 	}
 }
 
+// A machine that leaves while the wave works on it must not keep the place of another.
+func TestMachineThatLeavesFreesItsPlace(t *testing.T) {
+	for _, tc := range []struct {
+		name              string
+		ordered, accepted bool
+	}{
+		{name: "being drained"},
+		{name: "order in doubt", ordered: true},
+		{name: "order accepted", ordered: true, accepted: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t.Fatalf, "m0", "m1")
+			fl.hosts["m1"].busyLeft = 10 * fl.workMS
+			ow := fl.addWave(1, 1, "m0", "m1")
+			fl.step(ow, fl.nowMS, fl.list(), true)
+			for tc.ordered && fl.hosts["m0"].downForMS == 0 {
+				fl.pass()
+				fl.step(ow, fl.nowMS, fl.list(), tc.accepted)
+			}
+			fl.hosts["m0"].left = true
+			fl.finish(20_000)
+		})
+	}
+}
+
 func TestEmptyListsCompleteNothing(t *testing.T) {
 	fl := newFleet(t.Fatalf, "m0", "m1")
 	ow := fl.addWave(1, 1, "m0", "m1")
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -185,10 +185,11 @@
 	return count
 }
 
-func (wv *Wave) countIn(st state) int {
+// countDraining counts the machines that are being drained.
+func (wv *Wave) countDraining() int {
 	count := 0
 	for _, mc := range wv.machines {
-		if mc.state == st {
+		if mc.state == draining && !mc.gone() {
 			count++
 		}
 	}
@@ -208,7 +209,7 @@
 
 // startDraining starts to drain machines: idle ones as soon as they may go down, some with long-running tasks beside them, other busy ones only as fast as the wave's duration requires.
 func (wv *Wave) startDraining(nowMS int64, rows map[string]*workpb.Machine) {
-	inProgress := wv.countIn(draining) + wv.countDown(rows)
+	inProgress := wv.countDraining() + wv.countDown(rows)
 	required := wv.requiredInProgress(nowMS)
 	lasting := wv.countDrainingLasting()
 	maxLasting := max(len(wv.machines)/lastingDivisor, extraLasting)
