Don't crash the owner over a long-running task without tickets

Callers would see: no task is started any more, as each entry that takes the ownership crashes at its first planning pass. Cause: on a queue whose placement needs advice, placeStep replaces the pool by the VMs that have a ticket; where none has, a long-running task that fits nowhere was recorded as unplaceable for the service of pool[0], which doesn't exist. TestOwnerSurvivesALastingTaskThatNoVMHasATicketFor failed before (panic: index out of range [0] with length 0).

--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -501,3 +501,16 @@
 	due := fl.ct.DuePolls()
 	qt.Assert(t, slices.ContainsFunc(due, func(lr *workpb.LookRequest) bool { return lr.GetVm() == "new" }), qt.IsTrue)
 }
+
+func TestOwnerSurvivesALastingTaskThatNoVMHasATicketFor(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	rules := testRules()
+	rules.Queues[0].Advised = true
+	fl.setRules(rules)
+	st := stepOf(1)
+	st.Lasting = true
+	fl.submit(jobOf("j1", st))
+	fl.run(400)
+	qt.Assert(t, len(fl.ct.AdviceRequests()), qt.Equals, 1)
+	qt.Assert(t, len(fl.starts), qt.Equals, 0)
+}
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -179,7 +179,7 @@
 		vm := chooseVM(tk, pool)
 		if vm == nil {
 			if cd.tier == tierLasting {
-				ct.recordUnplaceable(pool[0].reg.GetService(), nowMS)
+				ct.recordUnplaceable(ct.queueOf(cd.st.oc.jb).GetService(), nowMS)
 				reserveVM(cd.st, pool)
 			}
 			return
