Keep runs that began after the list of machines was read

Callers would see: a task runs twice (TWICE). A VM crashes while it has no runs, so that no poll notices it (idle VMs are polled every 6 s), and starts again under its id while a slow list of machines is read that shows its machine as down. A task started there in the meantime is taken for ended by that list and starts again, though it runs. Cause: the guard against old lists compares them with the VM's last answer to a poll; the answer to a start doesn't count as one. Now a run is ended by a machine that is down only if it was confirmed before the list's read began. TestStartAcceptedWhileTheMachinesAreListedIsNotTakenForEnded failed before (2 starts, want 1; the second beside the first).

--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -51,16 +51,16 @@
 			ct.expireRuns(vm)
 		case row.GetDown() && row.GetVm() != vm.id:
 			vm.synced = false
-			ct.endBegunRuns(vm)
+			ct.endBegunRuns(vm, readMS)
 		}
 	}
 }
 
-// endBegunRuns ends the runs that certainly began on a VM whose machine is down. The VM may start again under its id and execute unanswered starts then, so those are kept.
-func (ct *Controller) endBegunRuns(vm *vmState) {
+// endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept.
+func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
 	before := len(vm.runs)
 	for _, rn := range vm.runs {
-		if rn.phase == phaseRunning || rn.settled {
+		if rn.settled || (rn.phase == phaseRunning && rn.startedMS < readMS) {
 			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 		}
 	}
--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -217,3 +217,27 @@
 		qt.Assert(t, len(fl.runningOn) >= 1, qt.IsTrue, qt.Commentf("no task runs while %v drain", hosts))
 	}
 }
+
+// startAgain starts a crashed VM again under its id.
+func (fl *fleet) startAgain(id string) {
+	fl.workers[id].Restart()
+	fl.unresponsive[id] = false
+}
+
+func TestStartAcceptedWhileTheMachinesAreListedIsNotTakenForEnded(t *testing.T) {
+	fl := newFleet(t, hostedVM("a"))
+	fl.setBehavior(0, workpb.End_END_UNKNOWN)
+	fl.run(1000)
+	readMS := fl.ck.Now()
+	fl.unresponsive["a"] = true
+	list := fl.machinesWithDown()
+	fl.startAgain("a")
+	st := stepOf(1)
+	st.Lasting = true
+	fl.submit(jobOf("j1", st))
+	fl.run(2 * stepMS)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+	fl.ct.SetMachines(readMS, list)
+	fl.run(1000)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
