Count a machine as removed only if its VM didn't answer between the lists

Callers would see: a task runs twice (TWICE). A list is read in pages, and a busy VM answers its long poll only each 0.6 s, so that its last answer is often older than the read of a list. A machine that two lists miss, 0.7 s apart, was taken for removed though its VM had answered between the two. Now each answer begins the count anew. A VM that has left answers nothing, so its runs end as soon as before. TestVMThatAnswersBetweenListsIsNotTakenForRemoved failed before (2 starts, want 1; the second beside the first).

--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// minUnlistedReads is how many lists in a row must lack a machine before it counts as removed: a list is read in pages, and a machine may be missed while others come and go.
+// minUnlistedReads is how many lists in a row, without an answer of its VM, must lack a machine before it counts as removed: a list is read in pages, and a machine may be missed while others come and go.
 const minUnlistedReads = 2
 
 // SetMachines applies a list of machines whose read began at readMS and ends the runs of VMs that, by this list, have ended.
--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -241,3 +241,16 @@
 	fl.run(1000)
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
 }
+
+func TestVMThatAnswersBetweenListsIsNotTakenForRemoved(t *testing.T) {
+	fl, host := newLastingTask(t, hostedVM("a"), hostedVM("b"))
+	for range 2 {
+		fl.unresponsive[host] = true
+		readMS := fl.ck.Now()
+		fl.run(stepMS)
+		fl.ct.SetMachines(readMS, []*workpb.Machine{{Id: "m-other", Vm: "other", Up: true}})
+		fl.unresponsive[host] = false
+		fl.run(1000)
+	}
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -121,6 +121,7 @@
 	vm.failedPolls = 0
 	ct.zoneAnswered(vm.reg.GetZone())
 	vm.answeredMS = nowMS
+	vm.unlistedReads = 0
 	if lk.GetBornMs() != 0 && lk.GetBornMs() != vm.startMS {
 		if vm.startMS != 0 {
 			ct.handleRestart(vm, lk.GetBornMs())
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -44,7 +44,7 @@
 	leaving         bool
 	reserved        bool
 	suspicion       *suspicion.Suspicion
-	// unlistedReads counts the lists of machines in a row that lacked the VM's machine.
+	// unlistedReads counts the lists of machines in a row, since the VM's last answer, that lacked the VM's machine.
 	unlistedReads int
 	// machineStatus is the status of the VM's machine that was logged last, empty while the VM answers.
 	machineStatus string
