Move tasks off draining VMs only where they can start again

Callers would see: long-running tasks stopped on VMs that would have run them for seconds more, and not started elsewhere. With one free place, six tasks of six jobs on two draining VMs were all stopped in one pass; batch work took the place of a stopped task before the task was free to start; on a queue with advice, and for a team over its cap, a task was stopped that no VM could start. Cause: a VM with room at this moment was taken as proof that the task can start. Nothing held the room for the time of the stop, several tasks counted the same room, and neither tickets nor the team's cap were asked for. Now the room is held from the stop's order until the stop is listed, against all other work; tasks that wait take room first, then tasks on draining VMs, then tasks that end; tickets and cap are asked for.

--- a/internal/jobcontrol/evacuate.go
+++ b/internal/jobcontrol/evacuate.go
@@ -1,5 +1,7 @@
 package jobcontrol
 
+import "github.com/fulmarloft/fulmarloft/internal/size"
+
 // handoverMS is how long a new owner waits before it evacuates long-running tasks; stops that an earlier owner ordered take less.
 const handoverMS = 1500
 
@@ -37,31 +39,76 @@
 			continue
 		}
 		// A task that wasn't available at the last poll may be by now, so it is stopped only within the budget, like any other.
-		ct.evacuateRun(rn, int(rn.task.st.row.GetDisruptionBudget()))
+		if ct.mayEvacuate(rn, int(rn.task.st.row.GetDisruptionBudget())) {
+			ct.evacuateRun(rn)
+		}
 	}
 	return false
 }
 
-// evacuateRun stops the run of a long-running task if that leaves no more than a number of the step's tasks unavailable.
-func (ct *Controller) evacuateRun(rn *run, maxUnavailable int) {
+// mayEvacuate reports whether stopping the run of a long-running task leaves no more than a number of the step's tasks unavailable.
+func (ct *Controller) mayEvacuate(rn *run, maxUnavailable int) bool {
 	// Runs that an earlier owner stopped may still be listed as running.
-	if ct.ck.Now()-ct.startedMS < handoverMS || rn.task.st.unavailable(rn.task) >= maxUnavailable {
-		return
-	}
+	return ct.ck.Now()-ct.startedMS >= handoverMS && rn.task.st.unavailable(rn.task) < maxUnavailable
+}
+
+func (ct *Controller) evacuateRun(rn *run) {
 	ct.lg.Info("run-evacuated", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run)
 	ct.stop(rn)
 }
 
+// heldRoom is the room on VMs that is held during a planning pass for tasks that still run elsewhere.
+type heldRoom map[*vmState]size.Size
+
+func (hr heldRoom) hold(vm *vmState, need size.Size) {
+	hr[vm] = hr[vm].Plus(need)
+	vm.used = vm.used.Plus(need)
+}
+
+func (hr heldRoom) release() {
+	for vm, held := range hr {
+		vm.used = vm.used.Minus(held)
+	}
+}
+
+// holdRoom holds room for the long-running tasks that are being moved off draining VMs, so that nothing else is placed there before they have been stopped.
+func (ct *Controller) holdRoom() heldRoom {
+	hr := heldRoom{}
+	for _, vm := range ct.vms {
+		for _, rn := range vm.runs {
+			if rn.target != nil && rn.task != nil && !rn.task.job().ended() {
+				hr.hold(rn.target, rn.need)
+			}
+		}
+	}
+	return hr
+}
+
+// chooseOtherVM returns the VM to which a run's task can be moved, or nil if none has room for it or its team is over its cap.
+func (ct *Controller) chooseOtherVM(rn *run, pools map[string][]*vmState, nowMS int64) *vmState {
+	pool := pools[rn.vm.reg.GetService()]
+	if len(pool) == 0 || !ct.withinCap(rn.team, size.Size{}) {
+		return nil
+	}
+	if ct.queueOf(rn.task.job()).GetAdvised() {
+		pool = ct.vmsWithTicket(rn.task.st, pool, nowMS)
+	}
+	return chooseVM(rn.task, pool)
+}
+
 // evacuateDraining moves long-running tasks off VMs that are about to end, one of each step at least, as far as other VMs have room for them: at its VM's end a task is unavailable for longer.
-func (ct *Controller) evacuateDraining(pools map[string][]*vmState) {
+func (ct *Controller) evacuateDraining(pools map[string][]*vmState, hr heldRoom, nowMS int64) {
 	for _, vm := range ct.vms {
 		if !vm.registered || !vm.reg.GetDraining() || vm.unresponsive {
 			continue
 		}
-		pool := pools[vm.reg.GetService()]
 		for _, rn := range vm.runs {
-			if rn.phase == phaseRunning && rn.lasting() && chooseVM(rn.task, pool) != nil {
-				ct.evacuateRun(rn, max(int(rn.task.st.row.GetDisruptionBudget()), 1))
+			if rn.phase != phaseRunning || !rn.lasting() || !ct.mayEvacuate(rn, max(int(rn.task.st.row.GetDisruptionBudget()), 1)) {
+				continue
+			}
+			if rn.target = ct.chooseOtherVM(rn, pools, nowMS); rn.target != nil {
+				hr.hold(rn.target, rn.need)
+				ct.evacuateRun(rn)
 			}
 		}
 	}
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -39,30 +39,56 @@
 	firstStartMarginMS = 300
 )
 
-// place plans starts of waiting tasks of all services, in order of their rank, since queues may ask for several times the capacity of their pool.
-func (ct *Controller) place(bt *Batch, pools map[string][]*vmState, nowMS int64) {
+// place plans starts of waiting tasks of all services, in order of their rank, since queues may ask for several times the capacity of their pool. Long-running tasks on draining VMs get room before tasks that end.
+func (ct *Controller) place(bt *Batch, nowMS int64) {
+	pools := ct.pools(nowMS)
 	if len(pools) == 0 {
 		return
 	}
-	for service, list := range ct.candidates(nowMS) {
-		pool := pools[service]
-		if len(pool) == 0 {
+	hr := ct.holdRoom()
+	defer hr.release()
+	ready := ct.rankedCandidates(pools, nowMS)
+	ct.placeCandidates(bt, ready, pools, nowMS, candidate.lasting)
+	ct.evacuateDraining(pools, hr, nowMS)
+	ct.placeCandidates(bt, ready, pools, nowMS, candidate.ending)
+}
+
+// rankedCandidates returns the steps with tasks that may start, in order of their rank, for each service with usable VMs.
+func (ct *Controller) rankedCandidates(pools map[string][]*vmState, nowMS int64) map[string][]candidate {
+	out := ct.candidates(nowMS)
+	for service, list := range out {
+		if len(pools[service]) == 0 {
+			delete(out, service)
 			continue
 		}
-		over := ct.updateShares(service, pool, nowMS).overShare(ct.weights, list)
+		over := ct.updateShares(service, pools[service], nowMS).overShare(ct.weights, list)
 		for at := range list {
-			list[at].overShare = list[at].tier != tierLasting && over[list[at].team()]
+			list[at].overShare = list[at].ending() && over[list[at].team()]
 		}
 		sortCandidates(list)
+	}
+	return out
+}
+
+// placeCandidates plans starts of the steps that match.
+func (ct *Controller) placeCandidates(bt *Batch, ready map[string][]candidate, pools map[string][]*vmState, nowMS int64, match func(candidate) bool) {
+	for service, list := range ready {
 		for _, cd := range list {
+			if !match(cd) {
+				continue
+			}
 			if len(ct.dirtyJobs) >= MaxRows || !ct.mayStartMore() {
 				return
 			}
-			ct.placeStep(bt, cd, pool, nowMS)
+			ct.placeStep(bt, cd, pools[service], nowMS)
 		}
 	}
 }
 
+func (cd candidate) lasting() bool { return cd.tier == tierLasting }
+
+func (cd candidate) ending() bool { return !cd.lasting() }
+
 // pools returns the usable VMs of each service, without those in a zone that is cut off, and clears their reservations.
 func (ct *Controller) pools(nowMS int64) map[string][]*vmState {
 	pools := map[string][]*vmState{}
@@ -178,7 +204,7 @@
 		}
 		vm := chooseVM(tk, pool)
 		if vm == nil {
-			if cd.tier == tierLasting {
+			if cd.lasting() {
 				ct.recordUnplaceable(ct.queueOf(cd.st.oc.jb).GetService(), nowMS)
 				reserveVM(cd.st, pool)
 			}
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -25,9 +25,7 @@
 	ct.openDueOccurrences(nowMS)
 	bt := &Batch{acknowledged: map[*vmState]int64{}}
 	if mayStart && ct.rules != nil && len(ct.dirtyJobs) < MaxRows {
-		pools := ct.pools(nowMS)
-		ct.evacuateDraining(pools)
-		ct.place(bt, pools, nowMS)
+		ct.place(bt, nowMS)
 	}
 	count := min(len(ct.dirtyJobs), MaxRows)
 	for _, jb := range ct.dirtyJobs[:count] {
