--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// minUnlistedReads is how many lists in a row must lack a machine before it counts as removed: a list is read in pages, and a machine may be missed while others come and go.
+// minUnlistedReads is how many lists in a row, without an answer of its VM, must lack a machine before it counts as removed: a list is read in pages, and a machine may be missed while others come and go.
 const minUnlistedReads = 2
 
 // SetMachines applies a list of machines whose read began at readMS and ends the runs of VMs that, by this list, have ended.
@@ -51,16 +51,16 @@
 			ct.expireRuns(vm)
 		case row.GetDown() && row.GetVm() != vm.id:
 			vm.synced = false
-			ct.endBegunRuns(vm)
+			ct.endBegunRuns(vm, readMS)
 		}
 	}
 }
 
-// endBegunRuns ends the runs that certainly began on a VM whose machine is down. The VM may start again under its id and execute unanswered starts then, so those are kept.
-func (ct *Controller) endBegunRuns(vm *vmState) {
+// endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept.
+func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
 	before := len(vm.runs)
 	for _, rn := range vm.runs {
-		if rn.settled || (rn.phase == phaseRunning && !rn.repeated) {
+		if rn.settled || (rn.phase == phaseRunning && !rn.repeated && rn.startedMS < readMS) {
 			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 		}
 	}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -44,7 +44,7 @@
 	leaving         bool
 	reserved        bool
 	suspicion       *suspicion.Suspicion
-	// unlistedReads counts the lists of machines in a row that lacked the VM's machine.
+	// unlistedReads counts the lists of machines in a row, since the VM's last answer, that lacked the VM's machine.
 	unlistedReads int
 	// machineStatus is the status of the VM's machine that was logged last, empty while the VM answers.
 	machineStatus string
@@ -94,6 +94,8 @@
 	repeated bool
 	// settled is set once no order can start the run any more: it was confirmed, and inDoubtMS has passed since its start was ordered.
 	settled bool
+	// target is the VM on which room is held for the task while this run is stopped to move it, or nil.
+	target *vmState
 	// startedMS is when the run was created, its start was ordered or the start was accepted, whichever came last.
 	startedMS  int64
 	percent    int64
