--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
@@ -56,6 +57,7 @@
 	startMS     int64
 
 	committing    bool
+	commits       sync.WaitGroup
 	lastCommitMS  int64
 	lastPlanMS    int64
 	planDue       bool
@@ -121,6 +123,8 @@
 func (rn *Runner) Run(ctx context.Context) error {
 	stop := ctx.Done()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	// The ownership isn't safe for concurrent use, so a commit in flight must end before it is released or polled.
+	defer rn.commits.Wait()
 	defer cancel()
 	rn.applyRules()
 	if err := rn.restore(ctx, stop); err != nil {
@@ -304,7 +308,8 @@
 	}
 	rn.committing = true
 	rn.lastCommitMS = nowMS
-	go rn.commit(ctx, bt, counts, waveRows, rn.cleaner.nextProgressIDs(jobcontrol.MaxRows-len(bt.Rows())))
+	progressIDs := rn.cleaner.nextProgressIDs(jobcontrol.MaxRows - len(bt.Rows()))
+	rn.commits.Go(func() { rn.commit(ctx, bt, counts, waveRows, progressIDs) })
 }
 
 // pendingCounts returns the counts of waiting jobs when they are due to be stored, or nil.
