Move waves forward as soon as the ownership is held, not only when a list arrives

Cause: with slow commits the lease is held for a tenth of the time, and a list that arrived in between was dropped.

--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -14,11 +14,13 @@
 
 // waves runs the maintenance waves during one ownership.
 type waves struct {
-	rn          *Runner
-	drivers     map[int64]*waveDriver
-	restored    map[int64]*workpb.Upkeep
-	machines    []*workpb.Machine
-	listReadMS  int64
+	rn         *Runner
+	drivers    map[int64]*waveDriver
+	restored   map[int64]*workpb.Upkeep
+	machines   []*workpb.Machine
+	listReadMS int64
+	// listUnused is set while the waves haven't been moved forward with the last list.
+	listUnused  bool
 	reading     bool
 	nextReadMS  int64
 	nextDrainMS int64
@@ -83,6 +85,7 @@
 		wv.reading = true
 		go wv.readMachines(ctx)
 	}
+	wv.advance()
 	for _, dr := range wv.drivers {
 		wv.reportStatus(ctx, dr)
 		if nowMS >= wv.nextDrainMS && wv.rn.ow.Held() {
@@ -130,16 +133,18 @@
 		}
 		wv.machines, wv.listReadMS = list, readMS
 		wv.rn.ct.SetMachines(readMS, list)
+		wv.listUnused = true
 		wv.advance()
 	})
 }
 
-// advance moves each wave forward with the last list of machines.
+// advance moves each wave forward with the last list of machines, once the ownership is held.
 func (wv *waves) advance() {
 	nowMS := wv.rn.ck.Now()
-	if !wv.rn.ow.Held() {
+	if !wv.listUnused || !wv.rn.ow.Held() {
 		return
 	}
+	wv.listUnused = false
 	for _, dr := range wv.drivers {
 		dr.orders = dr.wave.Step(nowMS, wv.listReadMS, wv.machines)
 	}
