Count runs that were replaced elsewhere against the limit per VM

Cause: when a VM is silent, tasks whose steps allow duplicate runs start elsewhere, and their runs there belong to no task from then on. Such a run wasn't counted for its step when the VM answered again, so a task of the step was started beside it until its stop ended. TestDetachedDuplicateCountsAgainstTheLimitPerVM failed before (2 tasks of the step run on one VM). Unknown runs that VMs list count as well now.

--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -271,7 +271,7 @@
 // allocate creates the run for a task's current run number and allocates its resources on a VM.
 func (ct *Controller) allocate(vm *vmState, tk *task, ph phase) *run {
 	rn := &run{
-		key: runKey{tk.name().String(), tk.run}, vm: vm, task: tk, team: tk.job().row.GetTeam(),
+		key: runKey{tk.name().String(), tk.run}, vm: vm, task: tk, st: tk.st, team: tk.job().row.GetTeam(),
 		need: tk.st.need(), capUse: tk.st.capUse(), phase: ph, token: ct.token, startedMS: ct.ck.Now(), progressMS: ct.ck.Now(), sentPace: fullPercent,
 	}
 	tk.current = rn
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -514,3 +514,22 @@
 	qt.Assert(t, len(fl.ct.AdviceRequests()), qt.Equals, 1)
 	qt.Assert(t, len(fl.starts), qt.Equals, 0)
 }
+
+// A VM that answers again still holds the run that was replaced elsewhere, and starts nothing of the step beside it.
+func TestDetachedDuplicateCountsAgainstTheLimitPerVM(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	fl.allowDuplicates = true
+	fl.setBehavior(4000, workpb.End_END_DONE)
+	st := stepOf(2)
+	st.Duplicates, st.MaxPerVm, st.EstimateMs = true, 1, 4000
+	fl.submit(jobOf("j1", st))
+	fl.run(500)
+	fl.unresponsive["a"] = true
+	fl.run(1000)
+	fl.unresponsive["a"] = false
+	for range 400 {
+		fl.run(stepMS)
+		qt.Assert(t, fl.workers["a"].Running() <= 1, qt.IsTrue, qt.Commentf("%d tasks of the step run on one VM", fl.workers["a"].Running()))
+	}
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+}
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -203,7 +203,7 @@
 	if nm, err := taskname.Parse(key.task); err == nil {
 		if jb, ok := ct.jobs[nm.Job()]; ok {
 			if tk := jb.task(nm); tk != nil {
-				rn.need, rn.capUse, rn.team = tk.st.need(), tk.st.capUse(), jb.row.GetTeam()
+				rn.st, rn.need, rn.capUse, rn.team = tk.st, tk.st.need(), tk.st.capUse(), jb.row.GetTeam()
 			}
 		}
 	}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -84,7 +84,9 @@
 	// isDuplicate is set for a run that was detached so that its task may start elsewhere as well.
 	isDuplicate bool
 	// task is nil for a run that doesn't belong to a task, or no longer does.
-	task   *task
+	task *task
+	// st is the step of the run's task, also while the run no longer belongs to the task; nil for an unknown task.
+	st     *step
 	team   string
 	need   size.Size
 	capUse size.Size
@@ -157,7 +159,7 @@
 func (vm *vmState) runsOfStep(st *step) int {
 	count := 0
 	for _, rn := range vm.runs {
-		if rn.task != nil && rn.task.st == st {
+		if rn.st == st {
 			count++
 		}
 	}
