Ignore results of calls from before the circuit breaker opened

Cause: Done didn't know which call ended. A call from before the opening that ended during a trial cleared the trial's mark, so that a second call was let through; a late success even closed the breaker.

Each allowed call carries the number of openings before it, and only results of the current number count. The failure of a trial opens the breaker again and so starts a new number.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -17,6 +17,8 @@
 	failures    int
 	openUntilMS int64
 	trialActive bool
+	// generation counts the openings.
+	generation int64
 }
 
 const (
@@ -34,24 +36,27 @@
 	return &Breaker{ck: ck, pause: pause}
 }
 
-// Allow reports whether a call may be made now; each allowed call must be followed by Done.
-func (br *Breaker) Allow() bool {
+// Allow reports whether a call may be made now; each allowed call must be followed by Done with the returned generation.
+func (br *Breaker) Allow() (generation int64, ok bool) {
 	br.mu.Lock()
 	defer br.mu.Unlock()
 	if br.failures < failuresToOpen {
-		return true
+		return br.generation, true
 	}
 	if br.trialActive || br.ck.Now() < br.openUntilMS {
-		return false
+		return 0, false
 	}
 	br.trialActive = true
-	return true
+	return br.generation, true
 }
 
-// Done records the result of an allowed call.
-func (br *Breaker) Done(ok bool) {
+// Done records the result of an allowed call; a call from before the last opening counts neither way.
+func (br *Breaker) Done(generation int64, ok bool) {
 	br.mu.Lock()
 	defer br.mu.Unlock()
+	if generation != br.generation {
+		return
+	}
 	br.trialActive = false
 	if ok {
 		br.failures = 0
@@ -60,6 +65,7 @@
 	}
 	br.failures++
 	if br.failures >= failuresToOpen {
+		br.generation++
 		br.openUntilMS = br.ck.Now() + br.pause.NextBackOff().Milliseconds()
 	}
 }
--- a/internal/table/guard.go
+++ b/internal/table/guard.go
@@ -128,14 +128,15 @@
 		gd.rg.Count(1, metricGroup, "over-budget")
 		return err
 	}
-	if !gd.br.Allow() {
+	generation, ok := gd.br.Allow()
+	if !ok {
 		return code.TableUnavailable.New("circuit breaker is open after consecutive failures")
 	}
 	ctx, cancel := gd.ck.WithTimeout(ctx, callTimeoutMS)
 	defer cancel()
 	start := gd.ck.Now()
 	err := fn(ctx)
-	gd.br.Done(err == nil)
+	gd.br.Done(generation, err == nil)
 	gd.rg.Count(1, metricGroup, name)
 	gd.rg.Observe(gd.ck.Now()-start, metricGroup, name+"-ms")
 	if err != nil {
