Count only trial runs for and against a quarantined worker

Cause: each success on a quarantined worker counted as a passed trial, also of runs that were under way when it was quarantined, so that a worker with a few runs was released at once; their failures doubled the wait for the next trial.

BeginTrial takes the job, and only that job's result counts. Its result may be recorded after EndTrial, since the scheduler releases a run first.

Test TestRunsFromBeforeTheQuarantineAreNoTrials failed with the new signature and the old logic: "released by runs from before the quarantine", "the failure of an earlier run delays the next trial".

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/fulmarloft/fulmarloft/internal/clock"
+import (
+	"slices"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+)
 
 // Ledger attributes each failed run to its worker or its job, depending on how often the worker fails other jobs and the job fails on other workers; it isn't safe for concurrent use.
 type Ledger struct {
@@ -31,11 +35,13 @@
 	// events holds the jobs that failed in each event, by its time.
 	events map[int64][]string
 	// successes counts the successful runs since the first of the events.
-	successes    int
-	quarantined  bool
-	trialAtMS    int64
-	trialWaitMS  int64
-	inTrial      bool
+	successes   int
+	quarantined bool
+	trialAtMS   int64
+	trialWaitMS int64
+	inTrial     bool
+	// trialJob is the job of the last trial, until its result is recorded.
+	trialJob     string
 	trialsPassed int
 }
 
@@ -64,7 +70,7 @@
 		jb.successes++
 		lg.reevaluateWorkers(jb)
 	}
-	if wk.quarantined {
+	if wk.quarantined && wk.trialJob == id {
 		lg.passTrial(wk)
 	}
 }
@@ -78,7 +84,7 @@
 		jb := lg.job(id)
 		jb.failedOn[workerName] = true
 	}
-	if wk.quarantined {
+	if wk.quarantined && slices.Contains(ids, wk.trialJob) {
 		lg.failTrial(wk)
 	}
 	for _, id := range ids {
@@ -126,8 +132,11 @@
 	return ok && wk.quarantined && !wk.inTrial && lg.ck.Now() >= wk.trialAtMS
 }
 
-// BeginTrial records that a trial run was given to the worker.
-func (lg *Ledger) BeginTrial(workerName string) { lg.worker(workerName).inTrial = true }
+// BeginTrial records that a run of the job was given to the worker as a trial.
+func (lg *Ledger) BeginTrial(workerName, id string) {
+	wk := lg.worker(workerName)
+	wk.inTrial, wk.trialJob = true, id
+}
 
 // EndTrial records that the trial run ended, without counting it for or against the worker.
 func (lg *Ledger) EndTrial(workerName string) {
@@ -159,7 +168,7 @@
 		return
 	}
 	lg.quarantinedCount++
-	wk.quarantined, wk.trialsPassed, wk.inTrial = true, 0, false
+	wk.quarantined, wk.trialsPassed, wk.inTrial, wk.trialJob = true, 0, false, ""
 	wk.trialWaitMS = firstTrialWaitMS
 	wk.trialAtMS = lg.ck.Now() + wk.trialWaitMS
 }
@@ -179,7 +188,7 @@
 }
 
 func (lg *Ledger) passTrial(wk *worker) {
-	wk.inTrial = false
+	wk.inTrial, wk.trialJob = false, ""
 	wk.trialsPassed++
 	if wk.trialsPassed >= trialsToRelease {
 		lg.endQuarantine(wk)
@@ -187,7 +196,7 @@
 }
 
 func (lg *Ledger) failTrial(wk *worker) {
-	wk.inTrial, wk.trialsPassed = false, 0
+	wk.inTrial, wk.trialJob, wk.trialsPassed = false, "", 0
 	wk.trialWaitMS = min(2*wk.trialWaitMS, maxTrialWaitMS)
 	wk.trialAtMS = lg.ck.Now() + wk.trialWaitMS
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -108,7 +108,7 @@
 	qt.Assert(t, lg.TrialDue("worker"), qt.IsFalse)
 	ck.Advance(30000)
 	qt.Assert(t, lg.TrialDue("worker"), qt.IsTrue)
-	lg.BeginTrial("worker")
+	lg.BeginTrial("worker", "trial-1")
 	qt.Assert(t, lg.TrialDue("worker"), qt.IsFalse)
 	lg.RecordFailure("worker", "trial-1")
 	ck.Advance(59999)
@@ -116,12 +116,38 @@
 	ck.Advance(1)
 	for i := range 2 {
 		qt.Assert(t, lg.TrialDue("worker"), qt.IsTrue)
-		lg.BeginTrial("worker")
+		lg.BeginTrial("worker", name("good", i))
 		lg.RecordSuccess("worker", name("good", i))
 	}
 	qt.Assert(t, lg.Quarantined("worker"), qt.IsFalse)
 }
 
+// Runs that were under way when the worker was quarantined must count neither as passed nor as failed trials, also if they end during a trial.
+func TestRunsFromBeforeTheQuarantineAreNoTrials(t *testing.T) {
+	ck := clock.NewFake(1000000)
+	lg := quarantine.New(ck)
+	lg.SetFleet(workers)
+	for i := range 3 {
+		lg.RecordFailure("worker", name("job", i))
+	}
+	qt.Assert(t, lg.Quarantined("worker"), qt.IsTrue)
+	for i := range 3 {
+		lg.RecordSuccess("worker", name("earlier", i))
+	}
+	qt.Check(t, lg.Quarantined("worker"), qt.IsTrue, qt.Commentf("released by runs from before the quarantine"))
+	ck.Advance(30000)
+	lg.BeginTrial("worker", "trial")
+	lg.RecordFailure("worker", "earlier-3")
+	lg.RecordSuccess("worker", "earlier-4")
+	qt.Check(t, lg.TrialDue("worker"), qt.IsFalse, qt.Commentf("a second trial during the first"))
+	lg.EndTrial("worker")
+	lg.RecordSuccess("worker", "trial")
+	qt.Check(t, lg.TrialDue("worker"), qt.IsTrue, qt.Commentf("the failure of an earlier run delays the next trial"))
+	lg.BeginTrial("worker", "trial-2")
+	lg.RecordSuccess("worker", "trial-2")
+	qt.Check(t, lg.Quarantined("worker"), qt.IsFalse)
+}
+
 // If all workers fail, the cause is probably elsewhere, so that at most a fifth of the fleet may be quarantined.
 func TestQuarantineIsCapped(t *testing.T) {
 	lg := quarantine.New(clock.NewFake(1000000))
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -122,7 +122,7 @@
 		if !sc.st.ledger.TrialDue(vm) || sc.st.index.Blocked(vm) != placement.Quarantined || !need.Fits(sc.st.index.Free(vm)) || sc.Condition(vm) == nil {
 			continue
 		}
-		sc.st.ledger.BeginTrial(vm)
+		sc.st.ledger.BeginTrial(vm, rec.id())
 		rec.onTrial = true
 		return vm, true
 	}
