Expire failures of a worker also when nothing fails on it

Cause: events were dropped only when the worker failed again. Until then old failures raised its failure rate, by which the failures of a job are explained, and a success of an old job elsewhere could quarantine a worker for failures of long ago. Successes were counted with them.

Events expire wherever they are read; those of a worker in quarantine stay, since only trials or a poisonous job release it.

Test TestOldFailuresExpireWithoutNewOnes failed before: "old failures of the workers still explain those of the job", "quarantined for old failures"; its third case (successes) passed before too.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -62,7 +62,7 @@
 
 // RecordSuccess records that a run of a job succeeded on a worker.
 func (lg *Ledger) RecordSuccess(workerName, id string) {
-	wk := lg.worker(workerName)
+	wk := lg.unexpired(workerName)
 	if len(wk.events) > 0 {
 		wk.successes++
 	}
@@ -210,7 +210,7 @@
 // workerSuspicion sums over the worker's failure events the probability that none of the jobs in the event caused it, by the job with the highest failure rate elsewhere.
 func (lg *Ledger) workerSuspicion(name string) float64 {
 	sum := 0.0
-	for _, ids := range lg.worker(name).events {
+	for _, ids := range lg.unexpired(name).events {
 		lowest := 1.0
 		for _, id := range ids {
 			lowest = min(lowest, 1-lg.jobFailureRate(id, name))
@@ -249,7 +249,7 @@
 
 // workerFailureRate estimates from other jobs how likely the worker is to fail any job.
 func (lg *Ledger) workerFailureRate(name, except string) float64 {
-	wk := lg.worker(name)
+	wk := lg.unexpired(name)
 	others := 0
 	for _, ids := range wk.events {
 		if !attributedToJob(lg, ids, except) {
@@ -274,6 +274,15 @@
 	return float64(failures) / float64(failures+successes+1)
 }
 
+// unexpired returns a worker after dropping its old failure events. A worker in quarantine keeps them, since only trials or a poisonous job release it.
+func (lg *Ledger) unexpired(name string) *worker {
+	wk := lg.worker(name)
+	if !wk.quarantined {
+		lg.expireEvents(wk)
+	}
+	return wk
+}
+
 // expireEvents drops the failure events older than failureMemoryMS, and with the last of them the count of successes.
 func (lg *Ledger) expireEvents(wk *worker) {
 	for at := range wk.events {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -148,6 +148,57 @@
 	qt.Check(t, lg.Quarantined("worker"), qt.IsFalse)
 }
 
+// Failures older than ten minutes must count no more, also for a worker on which nothing has failed since.
+func TestOldFailuresExpireWithoutNewOnes(t *testing.T) {
+	const memoryMS = 10 * 60 * 1000
+	t.Run("of another worker that shares a job", func(t *testing.T) {
+		ck := clock.NewFake(1000000)
+		lg := quarantine.New(ck)
+		lg.SetFleet(workers)
+		for i := range 3 {
+			lg.RecordFailure(name("worker", i), name("first", i))
+			lg.RecordFailure(name("worker", i), name("second", i))
+		}
+		ck.Advance(memoryMS + 10)
+		lg.RestoreFailures("poison", []string{name("worker", 0), name("worker", 1)})
+		lg.RecordFailure(name("worker", 2), "poison")
+		qt.Check(t, lg.Poisonous("poison"), qt.IsTrue, qt.Commentf("old failures of the workers still explain those of the job"))
+	})
+	t.Run("of a worker whose jobs succeed elsewhere", func(t *testing.T) {
+		ck := clock.NewFake(1000000)
+		lg := quarantine.New(ck)
+		lg.SetFleet(workers)
+		for i := range 4 {
+			lg.RecordFailure("worker", name("job", i))
+			for n := range 3 {
+				lg.RestoreFailures(name("job", i), []string{name("other", n)})
+			}
+		}
+		qt.Assert(t, lg.Quarantined("worker"), qt.IsFalse)
+		ck.Advance(memoryMS + 10)
+		for i := range 4 {
+			for range 10 {
+				lg.RecordSuccess("another", name("job", i))
+			}
+		}
+		qt.Check(t, lg.Quarantined("worker"), qt.IsFalse, qt.Commentf("quarantined for old failures"))
+	})
+	t.Run("with their successes", func(t *testing.T) {
+		ck := clock.NewFake(1000000)
+		lg := quarantine.New(ck)
+		lg.SetFleet(workers)
+		lg.RecordFailure("worker", "job")
+		ck.Advance(memoryMS + 10)
+		for n := range 20 {
+			lg.RecordSuccess("worker", name("good", n))
+		}
+		for n := range 4 {
+			lg.RecordFailure("worker", name("bad", n))
+		}
+		qt.Check(t, lg.Quarantined("worker"), qt.IsTrue)
+	})
+}
+
 // If all workers fail, the cause is probably elsewhere, so that at most a fifth of the fleet may be quarantined.
 func TestQuarantineIsCapped(t *testing.T) {
 	lg := quarantine.New(clock.NewFake(1000000))
