Cap a need by the VM that reduces it least, and forget old VM sizes

Cause: Cap took the last candidate that was larger in any resource, so that the result depended on the order of a map; it looked at sizes that Impossible skips, and none was ever deleted.

The candidate whose most reduced resource keeps the largest part wins, ties go to more cores, then more memory. A new size drops those that count no more.

Len is new, for the test.

--- a/internal/vmsizes/vmsizes.go
+++ b/internal/vmsizes/vmsizes.go
@@ -1,6 +1,8 @@
 package vmsizes
 
 import (
+	"maps"
+
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/size"
 )
@@ -19,8 +21,17 @@
 	return &Set{ck: ck, lastListedMS: map[size.Size]int64{}}
 }
 
-// Put records that the platform lists a VM with the given total size now.
-func (st *Set) Put(total size.Size) { st.lastListedMS[total] = st.ck.Now() }
+// Put records that the platform lists a VM with the given total size now, and forgets sizes that count no more.
+func (st *Set) Put(total size.Size) {
+	now := st.ck.Now()
+	if _, ok := st.lastListedMS[total]; !ok {
+		maps.DeleteFunc(st.lastListedMS, func(_ size.Size, listedMS int64) bool { return now-listedMS > RetentionMS })
+	}
+	st.lastListedMS[total] = now
+}
+
+// Len returns the number of sizes that are kept.
+func (st *Set) Len() int { return len(st.lastListedMS) }
 
 // Impossible reports whether the need fits no VM of the fleet, not even an idle one; it returns false while no VM is known.
 func (st *Set) Impossible(need size.Size) bool {
@@ -37,17 +48,41 @@
 	return known
 }
 
-// Cap returns the need, reduced to the largest listed VM that fits the declared size, so that a corrected estimate never makes work impossible that is possible as declared.
+// Cap returns the need, reduced to the listed VM that reduces it least among those that fit the declared size, so that a corrected estimate never makes work impossible that is possible as declared.
 func (st *Set) Cap(need, declared size.Size) size.Size {
 	if !st.Impossible(need) {
 		return need
 	}
-	best := declared
-	for total := range st.lastListedMS {
+	best, bestPart := declared, -1.0
+	for total, listedMS := range st.lastListedMS {
+		if st.ck.Now()-listedMS > RetentionMS || !declared.Fits(total) {
+			continue
+		}
 		capped := need.Min(total)
-		if declared.Fits(total) && (capped.CoresMilli() > best.CoresMilli() || capped.MemoryMB() > best.MemoryMB()) {
-			best = capped
+		left := smallestPart(capped, need)
+		if left > bestPart || (left == bestPart && larger(capped, best)) {
+			best, bestPart = capped, left
 		}
 	}
 	return best
 }
+
+// smallestPart returns how much is left of the resource that is reduced most, as a fraction of the need.
+func smallestPart(capped, need size.Size) float64 {
+	return min(part(capped.CoresMilli(), need.CoresMilli()), part(capped.MemoryMB(), need.MemoryMB()))
+}
+
+func part(capped, need int64) float64 {
+	if need == 0 {
+		return 1
+	}
+	return float64(capped) / float64(need)
+}
+
+// larger compares two sizes by cores, then by memory.
+func larger(one, other size.Size) bool {
+	if one.CoresMilli() != other.CoresMilli() {
+		return one.CoresMilli() > other.CoresMilli()
+	}
+	return one.MemoryMB() > other.MemoryMB()
+}
--- a/internal/vmsizes/vmsizes_test.go
+++ b/internal/vmsizes/vmsizes_test.go
@@ -48,3 +48,31 @@
 	smaller := size.New(800, 900, 0)
 	qt.Assert(t, st.Cap(smaller, declared), qt.Equals, smaller)
 }
+
+// Of several VMs that the declared size fits, the one that reduces the need least must be chosen whatever the order in which they are listed, and none that hasn't been listed for the retention time.
+func TestCapIgnoresOrderAndOldSizes(t *testing.T) {
+	declared := size.New(8000, 8192, 0)
+	need := size.New(64000, 65536, 0)
+	listed := []size.Size{size.New(32000, 16384, 0), size.New(16000, 65536, 0), size.New(24000, 24576, 0), size.New(8000, 131072, 0)}
+	for n := range 100 {
+		ck := clock.NewFake(1000)
+		st := vmsizes.New(ck)
+		st.Put(size.New(63000, 63000, 0))
+		ck.Advance(vmsizes.RetentionMS + 1)
+		for i := range listed {
+			st.Put(listed[(i+n)%len(listed)])
+		}
+		qt.Assert(t, st.Cap(need, declared), qt.Equals, size.New(24000, 24576, 0))
+	}
+}
+
+// Sizes that haven't been listed for the retention time must be forgotten, or a fleet whose sizes change would keep all of them.
+func TestOldSizesAreForgotten(t *testing.T) {
+	ck := clock.NewFake(1000)
+	st := vmsizes.New(ck)
+	for n := range int64(10) {
+		st.Put(size.New(n, 1, 0))
+		ck.Advance(vmsizes.RetentionMS + 1)
+	}
+	qt.Check(t, st.Len(), qt.Equals, 1)
+}
