Keep a team's reservations with a worker that moves or is removed

Cause: placement counted a team's reservations in the rack of the time. A worker that changed racks left them there, and its releases were taken from the new rack; a removed worker's counts stayed for good. The team avoided the old zone.

Each worker counts its reservations by team; a move takes them along, a removal drops them.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -36,6 +36,8 @@
 	free    size.Size
 	blocked uint8
 	holder  string
+	// teamCounts holds the number of reservations of each team.
+	teamCounts map[string]int32
 }
 
 // rack is a group of workers, with one leaf in each tree of its zone and the number of reservations of each team.
@@ -85,13 +87,16 @@
 		return
 	}
 	used := size.Size{}
-	fresh := &worker{name: name}
+	fresh := &worker{name: name, teamCounts: map[string]int32{}}
 	if ok {
 		used = wk.total.Minus(wk.free)
-		fresh.blocked, fresh.holder = wk.blocked, wk.holder
+		fresh.blocked, fresh.holder, fresh.teamCounts = wk.blocked, wk.holder, wk.teamCounts
 		ix.Remove(name)
 	}
 	fresh.rack = ix.rack(zoneName, rackName)
+	for team, count := range fresh.teamCounts {
+		fresh.rack.addReservations(team, count)
+	}
 	fresh.total = total
 	fresh.free = total.Minus(used)
 	fresh.rack.workers = append(fresh.rack.workers, fresh)
@@ -108,6 +113,9 @@
 	}
 	ix.subtractTotal(wk)
 	delete(ix.workers, name)
+	for team, count := range wk.teamCounts {
+		wk.rack.addReservations(team, -count)
+	}
 	wk.rack.workers = slices.DeleteFunc(wk.rack.workers, func(other *worker) bool { return other == wk })
 	wk.rack.updateTrees()
 }
@@ -177,8 +185,8 @@
 		return
 	}
 	wk.free = wk.free.Minus(need)
-	wk.rack.teamCounts[team]++
-	wk.rack.zone.teamCounts[team]++
+	wk.teamCounts[team]++
+	wk.rack.addReservations(team, 1)
 	wk.rack.updateTrees()
 }
 
@@ -189,8 +197,10 @@
 		return
 	}
 	wk.free = wk.free.Plus(need)
-	decrement(wk.rack.teamCounts, team)
-	decrement(wk.rack.zone.teamCounts, team)
+	if wk.teamCounts[team] > 0 {
+		add(wk.teamCounts, team, -1)
+		wk.rack.addReservations(team, -1)
+	}
 	wk.rack.updateTrees()
 }
 
@@ -316,8 +326,14 @@
 	return plain
 }
 
-func decrement(counts map[string]int32, team string) {
-	counts[team]--
+// addReservations changes the number of a team's reservations in the rack and its zone.
+func (rk *rack) addReservations(team string, count int32) {
+	add(rk.teamCounts, team, count)
+	add(rk.zone.teamCounts, team, count)
+}
+
+func add(counts map[string]int32, team string, count int32) {
+	counts[team] += count
 	if counts[team] <= 0 {
 		delete(counts, team)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -110,6 +110,48 @@
 	}
 }
 
+// The reservations of a worker that moves to another zone must count there, and those of a removed one nowhere, or its team would avoid the old zone for good.
+func TestTeamCountsFollowTheWorker(t *testing.T) {
+	need := size.New(1000, 1024, 0)
+	for _, tc := range []struct {
+		name  string
+		apply func(ix *placement.Index)
+		want  string
+	}{
+		{"moved", func(ix *placement.Index) { ix.Put("a", "zone-2", "rack-9", size.New(4000, 4096, 0)) }, "zone-1"},
+		{"moved and back", func(ix *placement.Index) {
+			ix.Put("a", "zone-2", "rack-9", size.New(4000, 4096, 0))
+			ix.Put("a", "zone-1", "rack-1", size.New(4000, 4096, 0))
+		}, "zone-2"},
+		{"moved and released", func(ix *placement.Index) {
+			ix.Put("a", "zone-2", "rack-9", size.New(4000, 4096, 0))
+			for range 2 {
+				ix.Release("a", "team", need)
+			}
+			ix.Reserve("c", "team", need)
+		}, "zone-1"},
+		{"removed", func(ix *placement.Index) {
+			ix.Remove("a")
+			ix.Reserve("c", "team", need)
+		}, "zone-1"},
+	} {
+		ix := placement.New(1)
+		zoneOf := map[string]string{"b": "zone-1", "c": "zone-2"}
+		ix.Put("a", "zone-1", "rack-1", size.New(4000, 4096, 0))
+		ix.Put("b", "zone-1", "rack-2", size.New(4000, 4096, 0))
+		ix.Put("c", "zone-2", "rack-3", size.New(4000, 4096, 0))
+		for range 2 {
+			ix.Reserve("a", "team", need)
+		}
+		tc.apply(ix)
+		for range 10 {
+			name, ok := ix.Place("team", need, []string{"a"})
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Check(t, zoneOf[name], qt.Equals, tc.want, qt.Commentf(tc.name))
+		}
+	}
+}
+
 // A full or blocked fleet must be recognized at the roots of the trees, without visiting racks or workers.
 func TestFullFleetNeedsNoVisits(t *testing.T) {
 	cases := []struct {
