Limit refunds to charges since the team became backlogged

Cause: when the queue was empty, all teams start anew at the largest tag, and an idle team's tag is raised to the virtual time. A run charged before that ended with less time than estimated, and the refund lowered its team's tag below that start: the team got the difference twice, since the others had been raised past its charge.

A refund stops at the virtual time with which the team became backlogged. Refunds of later charges are whole, as before.

Test TestRefundOfAnEarlierChargeGivesNoLead failed before: {"a":10} of the next ten starts for {"a":5, "b":5}.

--- a/internal/queue/flow.go
+++ b/internal/queue/flow.go
@@ -20,12 +20,14 @@
 	team string
 	// startTag is the virtual start time of the team's next request.
 	startTag float64
-	head     *item[T]
-	tail     *item[T]
-	length   int
-	running  int
-	index    int
-	est      estimate
+	// backlogTag is the virtual time at which the team last became backlogged; refunds don't lower startTag below it while the team is backlogged.
+	backlogTag float64
+	head       *item[T]
+	tail       *item[T]
+	length     int
+	running    int
+	index      int
+	est        estimate
 	// observedLimit is how many requests of the team were running, but at least 1, when its limit last kept one waiting.
 	observedLimit   int
 	observedLimitMS int64
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -235,6 +235,7 @@
 	}
 	if it.fl.head == nil {
 		it.fl.startTag = max(it.fl.startTag, qu.virtualTime)
+		it.fl.backlogTag = qu.virtualTime
 		it.fl.index = len(qu.backlogged)
 		qu.backlogged = append(qu.backlogged, it.fl)
 	}
@@ -266,9 +267,12 @@
 	qu.charge(it.fl, charge)
 }
 
-// charge advances the team's start tag by the slot time divided by its share, or by 1 for a share of 0.
+// charge advances the team's start tag by the slot time divided by its share, or by 1 for a share of 0. A refund, which has a negative time, stops at the tag with which the team became backlogged, since the other teams started there too.
 func (qu *Queue[T]) charge(fl *flow[T], ms float64) {
 	fl.startTag += ms / float64(max(qu.share(fl.team), 1))
+	if fl.head != nil {
+		fl.startTag = max(fl.startTag, fl.backlogTag)
+	}
 	qu.maxTag = max(qu.maxTag, fl.startTag)
 }
 
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -166,6 +166,39 @@
 	}
 }
 
+// A refund for a run that was charged before its team became backlogged must not put the team ahead of the others: their tags were raised past that charge.
+func TestRefundOfAnEarlierChargeGivesNoLead(t *testing.T) {
+	qu := queue.New(clock.NewFake(0), 1000, func(string, error) {})
+	qu.SetSlots(func() int { return slotCount })
+	all := func(string) bool { return true }
+	push := func(team string) {
+		_, err := qu.Push(team, deadlineMS, team)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	push("a")
+	id, _, _ := qu.Next(all)
+	qu.Done(id, 100)
+	var running []int64
+	for range 10 {
+		push("a")
+		id, _, _ := qu.Next(all)
+		running = append(running, id)
+	}
+	for range 20 {
+		push("a")
+		push("b")
+	}
+	for _, id := range running {
+		qu.Done(id, 0)
+	}
+	started := map[string]int{}
+	for range 10 {
+		_, team, _ := qu.Next(all)
+		started[team]++
+	}
+	qt.Assert(t, started, qt.DeepEquals, map[string]int{"a": 5, "b": 5})
+}
+
 // A team with 1% of the shares and only one waiting request must get its share while a team with 99% of the shares floods the queue.
 func TestSmallTeamIsNotStarved(t *testing.T) {
 	loads := []load{{"a", 99, 20, 5000, 0, 10_000}, {"b", 1, 20, 1, 0, 10_000}}
