Offer a slot that was reserved in vain to those that found none

Cause: Wake reserves a slot and then looks for a request that may start; with none it cancelled the reservation in silence, because a notification would wake itself. A dispatcher of another service of the same pool that looked for a slot in between found none, and its request waited until some other slot became free.

Cancel notifies when a Pick found no slot since the last notification (picks that avoid endpoints don't wait and don't count), and Wake cancels after it has given up its lock.

Tests failed before: TestCancelOffersTheSlotToThoseThatFoundNone (0 calls for 1), TestSlotReservedInVainGoesToAnotherService (no answer: still waiting).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -105,21 +105,28 @@
 
 // Wake starts waiting requests while there are free slots and units; call it when units of a limit become available.
 func (dp *Dispatcher) Wake() {
+	if unused := dp.startWaiting(); unused != "" {
+		dp.pk.Cancel(unused)
+	}
+}
+
+// startWaiting starts waiting requests and returns the endpoint of a reservation for which none could be started, to be cancelled without the lock.
+func (dp *Dispatcher) startWaiting() (unused string) {
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
 	for dp.qu.Len() > 0 {
 		vm, ok := dp.pk.Pick()
 		if !ok {
-			return
+			return ""
 		}
 		id, wt, ok := dp.qu.Next(dp.acquireNext)
 		if !ok {
-			dp.pk.Cancel(vm.GetIncarnation())
-			return
+			return vm.GetIncarnation()
 		}
 		wt.tr = &try{vm: vm, ticket: id, un: dp.acquired}
 		wt.granted <- nil
 	}
+	return ""
 }
 
 // Waiting returns the number of waiting requests.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -34,6 +34,7 @@
 type rig struct {
 	ck    *clock.Clock
 	dp    *dispatch.Dispatcher
+	svc   service.Service
 	pk    *picker.Picker
 	mu    sync.Mutex
 	tries map[string]int
@@ -60,16 +61,23 @@
 		vms = append(vms, &platformpb.VM{Name: name, Incarnation: name, Address: name, Zone: "a"})
 	}
 	rg.pk.Set(vms)
-	rg.dp = dispatch.New(rg.ck, rg.pk, func(string) int { return 1 }, func(string) int { return rg.limit })
-	rg.dp.Service = func() service.Service { return svc }
-	rg.dp.Exchange = rg.exchange
-	rg.dp.ReportUnresponsive = func(address string, _ int64) { rg.countEvent("unresponsive " + address) }
-	rg.dp.AcquireUnit = rg.acquireUnit
-	rg.dp.Count = rg.countEvent
+	rg.svc = svc
+	rg.dp = rg.newDispatcher()
 	rg.respond = rg.work
 	return rg
 }
 
+// newDispatcher returns another dispatcher of the service over the same endpoints.
+func (rg *rig) newDispatcher() *dispatch.Dispatcher {
+	dp := dispatch.New(rg.ck, rg.pk, func(string) int { return 1 }, func(string) int { return rg.limit })
+	dp.Service = func() service.Service { return rg.svc }
+	dp.Exchange = rg.exchange
+	dp.ReportUnresponsive = func(address string, _ int64) { rg.countEvent("unresponsive " + address) }
+	dp.AcquireUnit = rg.acquireUnit
+	dp.Count = rg.countEvent
+	return dp
+}
+
 func (rg *rig) exchange(ctx context.Context, address string, req *callpb.Request, _ int64, at *outcome.Attempt, beforeSend func() error) *callpb.Answer {
 	if beforeSend() != nil {
 		at.Fail(code.LimitReached, code.MayHaveRun)
@@ -513,3 +521,26 @@
 		qt.Assert(t, rg.ck.Now(), qt.Equals, start)
 	})
 }
+
+// Two services share a pool of one slot. While the first holds the slot for a request that turns out to have no unit, the second finds none; its request must get the slot afterwards, not wait until its deadline.
+func TestSlotReservedInVainGoesToAnotherService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 1, true)
+		rg.pk = picker.New(rg.ck, "a", seed, func(*platformpb.VM) int { return 1 }, func(string) bool { return false })
+		rg.pk.Set([]*platformpb.VM{{Name: "vm-0", Incarnation: "vm-0", Address: "vm-0", Zone: "a"}})
+		first, second := rg.newDispatcher(), rg.newDispatcher()
+		var got *callpb.Answer
+		var once sync.Once
+		first.AcquireUnit = func(string, int64) (func() error, func(int64)) {
+			once.Do(func() {
+				go func() { got = second.Do(t.Context(), &callpb.Request{Id: "b", Team: "b", LeftMs: deadlineMS}) }()
+				_ = rg.ck.Sleep(t.Context(), 1)
+			})
+			return nil, nil
+		}
+		first.Do(t.Context(), &callpb.Request{Id: "a", Team: "a", LeftMs: 10 * runMS})
+		synctest.Wait()
+		qt.Assert(t, got.GetStatus(), qt.Equals, int32(200), qt.Commentf("%v", got))
+		qt.Check(t, got.GetWaitMs() < runMS, qt.IsTrue, qt.Commentf("waited %d ms", got.GetWaitMs()))
+	})
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -10,16 +10,18 @@
 
 // Picker reserves slots at the endpoints of one pool. It selects the less loaded of two random endpoints, first in its own zone and then in the others.
 type Picker struct {
-	mu         sync.Mutex
-	ck         *clock.Clock
-	zone       string
-	rnd        *rand.Rand
-	slots      func(vm *platformpb.VM) int
-	leaving    func(incarnation string) bool
-	onChange   func(name string, pairs ...any)
-	members    []*member
-	byID       map[string]*member
-	onFree     []func()
+	mu       sync.Mutex
+	ck       *clock.Clock
+	zone     string
+	rnd      *rand.Rand
+	slots    func(vm *platformpb.VM) int
+	leaving  func(incarnation string) bool
+	onChange func(name string, pairs ...any)
+	members  []*member
+	byID     map[string]*member
+	onFree   []func()
+	// missed is whether a Pick found no slot since the OnFree functions were last called.
+	missed     bool
 	candidates []*member
 	// refreshedMS is when slots and leaving were last called for each member.
 	refreshedMS int64
@@ -84,6 +86,7 @@
 		mb = pk.choose(now, avoid, false)
 	}
 	if mb == nil {
+		pk.missed = pk.missed || len(avoid) == 0
 		return nil, false
 	}
 	mb.running++
@@ -92,17 +95,25 @@
 
 // Release returns a reservation without recording a result.
 func (pk *Picker) Release(incarnation string) {
-	pk.Cancel(incarnation)
+	pk.unreserve(incarnation)
 	pk.notifyFree()
 }
 
-// Cancel returns an unused reservation without calling the OnFree functions.
+// Cancel returns an unused reservation. It calls the OnFree functions only if a Pick found no slot since they were last called, so that a caller that has nothing to start doesn't wake itself again and again.
 func (pk *Picker) Cancel(incarnation string) {
+	if pk.unreserve(incarnation) {
+		pk.notifyFree()
+	}
+}
+
+// unreserve returns a reservation and reports whether a Pick found no slot since the OnFree functions were last called.
+func (pk *Picker) unreserve(incarnation string) bool {
 	pk.mu.Lock()
+	defer pk.mu.Unlock()
 	if mb, ok := pk.byID[incarnation]; ok {
 		mb.running--
 	}
-	pk.mu.Unlock()
+	return pk.missed
 }
 
 // Done returns a reservation and records whether the endpoint succeeded; a slot that may still be in use stays reserved until heldUntilMS.
@@ -209,6 +220,9 @@
 }
 
 func (pk *Picker) notifyFree() {
+	pk.mu.Lock()
+	pk.missed = false
+	pk.mu.Unlock()
 	for _, fn := range pk.onFree {
 		fn()
 	}
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -57,6 +57,32 @@
 	qt.Assert(t, ok, qt.IsFalse)
 }
 
+// A slot that was reserved in vain must be offered to whoever found no slot meanwhile, or a request could wait beside a free slot.
+func TestCancelOffersTheSlotToThoseThatFoundNone(t *testing.T) {
+	pk := newPicker(clock.NewFake(0), nil, "a")
+	freed := 0
+	pk.OnFree(func() { freed++ })
+	pick := func(avoid ...string) bool {
+		_, ok := pk.Pick(avoid...)
+		return ok
+	}
+	for range slotCount {
+		qt.Assert(t, pick(), qt.IsTrue)
+	}
+	pk.Cancel("inc-0")
+	qt.Check(t, freed, qt.Equals, 0)
+	qt.Assert(t, pick("inc-0"), qt.IsFalse)
+	qt.Assert(t, pick(), qt.IsTrue)
+	pk.Cancel("inc-0")
+	qt.Check(t, freed, qt.Equals, 0, qt.Commentf("a retry that avoids the endpoint doesn't wait for its slot"))
+	qt.Assert(t, pick(), qt.IsTrue)
+	qt.Assert(t, pick(), qt.IsFalse)
+	pk.Cancel("inc-0")
+	qt.Check(t, freed, qt.Equals, 1)
+	pk.Cancel("inc-0")
+	qt.Check(t, freed, qt.Equals, 1)
+}
+
 // A request that timed out may still run, so that its slot must not be given to another request before the given time.
 func TestSlotOfTimedOutRequestStaysReserved(t *testing.T) {
 	ck := clock.NewFake(0)
