Drop the gossip positions of entries that have ended

Cause: the positions of each incarnation were kept for good, under two keys of one map; each restart of an entry left two.

Positions have a type of their own and are dropped when an incarnation ends or leaves the liveness view, which is bounded.

Test TestPositionsOfEndedEntriesAreDropped failed before with up to twice as many positions as other entries: "entry-4 keeps 14 positions with 6 other entries".

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -54,10 +54,15 @@
 	headSinceMS     int64
 	loggedAccepted  uint64
 	farRotation     int
-	positions       map[string]uint64 // gossip positions by incarnation: the last one received from the entry and, under the prefix "to/", the last one sent to it
+	positions       map[string]gossipPositions // by incarnation
 	parts           []heartbeatPart
 }
 
+// gossipPositions are the last position received from another entry and the last one sent to it.
+type gossipPositions struct {
+	received, sent uint64
+}
+
 type heartbeatPart struct {
 	name    string
 	encode  func() []byte
@@ -102,7 +107,7 @@
 		tr:        acceptance.New(ck),
 		vw:        liveness.New(self),
 		gs:        gossip.New(ck, gossipRetentionMS),
-		positions: map[string]uint64{},
+		positions: map[string]gossipPositions{},
 	}
 	ag.pb = publish.New(tbl, put, get, check, ag.tr.Accepted)
 	ag.pb.SetHeld(ag.cf.Bundle)
@@ -181,6 +186,7 @@
 func (ag *Agent) markGone(incarnation string) {
 	ag.vw.MarkGone(incarnation)
 	ag.tr.MarkGone(incarnation)
+	ag.forgetPositions()
 	ag.onGone(incarnation)
 }
 
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -240,6 +240,21 @@
 	qt.Assert(t, en.ag.AllowsKeyedWork(), qt.IsTrue)
 }
 
+// Entries keep a gossip position of each entry that they exchange heartbeats with; those of ended incarnations must be dropped, or each restart of an entry would leave some for good.
+func TestPositionsOfEndedEntriesAreDropped(t *testing.T) {
+	cl := threeZones(t)
+	for range 10 {
+		old := cl.entries["entry-5"].mb.GetIncarnation()
+		cl.replace("entry-5")
+		cl.entries["entry-0"].ag.AnnounceGone(old)
+		cl.rounds(12, 1000)
+	}
+	for _, name := range cl.names() {
+		got := cl.entries[name].ag.GossipPositions()
+		qt.Check(t, got < len(cl.entries), qt.IsTrue, qt.Commentf("%s keeps %d positions with %d other entries", name, got, len(cl.entries)-1))
+	}
+}
+
 // A version whose publisher was cut off and died before it pushed the version to any entry must still be accepted, from the table.
 func TestPublisherDiesBeforePush(t *testing.T) {
 	cl := threeZones(t)
--- a/internal/cluster/rounds.go
+++ b/internal/cluster/rounds.go
@@ -23,14 +23,14 @@
 func (ag *Agent) sendHeartbeat(ctx context.Context, mb *configpb.Member) {
 	inc := mb.GetIncarnation()
 	ag.mu.Lock()
-	received, sent := ag.positions[inc], ag.positions["to/"+inc]
+	last := ag.positions[inc]
 	ag.mu.Unlock()
-	req := &configpb.BeatRequest{Ack: ag.ack(), Parts: ag.encodeParts(), Seen: received}
+	req := &configpb.BeatRequest{Ack: ag.ack(), Parts: ag.encodeParts(), Seen: last.received}
 	if ag.mayBeUnknownTo(inc) {
 		req.Member = ag.self
 	}
 	var lastSent uint64
-	req.Leaving, req.Gone, lastSent = ag.gossipSince(sent)
+	req.Leaving, req.Gone, lastSent = ag.gossipSince(last.sent)
 	ctx, cancel := ag.ck.WithTimeout(ctx, callTimeoutMS)
 	defer cancel()
 	rep, err := ag.dial(mb).Beat(ctx, req)
@@ -45,8 +45,10 @@
 	ag.receiveParts(inc, rep.GetParts())
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
-	ag.positions[inc] = rep.GetPosition()
-	ag.positions["to/"+inc] = lastSent
+	if !ag.exchangesGossip(inc) {
+		return
+	}
+	ag.positions[inc] = gossipPositions{received: rep.GetPosition(), sent: lastSent}
 }
 
 // mayBeUnknownTo reports whether the roster that another entry last acknowledged may lack this one.
--- a/internal/cluster/serve.go
+++ b/internal/cluster/serve.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 
 	"github.com/fulmarloft/fulmarloft/internal/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/liveness"
 	"github.com/fulmarloft/fulmarloft/internal/roster"
 )
 
@@ -75,6 +77,18 @@
 	return leaving, gone, last
 }
 
+// forgetPositions drops the gossip positions of entries that have ended or aren't known any more.
+func (ag *Agent) forgetPositions() {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	maps.DeleteFunc(ag.positions, func(inc string, _ gossipPositions) bool { return !ag.exchangesGossip(inc) })
+}
+
+// exchangesGossip reports whether an incarnation is known and hasn't ended.
+func (ag *Agent) exchangesGossip(inc string) bool {
+	return ag.vw.Find(inc) != nil && ag.vw.State(inc) != liveness.Gone
+}
+
 func (ag *Agent) receiveGossip(leaving, gone []string) {
 	for _, inc := range leaving {
 		if len(ag.gs.Add(leavingPrefix+inc)) > 0 {
@@ -127,6 +141,7 @@
 	}
 	ag.vt.SetRoster(rs, max(ag.leaseMS(), ag.cf.Head().GetLeaseCeilingMs()))
 	ag.vw.SetRoster(rs.Members())
+	ag.forgetPositions()
 	for _, inc := range rs.Superseded() {
 		ag.tr.MarkGone(inc)
 	}
