Name the read's error when a commit stays in doubt

Cause: resolveInDoubt dropped the error of the read that should have resolved the doubt, so that a log showed only why the answer was lost.

Test TestDoubtNamesTheErrorOfTheRead failed before: the text "the answer is lost" stood without "the read is refused".

--- a/internal/table/guard.go
+++ b/internal/table/guard.go
@@ -194,7 +194,7 @@
 	slices.Sort(keys)
 	rep, err := gd.readWithRetry(ctx, &platformpb.ReadRequest{Keys: slices.Compact(keys)})
 	if err != nil {
-		return nil, code.TableInDoubt.Wrap(cause)
+		return nil, code.TableInDoubt.New("%w; cannot read the rows to resolve it: %w", cause, err)
 	}
 	return gd.resolveFromRows(req, rep.GetRows(), base, cause)
 }
--- a/internal/table/guard_test.go
+++ b/internal/table/guard_test.go
@@ -94,6 +94,26 @@
 	}
 }
 
+// A commit in doubt whose rows can't be read either must name both errors, or an operator sees only the first.
+func TestDoubtNamesTheErrorOfTheRead(t *testing.T) {
+	ck := clock.NewFake(1_000_000)
+	tb := memtable.New()
+	writer := tb.Client("writer").Guarded(ck, metric.New(), oneEntry)
+	tb.SetFaults(
+		func(_ string, write bool) error {
+			if !write {
+				return code.TableUnavailable.New("the read is refused")
+			}
+			return nil
+		},
+		func(string, bool) error { return code.TableInDoubt.New("the answer is lost") },
+	)
+	var err error
+	advancing(ck, func() { _, err = writer.Commit(context.Background(), put("op-1", "row", "y", 0)) })
+	qt.Check(t, code.Of(err), qt.Equals, code.TableInDoubt)
+	qt.Check(t, err, qt.ErrorMatches, "(?s).*the answer is lost.*the read is refused.*")
+}
+
 func overwrite(t *testing.T, cl *table.Client, times int) {
 	ctx := context.Background()
 	for i := range times {
