Store outcomes of idempotency keys later when the table was down

Cause: the error of the commit that stores a request's outcome in its claim was ignored. Repeats were told for the whole retention period that the request may have run, and no log line said why.

The error is logged (claim-outcome-unwritten, claim-undeleted for a claim of a request that didn't run), and up to 512 outcomes are kept and written by the next ticks under the version of the claim, so that one that was stored after all is left alone. DeleteExpired is part of Tick now; its test calls Tick with the same assertions.

Test TestOutcomeIsStoredWhenTheTableIsBack failed with the two new calls taken out: no log line, "got nil value but want non-nil", and the repeat got may-have-run (200) for "whole".

--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -34,6 +34,7 @@
 	rq := &en.requests
 	rq.goneSinceMS = map[string]int64{}
 	rq.cm = idempotencykey.New(en.ck, en.tab, en.incarnation, en.requestMemoryMS)
+	rq.cm.SetLog(en.lg)
 	rq.rt = requestrouter.New(en.ck, en.incarnation, en.requestMemoryMS, en.call, en.forward, rq.cm.Do)
 	if err := forwardpb.DRPCRegisterForward(en.cluster.pr.Mux(), rq.rt); err != nil {
 		return code.Internal.Wrap(err)
@@ -42,7 +43,7 @@
 	sweep := leaserow.New(en.ck, en.tab, sweepLeaseName, en.incarnation, sweepLeaseMS)
 	en.every(claimTickIntervalMS, "request-claims", func(ctx context.Context) error {
 		en.mt.Set(int64(rq.rt.Remembered()), "request", "remembered")
-		return rq.cm.DeleteExpired(ctx)
+		return rq.cm.Tick(ctx)
 	})
 	en.every(claimSweepIntervalMS, "request-sweep", func(ctx context.Context) error { return en.sweepClaims(ctx, sweep) })
 	return nil
--- a/internal/idempotencykey/claims.go
+++ b/internal/idempotencykey/claims.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/claimpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/event"
 	"github.com/fulmarloft/fulmarloft/internal/platformpb"
 	"github.com/fulmarloft/fulmarloft/internal/requestdedup"
 	"github.com/fulmarloft/fulmarloft/internal/table"
@@ -27,9 +28,20 @@
 	incarnation string
 	retentionMS func() int64
 
+	lg *event.Log
+
 	mu             sync.Mutex
 	seq            uint64
 	pendingDeletes []pendingDelete
+	// unwritten holds the outcomes that could not be stored yet.
+	unwritten []outcome
+}
+
+// outcome is a claim with the outcome of its request, to be written over a version of its row.
+type outcome struct {
+	key     string
+	version uint64
+	claim   *claimpb.Claim
 }
 
 // pendingDelete is a claim of this process that is deleted when its retention period is over.
@@ -42,15 +54,20 @@
 	keyPrefix         = "request/"
 	maxAnswerBytes    = 8 << 10
 	maxDeletesPerCall = 8
-	hashBytes         = 16
-	outcomeNotRun     = "not-run"
+	// maxUnwritten is how many outcomes are kept to be stored later.
+	maxUnwritten  = 512
+	hashBytes     = 16
+	outcomeNotRun = "not-run"
 )
 
 // New returns the claims of one entry; retentionMS returns how long keys are remembered under the bundle in force.
 func New(ck *clock.Clock, tc *table.Client, incarnation string, retentionMS func() int64) *Claims {
-	return &Claims{ck: ck, tc: tc, incarnation: incarnation, retentionMS: retentionMS}
+	return &Claims{ck: ck, tc: tc, incarnation: incarnation, retentionMS: retentionMS, lg: event.Discard()}
 }
 
+// SetLog sets the event log; it must be called before the first request.
+func (cm *Claims) SetLog(lg *event.Log) { cm.lg = lg }
+
 // Do runs the request only after its claim has certainly been written. A repeat gets the answer stored in the claim, or an error answer if the request may have run.
 func (cm *Claims) Do(ctx context.Context, req *callpb.Request, fingerprint uint64, run func() *callpb.Answer) *callpb.Answer {
 	key := rowKey(req, fingerprint)
@@ -63,12 +80,36 @@
 		return answerRepeat(req, rep, fingerprint)
 	}
 	ans := run()
-	cm.recordOutcome(context.WithoutCancel(ctx), key, claim, ans, rep)
+	cm.recordOutcome(context.WithoutCancel(ctx), req.GetId(), key, claim, ans, rep)
 	return ans
 }
 
-// DeleteExpired deletes claims of this process whose retention period is over; call it about every second.
-func (cm *Claims) DeleteExpired(ctx context.Context) error {
+// Tick stores outcomes that could not be stored before and deletes claims of this process whose retention period is over; call it about every second.
+func (cm *Claims) Tick(ctx context.Context) error {
+	if err := cm.writeOutcomes(ctx); err != nil {
+		return err
+	}
+	return cm.deleteExpired(ctx)
+}
+
+// writeOutcomes stores the outcomes that could not be stored before. One that was stored after all, or whose claim is gone, is dropped: its row has another version.
+func (cm *Claims) writeOutcomes(ctx context.Context) error {
+	cm.mu.Lock()
+	due := cm.unwritten
+	cm.unwritten = nil
+	cm.mu.Unlock()
+	for at, oc := range due {
+		if _, err := cm.commit(ctx, oc.key, oc.version, oc.claim); err != nil {
+			cm.mu.Lock()
+			cm.unwritten = append(slices.Clone(due[at:]), cm.unwritten...)
+			cm.mu.Unlock()
+			return err
+		}
+	}
+	return nil
+}
+
+func (cm *Claims) deleteExpired(ctx context.Context) error {
 	due := cm.takeDue()
 	for at, pd := range due {
 		row, err := cm.tc.Get(ctx, pd.key)
@@ -140,20 +181,28 @@
 }
 
 // recordOutcome stores the answer in the claim; the claim of a request that certainly did not run is deleted.
-func (cm *Claims) recordOutcome(ctx context.Context, key string, claim *claimpb.Claim, ans *callpb.Answer, rep *platformpb.CommitReply) {
+func (cm *Claims) recordOutcome(ctx context.Context, id, key string, claim *claimpb.Claim, ans *callpb.Answer, rep *platformpb.CommitReply) {
 	version := rep.GetRows()[0].GetVersion()
 	if ans.GetOutcome() == outcomeNotRun {
-		if cm.remove(ctx, key, version) == nil {
+		err := cm.remove(ctx, key, version)
+		if err == nil {
 			return
 		}
+		cm.lg.Fail("claim-undeleted", err, "request-id", id)
 	}
 	claim.Done = true
 	if proto.Size(ans) <= maxAnswerBytes {
 		claim.Answer = ans
 	}
-	_, _ = cm.commit(ctx, key, version, claim)
+	_, err := cm.commit(ctx, key, version, claim)
+	if err != nil {
+		cm.lg.Fail("claim-outcome-unwritten", err, "request-id", id)
+	}
 	cm.mu.Lock()
 	defer cm.mu.Unlock()
+	if err != nil && len(cm.unwritten) < maxUnwritten {
+		cm.unwritten = append(cm.unwritten, outcome{key, version, claim})
+	}
 	cm.pendingDeletes = append(cm.pendingDeletes, pendingDelete{key: key, dueMS: cm.ck.Now() + cm.retentionMS()})
 }
 
