Refuse another request under a used id or key with a code of its own

A second body under a used Idempotency-Key (and under a used request id) got 105 header-malformed, although its headers are well formed; a caller could not tell what to mend. It gets 121 id-reused, 422 now.

--- a/internal/idempotencykey/claims.go
+++ b/internal/idempotencykey/claims.go
@@ -171,7 +171,7 @@
 	}
 	switch {
 	case claim.GetFingerprint() != fingerprint:
-		return requestdedup.ErrorAnswer(req, code.HeaderMalformed)
+		return requestdedup.ErrorAnswer(req, code.IDReused)
 	case claim.GetAnswer() != nil:
 		return claim.GetAnswer()
 	case claim.GetDone():
--- a/internal/requestdedup/memory.go
+++ b/internal/requestdedup/memory.go
@@ -107,7 +107,7 @@
 	key := recordKey{id.IssuedMS(), id.Seq()}
 	if rec := mm.records[key]; rec != nil {
 		if rec.fingerprint != fingerprint {
-			return nil, false, code.HeaderMalformed
+			return nil, false, code.IDReused
 		}
 		return rec, false, code.OK
 	}
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -40,6 +40,8 @@
 	JobUnknown        Code = 118
 	DeadlinePassed    Code = 119
 	MethodUnsupported Code = 120
+	// The request id or idempotency key was used for a different request.
+	IDReused Code = 121
 
 	// It is unknown whether the request ran.
 	MayHaveRun     Code = 200
@@ -119,6 +121,7 @@
 	JobUnknown:        {"job-unknown", http.StatusNotFound},
 	DeadlinePassed:    {"deadline-passed", http.StatusGatewayTimeout},
 	MethodUnsupported: {"method-unsupported", http.StatusMethodNotAllowed},
+	IDReused:          {"id-reused", http.StatusUnprocessableEntity},
 
 	MayHaveRun:       {"may-have-run", http.StatusBadGateway},
 	AnswerBroken:     {"answer-broken", http.StatusBadGateway},
