Tell callers of a draining entry to come back after a second

Cause: the refusal said 1 ms, since another entry accepts at once. A caller gets here because its balancer still takes this entry for ready, or over a direct address; a repeat after 1 ms meets the same refusal.

Check in TestTwoPhases failed before: "told to come back after 1 ms to a process that is shutting down".

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -20,8 +20,8 @@
 	idle chan struct{}
 }
 
-// retryAfterMS is the retry hint of a refusal: another entry accepts the request immediately.
-const retryAfterMS = 1
+// retryAfterMS is the retry hint of a refusal. A caller that got here was sent by a load balancer that still takes this process for ready; the hint covers another health check.
+const retryAfterMS = 1000
 
 // New returns a drain that accepts requests.
 func New(ck *clock.Clock) *Drain {
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/drain"
+	"github.com/fulmarloft/fulmarloft/internal/refusal"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
@@ -31,7 +32,9 @@
 	for dr.Enter() == nil {
 		dr.Leave()
 	}
-	qt.Assert(t, code.Of(dr.Enter()), qt.Equals, code.Draining)
+	err := dr.Enter()
+	qt.Assert(t, code.Of(err), qt.Equals, code.Draining)
+	qt.Check(t, refusal.RetryAfterMS(err) >= 1000, qt.IsTrue, qt.Commentf("told to come back after %d ms to a process that is shutting down", refusal.RetryAfterMS(err)))
 	qt.Assert(t, dr.InFlight(), qt.Equals, 2)
 	dr.Leave()
 	select {
