Name a request id in every refusal

Cause: a request that was refused before its headers were read (no route, unknown service, draining, id too long) had no id yet, so that request-refused lines and answers carried an empty one and a caller's report could not be found in the log.

refuse takes the caller's id or issues one, for the line and the answer.

TestRefusalsBeforeTheCall checks both now: failed before for "unknown path", "unknown service" and "id too long" ("" for "issued"); TestRefusalNamesTheCallersID failed ("" for "own-1").

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -167,7 +167,14 @@
 	return sv.Authenticate(secret)
 }
 
+// refuse answers a request that certainly didn't run. Without an id of the request yet, it takes the caller's or issues one, so that caller and log name the same.
 func (sv *Server) refuse(wr http.ResponseWriter, rq *http.Request, id string, err error) {
+	if id == "" {
+		id = rq.Header.Get(idHeader)
+	}
+	if id == "" || len(id) > maxIDLength {
+		id = sv.NewID()
+	}
 	cd := code.Of(err)
 	if suppressed, ok := sv.Sample.Allow(cd.String()); ok {
 		sv.Log.Fail("request-refused", err, "path", rq.URL.Path, "request-id", id, "left-out", suppressed)
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -35,14 +36,15 @@
 	address string
 	calls   chan *callpb.Request
 	answer  *callpb.Answer
+	logs    *bytes.Buffer
 }
 
 func newTestServer(t *testing.T) *testServer {
 	ck := clock.NewFake(1)
-	ts := &testServer{ck: ck, dr: drain.New(ck), calls: make(chan *callpb.Request, 10), answer: &callpb.Answer{Outcome: "answered", Status: 200, Body: []byte("whole")}}
+	ts := &testServer{ck: ck, dr: drain.New(ck), calls: make(chan *callpb.Request, 10), logs: &bytes.Buffer{}, answer: &callpb.Answer{Outcome: "answered", Status: 200, Body: []byte("whole")}}
 	bd := parse(t)
 	sv := &caller.Server{
-		Clock: ck, Log: event.Discard(), Metric: metric.New(), Sample: logsample.New(ck, 1),
+		Clock: ck, Log: event.New(ts.logs), Metric: metric.New(), Sample: logsample.New(ck, 1),
 		Bundle:       func() *bundle.Bundle { return bd },
 		Authenticate: func(string) (string, error) { return "", code.KeyUnknown },
 		CheckKeyed:   func() error { return nil },
@@ -126,10 +128,20 @@
 			qt.Assert(t, body, qt.Equals, tc.cd.String()+"\n")
 			qt.Assert(t, ts.calls, qt.HasLen, 0)
 			qt.Assert(t, ts.dr.InFlight(), qt.Equals, 0)
+			qt.Check(t, res.Header.Get("fulmarloft-request-id"), qt.Equals, "issued")
+			qt.Check(t, ts.logs.String(), qt.Contains, `request-id="issued"`)
 		})
 	}
 }
 
+// A refusal before the headers are read must name the caller's own id, so that it can be found in the logs.
+func TestRefusalNamesTheCallersID(t *testing.T) {
+	ts := newTestServer(t)
+	res, _ := ts.exchange(t, "GET", "GET /call/x HTTP/1.1\r\nHost: h\r\nFulmarloft-Request-Id: own-1\r\n\r\n")
+	qt.Check(t, res.Header.Get("fulmarloft-request-id"), qt.Equals, "own-1")
+	qt.Check(t, ts.logs.String(), qt.Contains, `request-id="own-1"`)
+}
+
 // Path and query must reach the call unchanged and headers with several values the caller; hop-by-hop headers must be dropped.
 func TestCompleteRequestReachesTheCall(t *testing.T) {
 	ts := newTestServer(t)
