Log what a stop cut short

Cause: the errors of the drain and of the callers' server's Shutdown were dropped; a stop that ended with requests in flight looked like any other. Errors of accepts on the peer port were repeated in silence and are counted now.

Test TestStopThatIsCutShortIsLogged failed before: no drain-cut-short line.

--- a/internal/entry/datapath.go
+++ b/internal/entry/datapath.go
@@ -270,11 +270,15 @@
 		waitMS = bd.BalancerWaitMS()
 	}
 	en.lg.Info("drain-started", "name", en.st.Name(), "balancer-wait-ms", waitMS, "in-flight", en.dataPath.drain.InFlight())
-	_ = en.dataPath.drain.Run(ctx, waitMS)
+	if err := en.dataPath.drain.Run(ctx, waitMS); err != nil {
+		en.lg.Fail("drain-cut-short", err, "name", en.st.Name(), "in-flight", en.dataPath.drain.InFlight())
+	}
 	en.drainLimits(ctx)
 	if en.srv.caller != nil {
 		sctx, cancel := en.ck.WithTimeout(ctx, shutdownTimeoutMS)
-		_ = en.srv.caller.Shutdown(sctx)
+		if err := en.srv.caller.Shutdown(sctx); err != nil {
+			en.lg.Fail("callers-cut-off", err, "name", en.st.Name())
+		}
 		cancel()
 	}
 	en.dataPath.ex.Close()
--- a/internal/entry/operatorapi_test.go
+++ b/internal/entry/operatorapi_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -129,3 +130,20 @@
 	qt.Check(t, fx.logs.String(), qt.Matches, `(?s).*event="bundle-publish" operator="op-0" operation="op-1" outcome="ok".*`)
 	qt.Check(t, fx.logs.String(), qt.Matches, `(?s).*event="bundle-publish" code=300 .*operation="op-2" outcome="conflict".*`)
 }
+
+// When a stop is cut short, the log must say so with what was still in flight; callers then miss answers.
+func TestStopThatIsCutShortIsLogged(t *testing.T) {
+	fx := start(t)
+	nc, err := net.Dial("tcp", fx.en.CallerAddress())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = nc.Close() }()
+	_, err = nc.Write([]byte("GET /healthz HTTP/1.1\r\n"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = http.Get("http://" + fx.en.CallerAddress() + "/healthz")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	fx.en.Stop(ctx)
+	qt.Check(t, fx.logs.String(), qt.Matches, `(?s).*event="drain-cut-short" .*in-flight=0.*`)
+	qt.Check(t, fx.logs.String(), qt.Matches, `(?s).*event="callers-cut-off" .*`)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -76,6 +76,7 @@
 			return nil
 		}
 		if err != nil {
+			pr.rg.Count(1, "peer", "accepts-failed")
 			if pr.ck.Sleep(ctx, acceptRetryMS) != nil {
 				return nil
 			}
