Count a VM that isn't listed as busy

Cause: workerBusy took any VM without a worker's address for one that isn't a worker. A worker that had just left the list counted as free of jobs, and a drain that had read the list before could end while jobs ran there.

The kind is looked up in the list; a VM that isn't listed is an error and busy.

Test TestUnlistedWorkerIsBusy failed before: false and ok for w-1 (want true and vm-unknown).

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -187,13 +187,16 @@
 	return en.platform.Reports(ctx, addr)
 }
 
-// workerBusy reports whether a worker VM still runs jobs, for which a drain must wait; VMs that aren't workers are never busy.
+// workerBusy reports whether a worker VM still runs jobs, for which a drain must wait; VMs that aren't workers are never busy. A VM that isn't listed can't be asked and counts as busy.
 func (en *Entry) workerBusy(ctx context.Context, vm string) (bool, error) {
-	addr, err := en.workerAddress(vm)
-	if err != nil {
+	listed := en.vms.Named(vm)
+	if listed == nil {
+		return true, code.VMUnknown.New("VM %s is not in the VM list, whether it runs jobs is unknown", vm)
+	}
+	if listed.GetKind() != kindWorker {
 		return false, nil
 	}
-	reps, err := en.platform.Reports(ctx, addr)
+	reps, err := en.platform.Reports(ctx, listed.GetAddress())
 	if err != nil {
 		return true, err
 	}
