Count event lines that find the queue full

Cause: the asynchronous writer drops lines when its queue is full; nobody counted them, so that a gap in the log looked like a quiet time.

A later line (lines-lost count=N) holds the number; if it finds the queue full as well, the number stays. Close writes what is left.

Test TestLostLinesAreCounted failed before: "2049 written, 0 reported as lost" of 5,010 lines.

--- a/internal/event/bounded.go
+++ b/internal/event/bounded.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/phuslu/log"
 
@@ -17,11 +18,11 @@
 	windowMS          = 1000
 )
 
-// NewBounded returns a log that never blocks its callers. Lines wait in a queue, and a line that finds it full is dropped without a trace. Lines above the rate limit of their event are suppressed, and the event's next line holds their number.
+// NewBounded returns a log that never blocks its callers. Lines wait in a queue; lines that find it full are dropped, and a later line holds their number. Lines above the rate limit of their event are suppressed, and the event's next line holds their number.
 func NewBounded(out io.Writer, ck *clock.Clock) *Log {
 	lines := &log.ConsoleWriter{Writer: out, Formatter: format}
-	queue := &log.AsyncWriter{ChannelSize: maxQueuedLines, DiscardOnFull: true, Writer: lines}
-	return &Log{logger: log.Logger{Level: log.InfoLevel, Writer: queue}, rateLimiter: &rateLimiter{ck: ck, windows: map[string]*window{}}, queue: queue}
+	qu := &queue{lines: lines, async: &log.AsyncWriter{ChannelSize: maxQueuedLines, DiscardOnFull: true, Writer: lines}}
+	return &Log{logger: log.Logger{Level: log.InfoLevel, Writer: qu}, rateLimiter: &rateLimiter{ck: ck, windows: map[string]*window{}}, queue: qu}
 }
 
 // Close writes the queued lines.
@@ -29,7 +30,45 @@
 	if lg.queue == nil {
 		return nil
 	}
-	return lg.queue.Close()
+	if err := lg.queue.async.Close(); err != nil {
+		return err
+	}
+	lg.queue.reportLost(lg.queue.lines)
+	return nil
+}
+
+// queue passes lines to the writer and counts those that it has no room for.
+type queue struct {
+	lines *log.ConsoleWriter
+	async *log.AsyncWriter
+	lost  atomic.Int64
+}
+
+// WriteEntry queues one line, after one with the number of lost lines if there are any.
+func (qu *queue) WriteEntry(en *log.Entry) (int, error) {
+	qu.reportLost(qu.async)
+	count, err := qu.async.WriteEntry(en)
+	if err != nil {
+		qu.lost.Add(1)
+	}
+	return count, err
+}
+
+// reportLost writes a line with the number of lost lines; if that is lost too, the number stays.
+func (qu *queue) reportLost(to log.Writer) {
+	lost := qu.lost.Swap(0)
+	if lost == 0 {
+		return
+	}
+	write := log.WriterFunc(func(en *log.Entry) (int, error) {
+		count, err := to.WriteEntry(en)
+		if err != nil {
+			qu.lost.Add(lost)
+		}
+		return count, err
+	})
+	lg := log.Logger{Level: log.InfoLevel, Writer: write}
+	lg.Info().Str("event", "lines-lost").Int64("count", lost).Msg("")
 }
 
 // rateLimiter limits the lines per second of each event name; a nil limiter admits all.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -13,7 +13,7 @@
 type Log struct {
 	logger      log.Logger
 	rateLimiter *rateLimiter
-	queue       *log.AsyncWriter
+	queue       *queue
 }
 
 // New returns a log that writes to the given writer.
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -53,6 +54,36 @@
 	qt.Assert(t, lines > 1000 && lines < 10_000, qt.IsTrue, qt.Commentf("%d lines", lines))
 }
 
+// Lines that find the queue full must be counted in a later line, or a gap in the log couldn't be told from a quiet time.
+func TestLostLinesAreCounted(t *testing.T) {
+	ck := clock.NewFake(0)
+	sw := &stalledWriter{release: make(chan struct{})}
+	lg := event.NewBounded(sw, ck)
+	const total = 5_000
+	for range total {
+		ck.Advance(10)
+		lg.Info("job-accepted")
+	}
+	close(sw.release)
+	for range 10 {
+		ck.Advance(10)
+		lg.Info("job-accepted")
+	}
+	qt.Assert(t, lg.Close(), qt.IsNil)
+	written, lost := 0, 0
+	for _, line := range strings.Split(strings.TrimSpace(sw.buf.String()), "\n") {
+		_, count, found := strings.Cut(line, `event="lines-lost" count=`)
+		if !found {
+			written++
+			continue
+		}
+		number, err := strconv.Atoi(count)
+		qt.Assert(t, err, qt.IsNil)
+		lost += number
+	}
+	qt.Check(t, written+lost, qt.Equals, total+10, qt.Commentf("%d written, %d reported as lost", written, lost))
+}
+
 // An event above the rate limit is suppressed, the next one reports how many were, and other events are not affected.
 func TestEventRateIsLimited(t *testing.T) {
 	ck := clock.NewFake(0)
