Use one bound on clock drift for leases and promises

Cause: internal/lease took 1% rounded down and 1 ms, internal/clockdrift 1% rounded up and no more. Readings are cut to whole milliseconds, so that a measured time may be 1 ms off; clockdrift's bound left nothing for it with lengths that are multiples of 100, lease's next to nothing with others.

clockdrift holds the bound: 1% rounded up and 1 ms, each way; lease calls it.

TestAcceptedAt names the moments of acceptance to the millisecond; the three that wait for a promise or a lease are 1 ms later, the check is the same.

--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -22,7 +22,7 @@
 
 // A version must not be reported as accepted while an entry may still do keyed work under an earlier one: it is accepted once all members hold it and the leases they promised to others have expired, or one lease time after a blocking set of each group heard of it.
 func TestAcceptedAt(t *testing.T) {
-	const lease, lengthened = 1000, 1010
+	const lease, lengthened = 1000, 1011
 	abc := []string{"a", "b", "c"}
 	for _, tc := range []struct {
 		name   string
@@ -32,7 +32,7 @@
 	}{
 		{"nobody", [][]string{abc}, nil, 0},
 		{"all hold it", [][]string{abc}, []step{{10, "a", 2, 2, 0, false}, {20, "b", 2, 2, 0, false}, {30, "c", 3, 3, 0, false}}, 30},
-		{"all hold it, one has a promise to a holder outside the roster", [][]string{abc}, []step{{10, "a", 2, 2, 100, false}, {20, "b", 2, 2, 0, false}, {30, "c", 2, 2, 0, false}}, 111},
+		{"all hold it, one has a promise to a holder outside the roster", [][]string{abc}, []step{{10, "a", 2, 2, 100, false}, {20, "b", 2, 2, 0, false}, {30, "c", 2, 2, 0, false}}, 112},
 		{"no blocking set", [][]string{abc}, []step{{10, "a", 2, 2, 0, false}}, 0},
 		{"a blocking set", [][]string{abc}, []step{{10, "a", 2, 2, 0, false}, {20, "b", 2, 1, 0, false}}, 20 + lengthened},
 		{"old acknowledgements don't count", [][]string{abc}, []step{{10, "a", 2, 2, 0, false}, {20, "b", 1, 1, 0, false}}, 0},
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/clockdrift"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
@@ -15,31 +16,16 @@
 	token   uint64
 }
 
-const (
-	// Bound on the relative drift of two clocks, in thousandths of the measured time.
-	driftPerMille = 10
-	driftFloorMS  = 1
-)
-
 // New returns an expired lease that is checked against the holder's clock.
 func New(ck *clock.Clock) *Lease {
 	return &Lease{ck: ck}
 }
 
-// MarginMS returns by how much a lease of the given length is shortened for its holder and lengthened for others to allow for clock drift.
-func MarginMS(lengthMS int64) int64 {
-	return lengthMS*driftPerMille/1000 + driftFloorMS
-}
-
 // UsableMS returns how long the holder may use a lease of the given length, counted from before its request.
-func UsableMS(lengthMS int64) int64 {
-	return max(0, lengthMS-MarginMS(lengthMS))
-}
+func UsableMS(lengthMS int64) int64 { return clockdrift.Shorten(lengthMS) }
 
 // ExpiredAfterMS returns how long other processes must wait until a lease of the given length has certainly expired for its holder.
-func ExpiredAfterMS(lengthMS int64) int64 {
-	return lengthMS + MarginMS(lengthMS)
-}
+func ExpiredAfterMS(lengthMS int64) int64 { return clockdrift.Lengthen(lengthMS) }
 
 // Grant starts or extends the lease, counted from requestedMS, the time before the request that won it. An extension never shortens the lease, and a lower token is ignored.
 func (ls *Lease) Grant(requestedMS, lengthMS int64, token uint64) {
