Leave no hole in two error texts

Cause: two texts wrapped an error that may be nil: a list element that decodes to nothing, and a withdrawal answered with a refusal in try.

Test TestEmptyListElementIsNamed failed before: "list element is not in canonical form: %!w(<nil>)". The text of try has no test; it prints the refusal's code now.

--- a/internal/try/withdraw.go
+++ b/internal/try/withdraw.go
@@ -21,8 +21,11 @@
 	start := tr.ck.Now()
 	en := tr.fl.Entries()[0]
 	version, cd, err := tr.fl.WithdrawKey(ctx, en, withdrawOperation, team)
-	if err != nil || (cd != code.OK && cd != code.NotYetInForce) {
-		return code.Internal.New("withdrawing the key of team %s: code %d: %w", team, int(cd), err)
+	if err != nil {
+		return code.Internal.New("cannot withdraw the key of team %s: %w", team, err)
+	}
+	if cd != code.OK && cd != code.NotYetInForce {
+		return code.Internal.New("cannot withdraw the key of team %s: %w", team, cd)
 	}
 	err = tr.waitUntil(ctx, eventTimeoutMS, func() bool {
 		got, err := tr.fl.Accepted(ctx, en)
--- a/pkg/bundle/restore.go
+++ b/pkg/bundle/restore.go
@@ -85,8 +85,11 @@
 		val, ok := cached[string(part)]
 		if !ok {
 			var one []T
-			if err := yaml.NewDecoder(bytes.NewReader(part), yaml.Strict()).Decode(&one); err != nil || len(one) != 1 {
-				return nil, nil, code.BundleMalformed.New("list element is not in canonical form: %w", wrapMalformed(err))
+			if err := yaml.NewDecoder(bytes.NewReader(part), yaml.Strict()).Decode(&one); err != nil {
+				return nil, nil, code.BundleMalformed.New("list element is not in canonical form: %w", err)
+			}
+			if len(one) != 1 {
+				return nil, nil, code.BundleMalformed.New("%q: expected one list element, got %d", part, len(one))
 			}
 			val = one[0]
 		}
--- a/pkg/bundle/restore_test.go
+++ b/pkg/bundle/restore_test.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// A list element that decodes to nothing must be named, without a hole in the text where there is no other error.
+func TestEmptyListElementIsNamed(t *testing.T) {
+	raw := strings.Replace(string(bundletest.Canonical(bundletest.Text(1, 1, 3, 4, 7))), "teams:\n", "teams:\n  []\n", 1)
+	_, err := bundle.Restore([]byte(raw), nil)
+	qt.Assert(t, code.Of(err), qt.Equals, code.BundleMalformed)
+	qt.Check(t, err.Error(), qt.Contains, "expected one list element, got 0")
+	qt.Check(t, err.Error(), qt.Not(qt.Contains), "%!w")
+}
+
 func BenchmarkRestore(b *testing.B) {
 	raw := bundletest.New(79, 306, 500)
 	next := bundletest.Canonical(bundletest.Withdraw(bundletest.Next(bundletest.Text(1, 1, 79, 306, 500)), 3))
