Give commands a timeout, and show a new key's secret only if it may exist

An answer without a code became an error of code 0: `key create` printed the secret of a key that was refused, and "code=0 name=ok" beside exit status 1. A failed read of the bundle, before anything was published, printed it as well. Without a code, a status from 500 on is peer-unreachable (the change may have taken effect, the secret is shown), another internal; and the secret is shown only when the change was sent.

Tests: TestCommandsTimeOut failed with the flag alone ("test timed out after 5s"); TestKeyCreateShowsTheSecretOnlyIfTheKeyMayExist failed before ("refused without a code: ok", printed k9.626c...; "bundle unreadable" printed too).

--- a/cmd/fulmarloft/admin.go
+++ b/cmd/fulmarloft/admin.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/google/uuid"
 
+	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/identity"
 	"github.com/fulmarloft/fulmarloft/internal/operatorapi"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
@@ -22,6 +25,7 @@
 	certificateFile *string
 	keyFile         *string
 	authorityFile   *string
+	timeout         *time.Duration
 }
 
 func newAdminCall(cm *kingpin.CmdClause) *adminCall {
@@ -32,6 +36,7 @@
 		certificateFile: cm.Flag("certificate", "PEM file of the operator's certificate; without it the call is made over plain HTTP.").String(),
 		keyFile:         cm.Flag("certificate-key", "PEM file of the certificate's private key.").String(),
 		authorityFile:   cm.Flag("authority", "PEM file of the CA certificates that the entry's certificate must chain to.").String(),
+		timeout:         cm.Flag("timeout", "Time after which the call is given up; a change may then have taken effect.").Default("1m").Duration(),
 	}
 }
 
@@ -41,7 +46,9 @@
 	if err != nil {
 		return nil, err
 	}
-	req, err := http.NewRequest(method, scheme+*ac.admin+path, bytes.NewReader(body))
+	ctx, cancel := withTimeout(*ac.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, scheme+*ac.admin+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, code.HeaderMalformed.Wrap(err)
 	}
@@ -62,8 +69,24 @@
 	if res.StatusCode == http.StatusOK || res.StatusCode == http.StatusAccepted {
 		return raw, nil
 	}
-	num, _ := strconv.Atoi(res.Header.Get(operatorapi.CodeHeader))
-	return nil, code.Code(num).New("%s", bytes.TrimSpace(raw))
+	return nil, refusedWith(res, bytes.TrimSpace(raw))
+}
+
+// refusedWith returns the error of a response that isn't a success. Without a code it comes from something between here and the entry: a status from 500 on leaves open whether the entry got the call.
+func refusedWith(res *http.Response, body []byte) error {
+	num, err := strconv.Atoi(res.Header.Get(operatorapi.CodeHeader))
+	switch {
+	case err == nil && code.Code(num) != code.OK:
+		return code.Code(num).New("%s", body)
+	case res.StatusCode >= http.StatusInternalServerError:
+		return code.PeerUnreachable.New("status %d without a result code: %s", res.StatusCode, body)
+	}
+	return code.Internal.New("status %d without a result code: %s", res.StatusCode, body)
+}
+
+// withTimeout returns a context that ends after the given time.
+func withTimeout(timeout time.Duration) (context.Context, context.CancelFunc) {
+	return clock.New().WithTimeout(context.Background(), timeout.Milliseconds())
 }
 
 func (ac *adminCall) client() (*http.Client, string, error) {
--- a/cmd/fulmarloft/job.go
+++ b/cmd/fulmarloft/job.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/google/uuid"
@@ -16,10 +17,11 @@
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
-// jobCall holds the entry address and the key file of the job commands.
+// jobCall holds the entry address, the key file and the timeout of the job commands.
 type jobCall struct {
 	entry   string
 	keyFile string
+	timeout time.Duration
 }
 
 // jobSpec is the body of a request that submits a job.
@@ -39,6 +41,7 @@
 	cm := app.Command("job", "Submit, inspect and cancel jobs of a team.")
 	cm.Flag("entry", "Address of an entry for callers.").Default("127.0.0.1:8080").StringVar(&jc.entry)
 	cm.Flag("key-file", "File with the secret of the team's key.").Required().StringVar(&jc.keyFile)
+	cm.Flag("timeout", "Time after which the call is given up; a submission or cancellation may then have taken effect.").Default("1m").DurationVar(&jc.timeout)
 	return []command{submitCommand(cm, jc), statusCommand(cm, jc), cancelCommand(cm, jc)}
 }
 
@@ -93,7 +96,9 @@
 	if err != nil {
 		return code.KeyMissing.Wrap(err)
 	}
-	req, err := http.NewRequest(method, "http://"+jc.entry+path, bytes.NewReader(body))
+	ctx, cancel := withTimeout(jc.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+jc.entry+path, bytes.NewReader(body))
 	if err != nil {
 		return code.HeaderMalformed.Wrap(err)
 	}
--- a/cmd/fulmarloft/key.go
+++ b/cmd/fulmarloft/key.go
@@ -54,28 +54,36 @@
 
 func (kc *keyChange) create(name, id string) error {
 	ky, secret := key.New(id)
-	err := kc.apply(func(bd *bundle.Bundle) (*bundle.Bundle, error) { return bd.WithKey(name, ky) })
-	return printSecret(secret, err)
+	return kc.applyWithSecret(secret, func(bd *bundle.Bundle) (*bundle.Bundle, error) { return bd.WithKey(name, ky) })
 }
 
 func (kc *keyChange) rotate(name, old, id string) error {
 	ky, secret := key.New(id)
-	err := kc.apply(func(bd *bundle.Bundle) (*bundle.Bundle, error) {
+	return kc.applyWithSecret(secret, func(bd *bundle.Bundle) (*bundle.Bundle, error) {
 		with, err := bd.WithKey(name, ky)
 		if err != nil {
 			return nil, err
 		}
 		return with.WithoutKey(old)
 	})
-	return printSecret(secret, err)
 }
 
 func (kc *keyChange) withdraw(id string) error {
-	return kc.apply(func(bd *bundle.Bundle) (*bundle.Bundle, error) { return bd.WithoutKey(id) })
+	return kc.apply(func(bd *bundle.Bundle) (*bundle.Bundle, error) { return bd.WithoutKey(id) }, func() {})
 }
 
-// apply changes the bundle that the entry holds. If another version is published in the meantime, publishing fails with a conflict.
-func (kc *keyChange) apply(change func(bd *bundle.Bundle) (*bundle.Bundle, error)) error {
+// applyWithSecret applies a change that creates a key and prints the key's secret if the key was created or may have been.
+func (kc *keyChange) applyWithSecret(secret string, change func(bd *bundle.Bundle) (*bundle.Bundle, error)) error {
+	begun := false
+	err := kc.apply(change, func() { begun = true })
+	if cd := code.Of(err); begun && (cd == code.OK || cd == code.TableInDoubt || cd == code.PeerUnreachable) {
+		fmt.Println(secret)
+	}
+	return err
+}
+
+// apply changes the bundle that the entry holds and calls begin before the change may take effect. If another version is published in the meantime, publishing fails with a conflict.
+func (kc *keyChange) apply(change func(bd *bundle.Bundle) (*bundle.Bundle, error), begin func()) error {
 	if (*kc.privateKeyFile == "") == (*kc.outFile == "") {
 		return code.SettingsInvalid.New("expected either --private-key or --out")
 	}
@@ -99,6 +107,7 @@
 		return err
 	}
 	if *kc.outFile != "" {
+		begin()
 		return os.WriteFile(*kc.outFile, proposed, secretFileMode)
 	}
 	priv, err := readPrivateKey(*kc.privateKeyFile)
@@ -106,13 +115,6 @@
 		return err
 	}
 	sign := signoff.New(*kc.call.operator, priv, next.Hash())
+	begin()
 	return printBody(kc.call.send(http.MethodPost, bundlePath, http.Header{operatorapi.SignOffHeader: {sign.String()}}, proposed))
 }
-
-// printSecret prints the secret if the key was created or may have been, and returns err.
-func printSecret(secret string, err error) error {
-	if cd := code.Of(err); cd == code.OK || cd == code.TableInDoubt || cd == code.PeerUnreachable {
-		fmt.Println(secret)
-	}
-	return err
-}
