Fail a load test in which nothing was answered

Cause: the report claims that every checked promise held when none is broken; with no answer nothing was checked. The command also ended with status 0 when a promise was broken.

The report says that nothing was answered, with the codes, and the last error of requests without a complete answer; the command fails with the most frequent code (peer-unreachable without any) or, as try does, with the number of broken promises.

--- a/cmd/fulmarloft/load.go
+++ b/cmd/fulmarloft/load.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"maps"
 	"os"
+	"slices"
+	"strconv"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/loadplan"
+	"github.com/fulmarloft/fulmarloft/internal/loadstats"
 	"github.com/fulmarloft/fulmarloft/internal/report"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -34,9 +38,42 @@
 	}
 	defer gn.Close()
 	rp := report.New("load", gn.Run(context.Background(), pl.DurationMS()))
+	cause := addUnansweredFacts(rp, gn.LastError())
 	if asJSON {
-		return rp.WriteJSON(os.Stdout)
+		err = rp.WriteJSON(os.Stdout)
+	} else {
+		rp.WriteText(os.Stdout)
+	}
+	switch {
+	case err != nil:
+		return err
+	case cause != code.OK:
+		return cause.New("nothing was answered")
+	case !rp.Passed():
+		return code.Internal.New("%d guarantees violated", len(rp.Violations()))
 	}
-	rp.WriteText(os.Stdout)
 	return nil
 }
+
+// addUnansweredFacts adds the reasons to the report if nothing was answered, and returns the most frequent one, else OK.
+func addUnansweredFacts(rp *report.Report, lastErr error) code.Code {
+	if rp.Answered() {
+		return code.OK
+	}
+	cause, most := code.PeerUnreachable, 0
+	counts := rp.Codes()
+	for _, num := range slices.Sorted(maps.Keys(counts)) {
+		name, cd := code.Code(num).String(), code.Code(num)
+		if num == loadstats.NoCode {
+			name, cd = "no complete answer", code.PeerUnreachable
+		}
+		rp.AddFact(name, strconv.Itoa(counts[num]))
+		if counts[num] > most {
+			cause, most = cd, counts[num]
+		}
+	}
+	if lastErr != nil {
+		rp.AddFact("last error", lastErr.Error())
+	}
+	return cause
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -26,6 +26,7 @@
 	results   map[string]*loadstats.Tally
 	mu        sync.Mutex
 	nextIndex int
+	lastErr   error
 }
 
 // stream is a sequence of requests of a team to a service, with exponentially distributed gaps. If phases is not 0, the rate depends on the phase as described at AddPeaking.
@@ -89,6 +90,13 @@
 	return gn.sortedResults()
 }
 
+// LastError returns the error of the last request that ended without a complete answer, nil if there is none.
+func (gn *Generator) LastError() error {
+	gn.mu.Lock()
+	defer gn.mu.Unlock()
+	return gn.lastErr
+}
+
 // Close closes idle connections.
 func (gn *Generator) Close() { gn.hc.CloseIdleConnections() }
 
@@ -147,14 +155,17 @@
 func (gn *Generator) exchange(ctx context.Context, st *stream) (string, int) {
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gn.nextTarget()+"/call/"+st.service, bytes.NewReader(st.body))
 	if err != nil {
-		return outcomeUnknown, -1
+		return outcomeUnknown, loadstats.NoCode
 	}
 	if st.secret != "" {
 		rq.Header.Set("fulmarloft-key", st.secret)
 	}
 	res, err := gn.hc.Do(rq)
 	if err != nil {
-		return outcomeOfError(err), -1
+		gn.mu.Lock()
+		gn.lastErr = err
+		gn.mu.Unlock()
+		return outcomeOfError(err), loadstats.NoCode
 	}
 	defer func() { _ = res.Body.Close() }()
 	raw, err := io.ReadAll(res.Body)
--- a/internal/loadstats/loadstats.go
+++ b/internal/loadstats/loadstats.go
@@ -15,6 +15,9 @@
 	latencies *hdrhistogram.Histogram
 }
 
+// NoCode is recorded for a request without a complete answer.
+const NoCode = -1
+
 const (
 	outcomeAnswered = "answered"
 	outcomeNotRun   = "not-run"
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/fulmarloft/fulmarloft/internal/loadstats"
@@ -56,6 +57,22 @@
 // Violations returns a description of each violated guarantee.
 func (rp *Report) Violations() []string { return rp.violations }
 
+// Answered reports whether any request was answered; if none was, no guarantee was checked.
+func (rp *Report) Answered() bool {
+	return slices.ContainsFunc(rp.results, func(rs *loadstats.Tally) bool { return rs.Answered() > 0 })
+}
+
+// Codes returns how often each result code was received by all teams together.
+func (rp *Report) Codes() map[int]int {
+	sum := map[int]int{}
+	for _, rs := range rp.results {
+		for cd, count := range rs.Codes() {
+			sum[cd] += count
+		}
+	}
+	return sum
+}
+
 // WriteText writes the report as tables.
 func (rp *Report) WriteText(out io.Writer) {
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -70,6 +87,10 @@
 	for _, text := range rp.violations {
 		_, _ = fmt.Fprintf(out, "broken: %s\n", text)
 	}
+	if !rp.Answered() {
+		_, _ = fmt.Fprintln(out, "nothing was answered, so no promise was checked")
+		return
+	}
 	if rp.Passed() {
 		_, _ = fmt.Fprintln(out, "every checked promise held")
 	}
@@ -79,7 +100,7 @@
 func (rp *Report) WriteJSON(out io.Writer) error {
 	enc := json.NewEncoder(out)
 	enc.SetIndent("", "  ")
-	return enc.Encode(map[string]any{"user": rp.user, "teams": rp.rows(), "facts": rp.facts, "broken": rp.violations, "held": rp.Passed()})
+	return enc.Encode(map[string]any{"user": rp.user, "teams": rp.rows(), "facts": rp.facts, "broken": rp.violations, "held": rp.Passed() && rp.Answered()})
 }
 
 func (rp *Report) rows() []row {
