Take the factor of the scenario command `endpoint slow`

Cause: two branches for slow, of which the first ignored the factor; the scenario limits-while-zone-cut asked for 20 and got 200.

Without a factor it stays 200. No test of its own: the scenarios are the test; all pass, limits-while-zone-cut with its factor of 20 now (peak of at least 8 units still checked).

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -179,9 +179,9 @@
 	}
 }
 
-// endpoint runs the command "endpoint fail|half|wrong-id|drop|heal|silence|slow NAME"; slow multiplies the run times by slowFactor.
+// endpoint runs the command "endpoint fail|half|wrong-id|drop|heal|silence|slow NAME [FACTOR]"; slow multiplies the run times by the factor, or by slowFactor without one.
 func (sc *scenario) endpoint(args []string) {
-	sc.requireArgs(args, 2, "endpoint fail|half|wrong-id|drop|heal|silence|slow NAME")
+	sc.requireArgs(args, 2, "endpoint fail|half|wrong-id|drop|heal|silence|slow NAME [FACTOR]")
 	mode := args[0]
 	if mode == "silence" {
 		if sc.fl.Endpoint(args[1]).DropData() == 0 {
@@ -190,11 +190,11 @@
 		return
 	}
 	if mode == "slow" {
-		sc.fl.Endpoint(args[1]).SetSlow(slowFactor)
-		return
-	}
-	if mode == "slow" {
-		sc.fl.Endpoint(args[1]).SetSlow(int64(sc.parseNumber(args[2])))
+		factor := int64(slowFactor)
+		if len(args) > 2 {
+			factor = int64(sc.parseNumber(args[2]))
+		}
+		sc.fl.Endpoint(args[1]).SetSlow(factor)
 		return
 	}
 	if mode == "heal" {
