Lend spare slots whatever the weights are; take the table of costs out

Cause: the strategy was chosen from costs measured with one load and compiled in, by the bundle's weights. Lending was best or as good in each measure, so the table could choose lending or, on a tie, nothing: with weights on moves alone, or all 0, no slot of a spare VM was lent, though lending moves nothing. The entry carries out no moving strategy anyway.

Entries lend where the operators' pools include a spare one.

--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -19,9 +19,8 @@
 
 // capacityPart lends this entry's allocation of the spare VMs' slots to pools with a shortage; the VMs stay in the spare pool.
 type capacityPart struct {
-	planner  *capacity.Planner
-	slots    int
-	strategy string
+	planner *capacity.Planner
+	slots   int
 
 	mu sync.RWMutex
 	// loans maps a spare VM to the pool that uses its slots.
@@ -53,7 +52,7 @@
 	if en.Bundle() == nil {
 		return nil
 	}
-	if err := en.capacity.setup(capacity.Choose(en.Bundle()), int(en.dataPath.zoneSlots.Load())); err != nil {
+	if err := en.capacity.setup(int(en.dataPath.zoneSlots.Load())); err != nil {
 		return err
 	}
 	var demands []*fleetpb.PoolDemand
@@ -111,16 +110,16 @@
 	return vm != nil && pk.Running(vm.GetIncarnation()) > 0
 }
 
-// setup replaces the planner when the strategy or the entry's allocation of a VM's slots has changed.
-func (cp *capacityPart) setup(strategy string, slots int) error {
-	if cp.planner != nil && cp.strategy == strategy && cp.slots == slots {
+// setup replaces the planner when the entry's allocation of a VM's slots has changed. Whether there is anything to lend is decided by the operators' pools: without a spare pool the planner plans nothing.
+func (cp *capacityPart) setup(slots int) error {
+	if cp.planner != nil && cp.slots == slots {
 		return nil
 	}
-	planner, err := capacity.New(strategy, slots, capacityMoveMS)
+	planner, err := capacity.New(capacity.Lend, slots, capacityMoveMS)
 	if err != nil {
 		return err
 	}
-	cp.planner, cp.strategy, cp.slots = planner, strategy, slots
+	cp.planner, cp.slots = planner, slots
 	return nil
 }
 
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -127,7 +127,7 @@
 	return maxMS
 }
 
-// WeightShare returns the configured weight of the share error in the cost of a capacity planning strategy.
+// WeightShare returns the configured weight of the share error. The weights are kept in the format; no decision depends on them.
 func (bd *Bundle) WeightShare() float64 { return bd.spec.Weights.Share }
 
 // WeightRollOut returns the configured weight of the roll-out time.
