Keep the reason for which a request wasn't sent

Cause: the check before the first byte told that a limit had been reduced or a lease had lapsed; the entry replaced that by a bare limit-reached, and the exchanger replaced any error by the same code. The log line of the failed request said nothing more.

The check wraps the reason, the attempt keeps error and code, and request-failed lines carry it in their detail. An endpoint isn't blamed for keyed-work-paused either, which a check may return now.

Tests failed before: TestRefusalBeforeSendingKeepsItsReason ("limit-reached" for "keyed-work-paused", no text), TestLapsedUnitNamesItsReason ("limit-reached" alone).

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -204,7 +204,7 @@
 		dp.pk.RecordRefusal(inc)
 	case code.AnswerTimeout:
 		dp.pk.Done(inc, false, tr.sentMS+rn.svc.MaxRunMS())
-	case code.DeadlinePassed, code.HeaderMalformed, code.LimitReached:
+	case code.DeadlinePassed, code.HeaderMalformed, code.LimitReached, code.KeyedWorkPaused:
 		dp.pk.Release(inc)
 	default:
 		dp.pk.Done(inc, false, 0)
@@ -246,7 +246,7 @@
 		tr = rn.unknownTry
 	}
 	cd := tr.at.Code()
-	ans := &callpb.Answer{Id: rn.req.GetId(), Outcome: tr.at.String(), Code: int32(cd), Status: int32(cd.Status())}
+	ans := &callpb.Answer{Id: rn.req.GetId(), Outcome: tr.at.String(), Code: int32(cd), Status: int32(cd.Status()), Detail: tr.at.Detail()}
 	if rn.unknownTry != nil {
 		ans.SentMs = tr.sentMS
 		return ans
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -60,9 +60,9 @@
 		at.Fail(code.NoEndpoint, code.MayHaveRun)
 		return nil
 	}
-	if beforeSend() != nil {
+	if err := beforeSend(); err != nil {
 		pl.Put(cn)
-		at.Fail(code.LimitReached, code.MayHaveRun)
+		at.Refuse(err)
 		return nil
 	}
 	start := ex.ck.Now()
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -265,3 +265,15 @@
 	_, conns := pr.count("2")
 	qt.Assert(t, conns, qt.Equals, 2)
 }
+
+// A request that the check before the first byte refuses must end as not run with the check's code and reason, so that the log says why.
+func TestRefusalBeforeSendingKeepsItsReason(t *testing.T) {
+	pr := newPeer(t, func(pr *peer, conn int, nc net.Conn, br *bufio.Reader) { pr.read(br) })
+	at := outcome.New()
+	newExchanger(clock.NewFake(0)).Do(context.Background(), pr.address(), request("1"), maxAnswer, at, func() error {
+		return code.KeyedWorkPaused.New("the configuration lease has expired")
+	})
+	qt.Check(t, at.NotRun(), qt.IsTrue)
+	qt.Check(t, at.Code(), qt.Equals, code.KeyedWorkPaused)
+	qt.Check(t, at.Detail(), qt.Contains, "the configuration lease has expired")
+}
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/unit"
 	"github.com/fulmarloft/fulmarloft/internal/vmlist"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -29,3 +30,11 @@
 		qt.Check(t, code.Of(err), qt.Equals, tc.want, qt.Commentf(tc.vm))
 	}
 }
+
+// A unit that lapsed before the request was sent must name its reason beside the code that callers get.
+func TestLapsedUnitNamesItsReason(t *testing.T) {
+	un := unit.New(func() error { return code.LeaseLapsed.New("limit of team a was reduced") }, func() {}, func(int64) {})
+	err := checkUnit(un)
+	qt.Check(t, code.Of(err), qt.Equals, code.LimitReached)
+	qt.Check(t, err, qt.ErrorMatches, "(?s).*limit of team a was reduced.*")
+}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/limit"
 	"github.com/fulmarloft/fulmarloft/internal/limitpb"
 	"github.com/fulmarloft/fulmarloft/internal/liveness"
+	"github.com/fulmarloft/fulmarloft/internal/unit"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -105,14 +106,19 @@
 	check = func() error {
 		en.adoptLimits()
 		checkedMS.Store(en.ck.Now())
-		if un.Check() != nil {
-			return code.LimitReached
-		}
-		return nil
+		return checkUnit(un)
 	}
 	return check, func(sentMS int64) { en.releaseUnit(un.Release, un.ReleaseUnknown, sentMS, checkedMS.Load()) }
 }
 
+// checkUnit returns an error of code LimitReached with the reason if no request may start under the unit any more.
+func checkUnit(un *unit.Unit) error {
+	if err := un.Check(); err != nil {
+		return code.LimitReached.Wrap(err)
+	}
+	return nil
+}
+
 // releaseUnit releases a unit. A request that may still be running (sentMS above 0) counts as sent at the last check, if that is later, since the check comes right before the first byte.
 func (en *Entry) releaseUnit(release func(), releaseUnknown func(sentMS int64), sentMS, checkedMS int64) {
 	if sentMS > 0 {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -11,6 +11,8 @@
 	mu    sync.Mutex
 	state state
 	cd    code.Code
+	// reason is why nothing was sent, nil if there is no more to say than the code.
+	reason error
 }
 
 type state int
@@ -49,6 +51,24 @@
 	}
 }
 
+// Refuse records the error because of which nothing was sent, with its code.
+func (at *Attempt) Refuse(err error) {
+	at.Fail(code.Of(err), code.MayHaveRun)
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	at.reason = err
+}
+
+// Detail returns the text of the error because of which nothing was sent, empty if there is none.
+func (at *Attempt) Detail() string {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.reason == nil {
+		return ""
+	}
+	return at.reason.Error()
+}
+
 // MarkNotStarted records the endpoint's statement that it did not start the request.
 func (at *Attempt) MarkNotStarted(cd code.Code) {
 	at.mu.Lock()
