Refuse bodies that are too large with one code everywhere

Tests failed before: TestBodyTooLarge (400 and 116 for 413 and 104, both paths), row "too large" of fleetapi's TestRoutes (400 for 413). Bundles have no test of it.

--- a/internal/fleetapi/fleetapi.go
+++ b/internal/fleetapi/fleetapi.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/fleet"
 	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/requestbody"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
@@ -167,7 +168,7 @@
 	dec := json.NewDecoder(http.MaxBytesReader(nil, rq.Body, maxBodyBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(body); err != nil {
-		return code.HeaderMalformed.New("cannot decode the request body: %w", err)
+		return requestbody.Error(err, code.HeaderMalformed)
 	}
 	return nil
 }
--- a/internal/fleetapi/fleetapi_test.go
+++ b/internal/fleetapi/fleetapi_test.go
@@ -38,6 +38,7 @@
 		{"unauthenticated", "GET", "/v1/waves", "", "", "", 403, "operator-unknown"},
 		{"no operation", "POST", "/v1/waves", "jana", "", `{"name":"w"}`, 400, "operation id"},
 		{"malformed", "POST", "/v1/waves", "jana", "op", `{"nam":"w"}`, 400, "header-malformed"},
+		{"too large", "POST", "/v1/waves", "jana", "op", `{"name":"` + strings.Repeat("x", 64<<10) + `"}`, 413, "body-too-large"},
 		{"unknown pool", "POST", "/v1/waves", "jana", "op", `{"name":"w","pools":["x"]}`, 409, "isn't in the bundle"},
 		{"create", "POST", "/v1/waves", "jana", "op-1", `{"name":"w"}`, 200, "name=w state=running"},
 		{"repeat", "POST", "/v1/waves", "jana", "op-1", `{"name":"w"}`, 200, "epoch=1"},
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/job"
 	"github.com/fulmarloft/fulmarloft/internal/jobpb"
 	"github.com/fulmarloft/fulmarloft/internal/metric"
+	"github.com/fulmarloft/fulmarloft/internal/requestbody"
 	"github.com/fulmarloft/fulmarloft/internal/size"
 	"github.com/fulmarloft/fulmarloft/internal/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
@@ -254,7 +255,7 @@
 	dec := json.NewDecoder(http.MaxBytesReader(nil, rq.Body, maxBodyBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(into); err != nil {
-		return code.BodyBroken.New("cannot decode the request body: %w", err)
+		return requestbody.Error(err, code.BodyBroken)
 	}
 	return nil
 }
--- a/internal/jobapi/jobapi_test.go
+++ b/internal/jobapi/jobapi_test.go
@@ -179,3 +179,13 @@
 	_, cd, _, _ = fx.call("a", http.MethodGet, "/jobs/x-7", "")
 	qt.Check(t, cd, qt.Equals, "109")
 }
+
+// A body above the limit must be refused as such; a caller can't tell from a broken body that it is too large.
+func TestBodyTooLarge(t *testing.T) {
+	fx := newFixture(t)
+	for _, path := range []string{"/jobs", "/jobs/cancel"} {
+		status, _, _, body := fx.call("bratislava", http.MethodPost, path, `{"id":"`+strings.Repeat("x", 256<<10)+`"}`)
+		qt.Check(t, status, qt.Equals, code.BodyTooLarge.Status(), qt.Commentf("%s: %v", path, body["detail"]))
+		qt.Check(t, body["code"], qt.Equals, float64(code.BodyTooLarge), qt.Commentf("%s", path))
+	}
+}
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/cluster"
 	"github.com/fulmarloft/fulmarloft/internal/configpb"
 	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/requestbody"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/signoff"
 )
@@ -95,7 +96,7 @@
 	}
 	raw, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, maxBundleBytes))
 	if err != nil {
-		return code.BundleMalformed.New("cannot read the request body: %w", err)
+		return requestbody.Error(err, code.BundleMalformed)
 	}
 	committed, err := ap.ag.Publish(rq.Context(), operation, raw, list)
 	if err != nil {
--- /dev/null
+++ b/internal/requestbody/doc.go
@@ -0,0 +1,2 @@
+// Package requestbody names the errors of request bodies that can't be read.
+package requestbody
