--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -268,7 +268,7 @@
 
 // A request that the check before the first byte refuses must end as not run with the check's code and reason, so that the log says why.
 func TestRefusalBeforeSendingKeepsItsReason(t *testing.T) {
-	pr := newPeer(t, func(pr *peer, conn int, nc net.Conn, br *bufio.Reader) { pr.read(br) })
+	pr := newPeer(t, func(pr *peer, _ int, _ net.Conn, br *bufio.Reader) { pr.read(br) })
 	at := outcome.New()
 	newExchanger(clock.NewFake(0)).Do(context.Background(), pr.address(), request("1"), maxAnswer, at, func() error {
 		return code.KeyedWorkPaused.New("the configuration lease has expired")
--- a/internal/vmsizes/vmsizes.go
+++ b/internal/vmsizes/vmsizes.go
@@ -30,9 +30,6 @@
 	st.lastListedMS[total] = now
 }
 
-// Len returns the number of sizes that are kept.
-func (st *Set) Len() int { return len(st.lastListedMS) }
-
 // Impossible reports whether the need fits no VM of the fleet, not even an idle one; it returns false while no VM is known.
 func (st *Set) Impossible(need size.Size) bool {
 	known := false
