Put claims and outcomes of one moment into one commit

Cause: each request with an Idempotency-Key made a commit for its claim and one for its outcome. A burst exceeded the entry's share of the table's budget, waited 250 ms and was refused as claim-unwritten.

--- a/internal/idempotencykey/claims.go
+++ b/internal/idempotencykey/claims.go
@@ -29,6 +29,7 @@
 	retentionMS func() int64
 
 	lg *event.Log
+	bt *batcher
 
 	mu             sync.Mutex
 	seq            uint64
@@ -62,7 +63,9 @@
 
 // New returns the claims of one entry; retentionMS returns how long keys are remembered under the bundle in force.
 func New(ck *clock.Clock, tc *table.Client, incarnation string, retentionMS func() int64) *Claims {
-	return &Claims{ck: ck, tc: tc, incarnation: incarnation, retentionMS: retentionMS, lg: event.Discard()}
+	cm := &Claims{ck: ck, tc: tc, incarnation: incarnation, retentionMS: retentionMS, lg: event.Discard()}
+	cm.bt = &batcher{ck: ck, tc: tc, operation: cm.operation}
+	return cm
 }
 
 // SetLog sets the event log; it must be called before the first request.
@@ -72,15 +75,15 @@
 func (cm *Claims) Do(ctx context.Context, req *callpb.Request, fingerprint uint64, run func() *callpb.Answer) *callpb.Answer {
 	key := rowKey(req, fingerprint)
 	claim := &claimpb.Claim{Owner: cm.incarnation, Fingerprint: fingerprint}
-	rep, err := cm.commit(ctx, key, 0, claim)
+	row, committed, err := cm.commit(ctx, key, 0, claim)
 	if err != nil {
 		return requestdedup.ErrorAnswer(req, code.ClaimUnwritten)
 	}
-	if !rep.GetCommitted() {
-		return answerRepeat(req, rep, fingerprint)
+	if !committed {
+		return answerRepeat(req, row, fingerprint)
 	}
 	ans := run()
-	cm.recordOutcome(context.WithoutCancel(ctx), req.GetId(), key, claim, ans, rep)
+	cm.recordOutcome(context.WithoutCancel(ctx), req.GetId(), key, row.GetVersion(), claim, ans)
 	return ans
 }
 
@@ -99,7 +102,7 @@
 	cm.unwritten = nil
 	cm.mu.Unlock()
 	for at, oc := range due {
-		if _, err := cm.commit(ctx, oc.key, oc.version, oc.claim); err != nil {
+		if _, _, err := cm.commit(ctx, oc.key, oc.version, oc.claim); err != nil {
 			cm.mu.Lock()
 			cm.unwritten = append(slices.Clone(due[at:]), cm.unwritten...)
 			cm.mu.Unlock()
@@ -164,9 +167,9 @@
 }
 
 // answerRepeat answers a repeated request from the existing claim.
-func answerRepeat(req *callpb.Request, rep *platformpb.CommitReply, fingerprint uint64) *callpb.Answer {
+func answerRepeat(req *callpb.Request, row *platformpb.Row, fingerprint uint64) *callpb.Answer {
 	claim := &claimpb.Claim{}
-	if len(rep.GetRows()) == 0 || proto.Unmarshal(rep.GetRows()[0].GetValue(), claim) != nil {
+	if row == nil || proto.Unmarshal(row.GetValue(), claim) != nil {
 		return requestdedup.ErrorAnswer(req, code.MayHaveRun)
 	}
 	switch {
@@ -181,8 +184,7 @@
 }
 
 // recordOutcome stores the answer in the claim; the claim of a request that certainly did not run is deleted.
-func (cm *Claims) recordOutcome(ctx context.Context, id, key string, claim *claimpb.Claim, ans *callpb.Answer, rep *platformpb.CommitReply) {
-	version := rep.GetRows()[0].GetVersion()
+func (cm *Claims) recordOutcome(ctx context.Context, id, key string, version uint64, claim *claimpb.Claim, ans *callpb.Answer) {
 	if ans.GetOutcome() == outcomeNotRun {
 		err := cm.remove(ctx, key, version)
 		if err == nil {
@@ -194,7 +196,7 @@
 	if proto.Size(ans) <= maxAnswerBytes {
 		claim.Answer = ans
 	}
-	_, err := cm.commit(ctx, key, version, claim)
+	_, _, err := cm.commit(ctx, key, version, claim)
 	if err != nil {
 		cm.lg.Fail("claim-outcome-unwritten", err, "request-id", id)
 	}
@@ -219,24 +221,16 @@
 	return due
 }
 
-func (cm *Claims) commit(ctx context.Context, key string, version uint64, claim *claimpb.Claim) (*platformpb.CommitReply, error) {
+func (cm *Claims) commit(ctx context.Context, key string, version uint64, claim *claimpb.Claim) (*platformpb.Row, bool, error) {
 	raw, err := proto.Marshal(claim)
 	if err != nil {
-		return nil, code.Internal.Wrap(err)
+		return nil, false, code.Internal.Wrap(err)
 	}
-	return cm.tc.Commit(ctx, &platformpb.CommitRequest{
-		Operation:  cm.operation(),
-		Conditions: []*platformpb.Condition{{Key: key, Version: version}},
-		Writes:     []*platformpb.Write{{Key: key, Value: raw}},
-	})
+	return cm.bt.put(ctx, &platformpb.Write{Key: key, Value: raw}, version)
 }
 
 func (cm *Claims) remove(ctx context.Context, key string, version uint64) error {
-	_, err := cm.tc.Commit(ctx, &platformpb.CommitRequest{
-		Operation:  cm.operation(),
-		Conditions: []*platformpb.Condition{{Key: key, Version: version}},
-		Writes:     []*platformpb.Write{{Key: key, Delete: true}},
-	})
+	_, _, err := cm.bt.put(ctx, &platformpb.Write{Key: key, Delete: true}, version)
 	return err
 }
 
--- a/internal/idempotencykey/claims_test.go
+++ b/internal/idempotencykey/claims_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -12,6 +14,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/event"
 	"github.com/fulmarloft/fulmarloft/internal/idempotencykey"
 	"github.com/fulmarloft/fulmarloft/internal/memtable"
+	"github.com/fulmarloft/fulmarloft/internal/metric"
 	"github.com/fulmarloft/fulmarloft/internal/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -20,6 +23,8 @@
 	retentionMS = 1000
 	// firstFailingWrite is the number of the write that records the first outcome.
 	firstFailingWrite = 2
+	// assumedFleet is the number of entries among which the test divides the table's budget.
+	assumedFleet = 28
 )
 
 func rows(t *testing.T, tb *memtable.Table, prefix string) int {
@@ -103,3 +108,38 @@
 		qt.Check(t, rows(t, tb, "request/"), qt.Equals, 0)
 	}
 }
+
+// Requests of one moment must share commits: with a commit each, a burst exceeds the budget for calls to the table and most of it is refused.
+func TestBurstOfClaimsStaysWithinTheBudget(t *testing.T) {
+	const keys, entries = 100, 2
+	tb := memtable.New()
+	ck := clock.New()
+	budgetShare := func() int { return assumedFleet }
+	var mu sync.Mutex
+	runs, outcomes := map[string]int{}, map[code.Code]int{}
+	var wg sync.WaitGroup
+	for entry := range entries {
+		name := fmt.Sprint("entry-", entry)
+		cm := idempotencykey.New(ck, tb.Client(name).Guarded(ck, metric.New(), budgetShare), name, func() int64 { return 600_000 })
+		for key := range keys {
+			wg.Go(func() {
+				req := &callpb.Request{Team: "t", Service: "s", Claim: fmt.Sprint(key)}
+				ans := cm.Do(context.Background(), req, uint64(entry), func() *callpb.Answer {
+					mu.Lock()
+					defer mu.Unlock()
+					runs[req.GetClaim()]++
+					return &callpb.Answer{Outcome: "answered"}
+				})
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes[code.Code(ans.GetCode())]++
+			})
+		}
+	}
+	wg.Wait()
+	qt.Check(t, outcomes, qt.DeepEquals, map[code.Code]int{code.OK: keys, code.IDReused: keys})
+	qt.Check(t, runs, qt.HasLen, keys)
+	for key, count := range runs {
+		qt.Check(t, count, qt.Equals, 1, qt.Commentf("key %s", key))
+	}
+}
