Wake only those that found no slot when a reservation was in vain

Several dispatchers with nothing to start could then make one another miss the last slot and wake one another in numbers that grow with the dispatchers of a pool. Found by reading, not seen.

A dispatcher asks as a listener, and Cancel calls just the listeners that found none meanwhile: each miss is followed by one wake at most.

TestCancelOffersTheSlotToThoseThatFoundNone asks as listeners now and checks in addition that the other one isn't called; TestSlotReservedInVainGoesToAnotherService is unchanged.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 	ck       *clock.Clock
 	qu       *queue.Queue[*waiter]
 	pk       *picker.Picker
+	listener int
 	budget   *retrybudget.Budget
 	mu       sync.Mutex
 	acquired unit
@@ -54,7 +55,7 @@
 	dp.qu.SetSlots(pk.Slots)
 	dp.qu.SetShare(share)
 	dp.qu.SetLimit(limit)
-	pk.OnFree(dp.Wake)
+	dp.listener = pk.OnFree(dp.Wake)
 	return dp
 }
 
@@ -115,7 +116,7 @@
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
 	for dp.qu.Len() > 0 {
-		vm, ok := dp.pk.Pick()
+		vm, ok := dp.pk.PickFor(dp.listener)
 		if !ok {
 			return ""
 		}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -20,8 +20,8 @@
 	members  []*member
 	byID     map[string]*member
 	onFree   []func()
-	// missed is whether a Pick found no slot since the OnFree functions were last called.
-	missed     bool
+	// missed holds the listeners that found no slot since they were last called.
+	missed     map[int]bool
 	candidates []*member
 	// refreshedMS is when slots and leaving were last called for each member.
 	refreshedMS int64
@@ -37,15 +37,17 @@
 		leaving:     leaving,
 		onChange:    func(string, ...any) {},
 		byID:        map[string]*member{},
+		missed:      map[int]bool{},
 		refreshedMS: neverMS,
 	}
 }
 
-// OnFree adds a function that is called when a slot may have become free; add all functions before use.
-func (pk *Picker) OnFree(fn func()) {
+// OnFree adds a function that is called when a slot may have become free, and returns its number as a listener; add all functions before use.
+func (pk *Picker) OnFree(fn func()) int {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	pk.onFree = append(pk.onFree, fn)
+	return len(pk.onFree) - 1
 }
 
 // OnChange sets the function that is called for each ejected and each restored endpoint; set it before use.
@@ -77,16 +79,30 @@
 
 // Pick reserves a slot at an endpoint whose incarnation is not among those to avoid; the reservation ends with Done, RecordRefusal, Release or Cancel.
 func (pk *Picker) Pick(avoid ...string) (*platformpb.VM, bool) {
-	now := pk.ck.Now()
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
+	return pk.pick(avoid)
+}
+
+// PickFor is like Pick for a listener, which is called when a slot becomes free that another one reserved in vain meanwhile.
+func (pk *Picker) PickFor(listener int) (*platformpb.VM, bool) {
+	pk.mu.Lock()
+	defer pk.mu.Unlock()
+	vm, ok := pk.pick(nil)
+	if !ok {
+		pk.missed[listener] = true
+	}
+	return vm, ok
+}
+
+func (pk *Picker) pick(avoid []string) (*platformpb.VM, bool) {
+	now := pk.ck.Now()
 	pk.refresh(now)
 	mb := pk.choose(now, avoid, true)
 	if mb == nil {
 		mb = pk.choose(now, avoid, false)
 	}
 	if mb == nil {
-		pk.missed = pk.missed || len(avoid) == 0
 		return nil, false
 	}
 	mb.running++
@@ -99,21 +115,27 @@
 	pk.notifyFree()
 }
 
-// Cancel returns an unused reservation. It calls the OnFree functions only if a Pick found no slot since they were last called, so that a caller that has nothing to start doesn't wake itself again and again.
+// Cancel returns an unused reservation. It calls only the listeners that found no slot meanwhile, so that one that has nothing to start doesn't wake itself.
 func (pk *Picker) Cancel(incarnation string) {
-	if pk.unreserve(incarnation) {
-		pk.notifyFree()
+	pk.unreserve(incarnation)
+	pk.mu.Lock()
+	var missed []func()
+	for listener := range pk.missed {
+		missed = append(missed, pk.onFree[listener])
+	}
+	clear(pk.missed)
+	pk.mu.Unlock()
+	for _, fn := range missed {
+		fn()
 	}
 }
 
-// unreserve returns a reservation and reports whether a Pick found no slot since the OnFree functions were last called.
-func (pk *Picker) unreserve(incarnation string) bool {
+func (pk *Picker) unreserve(incarnation string) {
 	pk.mu.Lock()
 	defer pk.mu.Unlock()
 	if mb, ok := pk.byID[incarnation]; ok {
 		mb.running--
 	}
-	return pk.missed
 }
 
 // Done returns a reservation and records whether the endpoint succeeded; a slot that may still be in use stays reserved until heldUntilMS.
@@ -221,7 +243,7 @@
 
 func (pk *Picker) notifyFree() {
 	pk.mu.Lock()
-	pk.missed = false
+	clear(pk.missed)
 	pk.mu.Unlock()
 	for _, fn := range pk.onFree {
 		fn()
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -57,30 +57,37 @@
 	qt.Assert(t, ok, qt.IsFalse)
 }
 
-// A slot that was reserved in vain must be offered to whoever found no slot meanwhile, or a request could wait beside a free slot.
+// A slot that was reserved in vain must be offered to whoever found no slot meanwhile, or a request could wait beside a free slot; and to no other, or listeners with nothing to start would wake one another again and again.
 func TestCancelOffersTheSlotToThoseThatFoundNone(t *testing.T) {
 	pk := newPicker(clock.NewFake(0), nil, "a")
-	freed := 0
-	pk.OnFree(func() { freed++ })
-	pick := func(avoid ...string) bool {
-		_, ok := pk.Pick(avoid...)
+	calls := [2]int{}
+	for i := range calls {
+		qt.Assert(t, pk.OnFree(func() { calls[i]++ }), qt.Equals, i)
+	}
+	pick := func(listener int) bool {
+		_, ok := pk.PickFor(listener)
 		return ok
 	}
 	for range slotCount {
-		qt.Assert(t, pick(), qt.IsTrue)
+		qt.Assert(t, pick(0), qt.IsTrue)
 	}
 	pk.Cancel("inc-0")
-	qt.Check(t, freed, qt.Equals, 0)
-	qt.Assert(t, pick("inc-0"), qt.IsFalse)
-	qt.Assert(t, pick(), qt.IsTrue)
+	qt.Check(t, calls, qt.Equals, [2]int{0, 0})
+	qt.Assert(t, pick(0), qt.IsTrue)
+	_, ok := pk.Pick("inc-0")
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, pick(1), qt.IsFalse)
 	pk.Cancel("inc-0")
-	qt.Check(t, freed, qt.Equals, 0, qt.Commentf("a retry that avoids the endpoint doesn't wait for its slot"))
-	qt.Assert(t, pick(), qt.IsTrue)
-	qt.Assert(t, pick(), qt.IsFalse)
+	qt.Check(t, calls, qt.Equals, [2]int{0, 1})
 	pk.Cancel("inc-0")
-	qt.Check(t, freed, qt.Equals, 1)
+	qt.Check(t, calls, qt.Equals, [2]int{0, 1})
+	qt.Assert(t, pick(0), qt.IsTrue)
+	qt.Assert(t, pick(0), qt.IsTrue)
+	qt.Assert(t, pick(1), qt.IsFalse)
+	pk.Done("inc-0", true, 0)
+	qt.Check(t, calls, qt.Equals, [2]int{1, 2})
 	pk.Cancel("inc-0")
-	qt.Check(t, freed, qt.Equals, 1)
+	qt.Check(t, calls, qt.Equals, [2]int{1, 2})
 }
 
 // A request that timed out may still run, so that its slot must not be given to another request before the given time.
