Don't write the claim of a caller that gave up while it waited

A claim that waits for the next commit was written after its caller had gone: it would stay without an outcome, and repeats would be told that the request may have run. A waiting write is withdrawn when its context ends.

TestWaitingWriteOfACallerThatGivesUpIsNotMade failed before: table-in-doubt for cancelled, and 3 rows for 2. TestConflictInABatchLeavesTheOthers passed before.

--- a/internal/idempotencykey/batch.go
+++ b/internal/idempotencykey/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
@@ -43,7 +44,7 @@
 	maxBytesOfBatch = 64 << 10
 )
 
-// put writes one row if it has the given version. Without an error it reports whether it was written and returns the row after it; a context that ends leaves the write in doubt.
+// put writes one row if it has the given version. Without an error it reports whether it was written and returns the row after it. A context that ends withdraws a write that is still waiting, with an error of code Cancelled, and leaves another in doubt.
 func (bt *batcher) put(ctx context.Context, write *platformpb.Write, version uint64) (*platformpb.Row, bool, error) {
 	rw := &rowWrite{write: write, version: version, sinceMS: bt.ck.Now(), done: make(chan struct{})}
 	bt.mu.Lock()
@@ -60,8 +61,23 @@
 	case <-rw.done:
 		return rw.row, rw.committed, rw.err
 	case <-ctx.Done():
-		return nil, false, code.TableInDoubt.New("the caller gave up during the commit: %w", ctx.Err())
 	}
+	if bt.withdraw(rw) {
+		return nil, false, code.Cancelled.Wrap(ctx.Err())
+	}
+	return nil, false, code.TableInDoubt.New("the caller gave up during the commit: %w", ctx.Err())
+}
+
+// withdraw removes a write that is still waiting and reports whether it was.
+func (bt *batcher) withdraw(rw *rowWrite) bool {
+	bt.mu.Lock()
+	defer bt.mu.Unlock()
+	at := slices.Index(bt.waiting, rw)
+	if at < 0 {
+		return false
+	}
+	bt.waiting = slices.Delete(bt.waiting, at, at+1)
+	return true
 }
 
 // run commits waiting writes until none is left.
