--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 	ck       *clock.Clock
 	qu       *queue.Queue[*waiter]
 	pk       *picker.Picker
+	listener int
 	budget   *retrybudget.Budget
 	mu       sync.Mutex
 	acquired unit
@@ -54,7 +55,7 @@
 	dp.qu.SetSlots(pk.Slots)
 	dp.qu.SetShare(share)
 	dp.qu.SetLimit(limit)
-	pk.OnFree(dp.Wake)
+	dp.listener = pk.OnFree(dp.Wake)
 	return dp
 }
 
@@ -105,21 +106,28 @@
 
 // Wake starts waiting requests while there are free slots and units; call it when units of a limit become available.
 func (dp *Dispatcher) Wake() {
+	if unused := dp.startWaiting(); unused != "" {
+		dp.pk.Cancel(unused)
+	}
+}
+
+// startWaiting starts waiting requests and returns the endpoint of a reservation for which none could be started, to be cancelled without the lock.
+func (dp *Dispatcher) startWaiting() (unused string) {
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
 	for dp.qu.Len() > 0 {
-		vm, ok := dp.pk.Pick()
+		vm, ok := dp.pk.PickFor(dp.listener)
 		if !ok {
-			return
+			return ""
 		}
 		id, wt, ok := dp.qu.Next(dp.acquireNext)
 		if !ok {
-			dp.pk.Cancel(vm.GetIncarnation())
-			return
+			return vm.GetIncarnation()
 		}
 		wt.tr = &try{vm: vm, ticket: id, un: dp.acquired}
 		wt.granted <- nil
 	}
+	return ""
 }
 
 // Waiting returns the number of waiting requests.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/fulmarloft/fulmarloft/internal/clock"
+import (
+	"slices"
+
+	"github.com/fulmarloft/fulmarloft/internal/clock"
+)
 
 // Ledger attributes each failed run to its worker or its job, depending on how often the worker fails other jobs and the job fails on other workers; it isn't safe for concurrent use.
 type Ledger struct {
@@ -31,11 +35,13 @@
 	// events holds the jobs that failed in each event, by its time.
 	events map[int64][]string
 	// successes counts the successful runs since the first of the events.
-	successes    int
-	quarantined  bool
-	trialAtMS    int64
-	trialWaitMS  int64
-	inTrial      bool
+	successes   int
+	quarantined bool
+	trialAtMS   int64
+	trialWaitMS int64
+	inTrial     bool
+	// trialJob is the job of the last trial, until its result is recorded.
+	trialJob     string
 	trialsPassed int
 }
 
@@ -56,7 +62,7 @@
 
 // RecordSuccess records that a run of a job succeeded on a worker.
 func (lg *Ledger) RecordSuccess(workerName, id string) {
-	wk := lg.worker(workerName)
+	wk := lg.unexpired(workerName)
 	if len(wk.events) > 0 {
 		wk.successes++
 	}
@@ -64,7 +70,7 @@
 		jb.successes++
 		lg.reevaluateWorkers(jb)
 	}
-	if wk.quarantined {
+	if wk.quarantined && wk.trialJob == id {
 		lg.passTrial(wk)
 	}
 }
@@ -78,7 +84,7 @@
 		jb := lg.job(id)
 		jb.failedOn[workerName] = true
 	}
-	if wk.quarantined {
+	if wk.quarantined && slices.Contains(ids, wk.trialJob) {
 		lg.failTrial(wk)
 	}
 	for _, id := range ids {
@@ -126,8 +132,11 @@
 	return ok && wk.quarantined && !wk.inTrial && lg.ck.Now() >= wk.trialAtMS
 }
 
-// BeginTrial records that a trial run was given to the worker.
-func (lg *Ledger) BeginTrial(workerName string) { lg.worker(workerName).inTrial = true }
+// BeginTrial records that a run of the job was given to the worker as a trial.
+func (lg *Ledger) BeginTrial(workerName, id string) {
+	wk := lg.worker(workerName)
+	wk.inTrial, wk.trialJob = true, id
+}
 
 // EndTrial records that the trial run ended, without counting it for or against the worker.
 func (lg *Ledger) EndTrial(workerName string) {
@@ -159,7 +168,7 @@
 		return
 	}
 	lg.quarantinedCount++
-	wk.quarantined, wk.trialsPassed, wk.inTrial = true, 0, false
+	wk.quarantined, wk.trialsPassed, wk.inTrial, wk.trialJob = true, 0, false, ""
 	wk.trialWaitMS = firstTrialWaitMS
 	wk.trialAtMS = lg.ck.Now() + wk.trialWaitMS
 }
@@ -179,7 +188,7 @@
 }
 
 func (lg *Ledger) passTrial(wk *worker) {
-	wk.inTrial = false
+	wk.inTrial, wk.trialJob = false, ""
 	wk.trialsPassed++
 	if wk.trialsPassed >= trialsToRelease {
 		lg.endQuarantine(wk)
@@ -187,7 +196,7 @@
 }
 
 func (lg *Ledger) failTrial(wk *worker) {
-	wk.inTrial, wk.trialsPassed = false, 0
+	wk.inTrial, wk.trialJob, wk.trialsPassed = false, "", 0
 	wk.trialWaitMS = min(2*wk.trialWaitMS, maxTrialWaitMS)
 	wk.trialAtMS = lg.ck.Now() + wk.trialWaitMS
 }
@@ -201,7 +210,7 @@
 // workerSuspicion sums over the worker's failure events the probability that none of the jobs in the event caused it, by the job with the highest failure rate elsewhere.
 func (lg *Ledger) workerSuspicion(name string) float64 {
 	sum := 0.0
-	for _, ids := range lg.worker(name).events {
+	for _, ids := range lg.unexpired(name).events {
 		lowest := 1.0
 		for _, id := range ids {
 			lowest = min(lowest, 1-lg.jobFailureRate(id, name))
@@ -240,7 +249,7 @@
 
 // workerFailureRate estimates from other jobs how likely the worker is to fail any job.
 func (lg *Ledger) workerFailureRate(name, except string) float64 {
-	wk := lg.worker(name)
+	wk := lg.unexpired(name)
 	others := 0
 	for _, ids := range wk.events {
 		if !attributedToJob(lg, ids, except) {
@@ -265,6 +274,15 @@
 	return float64(failures) / float64(failures+successes+1)
 }
 
+// unexpired returns a worker after dropping its old failure events. A worker in quarantine keeps them, since only trials or a poisonous job release it.
+func (lg *Ledger) unexpired(name string) *worker {
+	wk := lg.worker(name)
+	if !wk.quarantined {
+		lg.expireEvents(wk)
+	}
+	return wk
+}
+
 // expireEvents drops the failure events older than failureMemoryMS, and with the last of them the count of successes.
 func (lg *Ledger) expireEvents(wk *worker) {
 	for at := range wk.events {
