Give long-running tasks the VMs they wait for before larger shortages

Change: jobcontrol says how many VMs a service needs until its waiting long-running tasks have room that no end of other work can make (as far as the team's cap allows; 0 for tasks that fit no VM of the pool even empty; bounded by 4 more than there were). poolsize provides these first: from a surplus, else from the pool that keeps the largest part of what it needs, an idle VM or the least busy one, which stays the one that is cordoned until it is idle; never one with long-running tasks, never a pool's last one. VMs that are coming or not synchronized yet count, so that none is asked for twice. A service without any VM now asks as well. countVMs leaves out VMs that sizing leaves out too (suspicion, a zone that is cut off), else the two counts differ by these.

Tests failed before: TestLongRunningTasksGetMachinesBeforeLargerShortages (four of its seven rows), TestCordonedVMStaysTheOneToMove, TestLongRunningTasksRequestTheVMsTheyLack, TestComingVMIsNotRequestedAgain, TestLongRunningTasksOfAServiceWithoutVMsRequestOne (all with the new accessors giving 0).

--- a/internal/jobcontrol/demand.go
+++ b/internal/jobcontrol/demand.go
@@ -13,10 +13,6 @@
 	arrivalWindowMS = 700
 	// shortArrivalWindowMS is a shorter window, which shows the onset of a peak sooner.
 	shortArrivalWindowMS = 350
-	// unplaceableTTLMS is how long a failed placement of a long-running task keeps requesting another VM; placement is retried in every planning pass.
-	unplaceableTTLMS = 1000
-	// maxUnplaceableVMs is the maximum number of additional VMs requested that way.
-	maxUnplaceableVMs = 4
 	// arrivalRetentionMS is how long arrivals are kept.
 	arrivalRetentionMS = 40000
 )
@@ -33,6 +29,7 @@
 	coresMilli int64
 	lateMilli  int64
 	minVMs     int
+	lastingVMs int
 }
 
 // CoresMilli returns the CPU capacity needed now for everything that can finish on time, in thousandths of a core.
@@ -44,6 +41,9 @@
 // MinVMs returns the minimum number of VMs that the service's tasks need.
 func (dm Demand) MinVMs() int { return dm.minVMs }
 
+// LastingVMs returns the number of VMs that the service must have before its waiting long-running tasks can start, 0 if they needn't wait for another VM.
+func (dm Demand) LastingVMs() int { return dm.lastingVMs }
+
 // recordArrival records the work of a new job for the arrival rate; scheduled jobs and long-running steps don't count.
 func (ct *Controller) recordArrival(jb *job) {
 	qu := ct.queueOf(jb)
@@ -88,6 +88,7 @@
 		cores := lasting[name] + max(backlog[name], rate[name])
 		dm := Demand{coresMilli: cores, lateMilli: late[name], minVMs: minVMs[name]}
 		dm.minVMs = max(dm.minVMs, ct.unplaceableMinVMs(name, nowMS))
+		dm.lastingVMs = ct.unplaceableLastingVMs(name)
 		if cores+late[name] > 0 {
 			dm.minVMs = max(dm.minVMs, 1)
 		}
@@ -96,46 +97,6 @@
 	return out
 }
 
-// unplaceable is the demand of a long-running task that fits no VM of its service, whatever is missing: memory, a label, or a VM that isn't at the step's limit per VM.
-type unplaceable struct {
-	seenMS int64
-	// initialVMs is the number of VMs when the task was first found unplaceable.
-	initialVMs int
-}
-
-func (ct *Controller) recordUnplaceable(service string, nowMS int64) {
-	un, ok := ct.unplaceable[service]
-	if !ok {
-		un = &unplaceable{initialVMs: ct.countVMs(service)}
-		ct.unplaceable[service] = un
-	}
-	un.seenMS = nowMS
-}
-
-// unplaceableMinVMs returns the minimum number of VMs that a service needs for its unplaceable long-running tasks: one more VM at a time, and a bounded number in all, since the tasks may fit no VM.
-func (ct *Controller) unplaceableMinVMs(service string, nowMS int64) int {
-	un, ok := ct.unplaceable[service]
-	if !ok {
-		return 0
-	}
-	if nowMS-un.seenMS >= unplaceableTTLMS {
-		delete(ct.unplaceable, service)
-		return 0
-	}
-	return min(ct.countVMs(service)+1, un.initialVMs+maxUnplaceableVMs)
-}
-
-// countVMs counts a service's schedulable VMs, including those cordoned for a move.
-func (ct *Controller) countVMs(service string) int {
-	count := 0
-	for _, vm := range ct.vms {
-		if vm.reg.GetService() == service && vm.schedulable() {
-			count++
-		}
-	}
-	return count
-}
-
 // onTime reports whether an occurrence can still finish within its objective. A step that has started counts as on time, since its tasks hold resources already.
 func (oc *occurrence) onTime(qu *workpb.Queue, nowMS int64) bool {
 	for _, st := range oc.steps {
--- a/internal/jobcontrol/demand_test.go
+++ b/internal/jobcontrol/demand_test.go
@@ -73,3 +73,64 @@
 	}
 	qt.Check(t, fl.ct.Demands()["s"].MinVMs(), qt.Equals, 5)
 }
+
+// Guards against a long-running task that waits while the pools' machines go to larger shortages of work that ends; only a lack that the end of such work can't mend counts.
+func TestLongRunningTasksRequestTheVMsTheyLack(t *testing.T) {
+	lasting := func(count int32, memoryMB int64, maxPerVM int32) *workpb.Step {
+		return &workpb.Step{Count: count, CpuMilli: 1000, MemoryMb: memoryMB, MaxPerVm: maxPerVM, Lasting: true}
+	}
+	labelled := lasting(2, 100, 0)
+	labelled.Label = "nowhere"
+	short := &workpb.Step{Count: 8, CpuMilli: 1000, MemoryMb: 100, EstimateMs: 60_000}
+	for _, tc := range []struct {
+		name   string
+		first  *workpb.Step
+		then   *workpb.Step
+		capMB  int64
+		expect int
+	}{
+		{"all fit", nil, lasting(2, 4000, 0), 0, 0},
+		{"memory taken by other long-running tasks", lasting(2, 4000, 0), lasting(1, 100, 0), 0, 2},
+		{"too little memory for all", nil, lasting(5, 4000, 0), 0, 3},
+		{"at the limit per VM", nil, lasting(3, 100, 1), 0, 3},
+		{"room once other work has ended", short, lasting(2, 100, 0), 0, 0},
+		{"no VM with the label", nil, labelled, 0, 0},
+		{"larger than a VM", nil, lasting(1, 9000, 0), 0, 0},
+		{"no more than the team may use", nil, lasting(5, 4000, 0), 12_000, 2},
+		{"a bounded number", nil, lasting(20, 100, 1), 0, 5},
+	} {
+		fl := newFleet(t, vmOf("a"))
+		rules := testRules()
+		rules.Teams[0].CapMemoryMb = tc.capMB
+		fl.setRules(rules)
+		fl.setBehavior(60_000, workpb.End_END_DONE)
+		if tc.first != nil {
+			fl.submit(jobOf("j1", tc.first))
+			fl.run(500)
+		}
+		fl.submit(jobOf("j2", tc.then))
+		fl.run(500)
+		qt.Check(t, fl.ct.Demands()["s"].LastingVMs(), qt.Equals, tc.expect, qt.Commentf(tc.name))
+	}
+}
+
+// Guards against requesting another VM for the same long-running tasks while the first is coming.
+func TestComingVMIsNotRequestedAgain(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	fl.submit(jobOf("j1", &workpb.Step{Count: 2, CpuMilli: 1000, MemoryMb: 100, MaxPerVm: 1, Lasting: true}))
+	fl.run(500)
+	fl.unresponsive["b"] = true
+	fl.ct.SetVM(vmOf("b"))
+	fl.run(100)
+	qt.Assert(t, fl.ct.Demands()["s"].LastingVMs(), qt.Equals, 2)
+}
+
+// Guards against long-running tasks that request no VM because their service has none left.
+func TestLongRunningTasksOfAServiceWithoutVMsRequestOne(t *testing.T) {
+	other := vmOf("a")
+	other.Service = "other"
+	fl := newFleet(t, other)
+	fl.submit(jobOf("j1", &workpb.Step{Count: 2, CpuMilli: 1000, MemoryMb: 100, Lasting: true}))
+	fl.run(500)
+	qt.Assert(t, fl.ct.Demands()["s"].LastingVMs(), qt.Equals, 1)
+}
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -48,6 +48,7 @@
 	for service, list := range ct.candidates(nowMS) {
 		pool := pools[service]
 		if len(pool) == 0 {
+			ct.recordWithoutVMs(service, list, nowMS)
 			continue
 		}
 		over := ct.updateShares(service, pool, nowMS).overShare(ct.weights, list)
@@ -64,6 +65,18 @@
 	}
 }
 
+// recordWithoutVMs records the long-running steps among the candidates of a service if it has no VM that will be usable.
+func (ct *Controller) recordWithoutVMs(service string, list []candidate, nowMS int64) {
+	if ct.countVMs(service) > 0 {
+		return
+	}
+	for _, cd := range list {
+		if cd.tier == tierLasting {
+			ct.recordUnplaceable(cd.st, nil, nowMS)
+		}
+	}
+}
+
 // pools returns the usable VMs of each service, without those in a zone that is cut off, and clears their reservations.
 func (ct *Controller) pools(nowMS int64) map[string][]*vmState {
 	pools := map[string][]*vmState{}
@@ -159,7 +172,8 @@
 	})
 }
 
-func (ct *Controller) placeStep(bt *Batch, cd candidate, pool []*vmState, nowMS int64) {
+func (ct *Controller) placeStep(bt *Batch, cd candidate, all []*vmState, nowMS int64) {
+	pool := all
 	if ct.queueOf(cd.st.oc.jb).GetAdvised() {
 		pool = ct.vmsWithTicket(cd.st, pool, nowMS)
 	}
@@ -180,7 +194,7 @@
 		vm := chooseVM(tk, pool)
 		if vm == nil {
 			if cd.tier == tierLasting {
-				ct.recordUnplaceable(pool[0].reg.GetService(), nowMS)
+				ct.recordUnplaceable(cd.st, all, nowMS)
 				reserveVM(cd.st, pool)
 			}
 			return
--- a/internal/jobrunner/poolresizer.go
+++ b/internal/jobrunner/poolresizer.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		jd := jobDemands[sv.GetName()]
-		dm := poolsize.NewDemand(sv.GetName(), jd.CoresMilli(), jd.LateMilli(), jd.MinVMs(), pr.warmingUp(nowMS, sv.GetName()))
+		dm := poolsize.NewDemand(sv.GetName(), jd.CoresMilli(), jd.LateMilli(), jd.MinVMs(), pr.warmingUp(nowMS, sv.GetName())).WithLastingVMs(jd.LastingVMs())
 		switch {
 		case rises && sv.GetName() == rising:
 			dm = dm.WithForecast(risingRate)
--- a/internal/poolsize/demand.go
+++ b/internal/poolsize/demand.go
@@ -9,7 +9,9 @@
 	// forecastCoresMilli is the CPU capacity that is forecast to be needed.
 	forecastCoresMilli int64
 	minVMs             int
-	awaitsFirstPeak    bool
+	// lastingVMs is 0 unless long-running tasks wait for VMs.
+	lastingVMs      int
+	awaitsFirstPeak bool
 }
 
 // NewDemand returns the demand on a service's pool: the CPU capacity needed now, in thousandths of a core, and the minimum number of VMs that its tasks must be spread over; a pool that awaits its first peak gives up machines last.
@@ -25,6 +27,13 @@
 	return dm
 }
 
+// WithLastingVMs returns the demand of a pool whose long-running tasks wait until it has that many VMs; it gets them before any pool gets machines for work that ends.
+func (dm Demand) WithLastingVMs(lastingVMs int) Demand {
+	dm.lastingVMs = lastingVMs
+	dm.minVMs = max(dm.minVMs, lastingVMs)
+	return dm
+}
+
 // targetCoresMilli returns the CPU capacity that the pool is to have, without that for late jobs.
 func (dm Demand) targetCoresMilli() int64 { return max(dm.coresMilli, dm.forecastCoresMilli) }
 
--- a/internal/poolsize/plan.go
+++ b/internal/poolsize/plan.go
@@ -17,7 +17,7 @@
 // Cordoned returns the VMs that are to take no new work because their machines are needed in other pools.
 func (pl Plan) Cordoned() map[string]bool { return pl.cordoned }
 
-// Summary formats for logs how many machines each pool has and how many thousandths of a core it is to have.
+// Summary formats for logs how many machines each pool has, how many thousandths of a core it is to have and, if its long-running tasks wait for VMs, how many VMs they need.
 func Summary(demands []Demand, hosts []Host) string {
 	count := map[string]int{}
 	for _, ho := range hosts {
@@ -25,7 +25,11 @@
 	}
 	parts := make([]string, 0, len(demands))
 	for _, dm := range demands {
-		parts = append(parts, fmt.Sprintf("%s:%d/%d", dm.service, count[dm.service], dm.targetCoresMilli()))
+		part := fmt.Sprintf("%s:%d/%d", dm.service, count[dm.service], dm.targetCoresMilli())
+		if dm.lastingVMs > 0 {
+			part += fmt.Sprintf("/%d", dm.lastingVMs)
+		}
+		parts = append(parts, part)
 	}
 	return strings.Join(parts, ",")
 }
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -8,6 +8,8 @@
 	surplusSinceMS map[string]int64
 	// refused holds the moves that RecordRefused reported as impossible.
 	refused map[machinePool]bool
+	// cordonedForLasting holds the VMs cordoned in the last pass for long-running tasks of other pools.
+	cordonedForLasting map[string]bool
 }
 
 type machinePool struct{ machine, pool string }
@@ -32,7 +34,10 @@
 type poolState struct {
 	demand  Demand
 	hosts   []Host
+	need    int
 	surplus int
+	// exhausted is set once the pool has no machine left that could move to the pool being served.
+	exhausted bool
 }
 
 // Plan decides from the demand on each pool and the current place of each machine; late jobs are served only with what the on-time ones leave.
@@ -42,8 +47,10 @@
 	names := make([]string, 0, len(pools))
 	for name, ps := range pools {
 		ps.surplus = ps.surplusFor(ps.demand.targetCoresMilli())
+		ps.need = len(ps.hosts) - ps.surplus
 		names = append(names, name)
 	}
+	sz.fillLasting(pl, pools, names)
 	sz.fillShortages(pl, pools, names)
 	for name, ps := range pools {
 		ps.surplus -= ps.surplusFor(ps.demand.targetCoresMilli()) - ps.surplusFor(ps.demand.targetCoresMilli()+ps.demand.lateCoresMilli)
@@ -133,23 +140,28 @@
 	}
 }
 
-// fillShortage moves machines to a pool that lacks some: first powered-off ones, then idle ones of stable pools with a surplus, last those of pools with a pending peak; where too few are idle, busy ones are cordoned.
+// fillShortage moves machines to a pool that lacks some.
 func (sz *Sizer) fillShortage(pl Plan, name string, pools map[string]*poolState, names []string) {
 	shortage := -pools[name].surplus
 	if pools[name].demand.standby || shortage <= 0 {
 		return
 	}
+	pools[name].surplus = -sz.takeSurplus(pl, name, pools, names, shortage)
+}
+
+// takeSurplus takes machines for a pool that lacks some, and returns the remaining shortage: first powered-off ones, then idle ones of stable pools with a surplus, last those of pools with a pending peak; where too few are idle, busy ones are cordoned.
+func (sz *Sizer) takeSurplus(pl Plan, to string, pools map[string]*poolState, names []string, shortage int) int {
 	for _, class := range []donorClass{poweredOff, stable, peakPending} {
 		for _, from := range names {
 			if pools[from].demand.donorClass() == class {
-				shortage = sz.moveIdle(pl, name, pools[from], shortage)
+				shortage = sz.moveIdle(pl, to, pools[from], shortage)
 			}
 		}
 	}
 	for i := len(names) - 1; i >= 0 && shortage > 0; i-- {
 		shortage = cordon(pl, pools[names[i]], shortage)
 	}
-	pools[name].surplus = -shortage
+	return shortage
 }
 
 // donorClass is the order in which pools give up machines.
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -133,3 +133,80 @@
 	pl := poolsize.New().Plan(1000, demands, append(hosts("a", 1), hosts("z", 0, 0, 0)...))
 	qt.Assert(t, len(moved(pl, "a")), qt.Equals, 2)
 }
+
+// Guards against a long-running task that waits for as long as all pools lack machines: the pool with the largest shortage of work that ends got every one.
+func TestLongRunningTasksGetMachinesBeforeLargerShortages(t *testing.T) {
+	busy := poolsize.NewDemand("busy", 2_000_000, 0, 1, false)
+	waiting := poolsize.NewDemand("few", 200_000, 0, 3, false).WithLastingVMs(3)
+	pinned := poolsize.NewHost("m-pinned", "busy", "v-pinned", cores, 0, true)
+	for _, tc := range []struct {
+		name     string
+		demands  []poolsize.Demand
+		hosts    []poolsize.Host
+		want     []string
+		cordoned []string
+	}{
+		{
+			name:    "a powered-off machine, though another pool lacks more",
+			demands: []poolsize.Demand{busy, waiting, poolsize.NewStandby("z")},
+			hosts:   append(append(hosts("busy", 5, 5, 5), hosts("few", 2, 2)...), hosts("z", 0)...),
+			want:    []string{"m-z0"},
+		},
+		{
+			name:    "an idle machine of a pool that lacks machines itself",
+			demands: []poolsize.Demand{busy, waiting},
+			hosts:   append(hosts("busy", 5, 0, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5), hosts("few", 2, 2)...),
+			want:    []string{"m-busy1"},
+		},
+		{
+			name:     "the least loaded machine, once its work has ended",
+			demands:  []poolsize.Demand{busy, waiting},
+			hosts:    append(hosts("busy", 5, 4, 3, 6), hosts("few", 2, 2)...),
+			cordoned: []string{"v-busy2"},
+		},
+		{
+			name:     "the pool that can best spare a machine gives it",
+			demands:  []poolsize.Demand{busy, poolsize.NewDemand("other", 320_000, 0, 1, false), waiting},
+			hosts:    append(append(hosts("busy", 2, 2, 2, 2), hosts("other", 3, 4, 5, 6, 7, 8)...), hosts("few", 2, 2)...),
+			cordoned: []string{"v-other0"},
+		},
+		{
+			name:    "no machine with long-running tasks, and not the last one",
+			demands: []poolsize.Demand{busy, poolsize.NewDemand("last", 320_000, 0, 1, false), waiting},
+			hosts:   append(append([]poolsize.Host{pinned}, hosts("last", 3)...), hosts("few", 2, 2)...),
+		},
+		{
+			name:    "no machine of a pool whose long-running tasks wait as well",
+			demands: []poolsize.Demand{busy.WithLastingVMs(6), waiting},
+			hosts:   append(hosts("busy", 5, 5, 5, 5, 5), hosts("few", 2, 2)...),
+		},
+		{
+			name:    "no more than they need",
+			demands: []poolsize.Demand{busy, waiting},
+			hosts:   append(hosts("busy", 5, 5, 5, 5, 5), hosts("few", 2, 2, 2)...),
+		},
+	} {
+		pl := poolsize.New().Plan(1000, tc.demands, tc.hosts)
+		var cordoned []string
+		for vm := range pl.Cordoned() {
+			cordoned = append(cordoned, vm)
+		}
+		qt.Check(t, moved(pl, "few"), qt.DeepEquals, tc.want, qt.Commentf(tc.name))
+		qt.Check(t, cordoned, qt.DeepEquals, tc.cordoned, qt.Commentf(tc.name))
+		qt.Check(t, len(moved(pl, "busy")), qt.Equals, 0, qt.Commentf(tc.name))
+	}
+}
+
+// Guards against cordoning one VM after another, so that none becomes idle.
+func TestCordonedVMStaysTheOneToMove(t *testing.T) {
+	sz := poolsize.New()
+	demands := []poolsize.Demand{poolsize.NewDemand("busy", 2_000_000, 0, 1, false), poolsize.NewDemand("few", 200_000, 0, 3, false).WithLastingVMs(3)}
+	qt.Assert(t, sz.Plan(1000, demands, append(hosts("busy", 5, 4, 6), hosts("few", 2, 2)...)).Cordoned()["v-busy1"], qt.IsTrue)
+	qt.Assert(t, sz.Plan(1200, demands, append(hosts("busy", 5, 3, 2), hosts("few", 2, 2)...)).Cordoned()["v-busy1"], qt.IsTrue)
+	qt.Assert(t, moved(sz.Plan(1400, demands, append(hosts("busy", 5, 0, 2), hosts("few", 2, 2)...)), "few"), qt.DeepEquals, []string{"m-busy1"})
+}
+
+func TestSummaryShowsWhatLongRunningTasksWaitFor(t *testing.T) {
+	demands := []poolsize.Demand{poolsize.NewDemand("a", 20_000, 0, 1, false), poolsize.NewDemand("b", 0, 0, 0, false).WithLastingVMs(3)}
+	qt.Assert(t, poolsize.Summary(demands, hosts("b", 0, 0)), qt.Equals, "a:0/20000,b:2/0/3")
+}
