Add up what long-running tasks take once per VM and planning pass

Cause: the sum over a VM's runs for each waiting long-running step in each planning pass grows with steps x VMs x runs, on entries of 0.1 to 0.2 cores. It is computed when asked for and kept until the next pass; copies that fit are divided, not counted. No decision changes; TestCopiesInAgreesWithFits compares the two ways.

--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -77,11 +77,11 @@
 	}
 }
 
-// pools returns the usable VMs of each service, without those in a zone that is cut off, and clears their reservations.
+// pools returns the usable VMs of each service, without those in a zone that is cut off, and clears what the pass before left on them.
 func (ct *Controller) pools(nowMS int64) map[string][]*vmState {
 	pools := map[string][]*vmState{}
 	for _, vm := range ct.vms {
-		vm.reserved = false
+		vm.reserved, vm.lastingSum = false, nil
 		if vm.usable(nowMS) && !ct.CutOff(vm.reg.GetZone()) {
 			pools[vm.reg.GetService()] = append(pools[vm.reg.GetService()], vm)
 		}
@@ -239,6 +239,7 @@
 // planStart gives a task a run on a VM; its start is ordered once the batch is stored.
 func (ct *Controller) planStart(bt *Batch, vm *vmState, tk *task, number int64) {
 	tk.run = number
+	vm.lastingSum = nil
 	bt.starts = append(bt.starts, ct.allocate(vm, tk, phasePlanned))
 	ct.markDirty(tk.job())
 }
--- a/internal/jobcontrol/unplaceable.go
+++ b/internal/jobcontrol/unplaceable.go
@@ -92,28 +92,13 @@
 	return count
 }
 
-// copiesWithin returns how many more of the step's tasks fit into free resources of a VM that has some already, at most as many as the step has.
+// copiesWithin returns how many more of the step's tasks fit into free resources of a VM that has some of them already, at most as many as the step has.
 func (st *step) copiesWithin(free size.Size, present int) int {
 	limit := len(st.tasks)
 	if perVM := int(st.row.GetMaxPerVm()); perVM > 0 {
 		limit = min(limit, perVM-present)
 	}
-	count := 0
-	for need := st.need(); count < limit && need.Fits(free); need = need.Plus(st.need()) {
-		count++
-	}
-	return count
-}
-
-// lastingUse returns what the long-running tasks on the VM take.
-func (vm *vmState) lastingUse() size.Size {
-	var sum size.Size
-	for _, rn := range vm.runs {
-		if rn.lasting() {
-			sum = sum.Plus(rn.need)
-		}
-	}
-	return sum
+	return st.need().CopiesIn(free, limit)
 }
 
 // countVMs counts a service's schedulable VMs, including those cordoned for a move, but not those under suspicion or in a zone that is cut off, which pool sizing doesn't count either.
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -43,6 +43,8 @@
 	cordonedForMove bool
 	leaving         bool
 	reserved        bool
+	// lastingSum is what the long-running tasks take, nil until lastingUse computes it in a planning pass.
+	lastingSum *size.Size
 	suspicion       *suspicion.Suspicion
 	// pace is the pace last set for best-effort tasks on the VM, in percent; 100 is unthrottled.
 	pace int64
@@ -108,6 +110,20 @@
 
 func (vm *vmState) free() size.Size { return vm.capacity().Minus(vm.used) }
 
+// lastingUse returns what the long-running tasks on the VM take.
+func (vm *vmState) lastingUse() size.Size {
+	if vm.lastingSum == nil {
+		var sum size.Size
+		for _, rn := range vm.runs {
+			if rn.lasting() {
+				sum = sum.Plus(rn.need)
+			}
+		}
+		vm.lastingSum = &sum
+	}
+	return *vm.lastingSum
+}
+
 // accepting reports whether the VM is registered, responsive and not draining.
 func (vm *vmState) accepting() bool {
 	return vm.registered && !vm.unresponsive && !vm.reg.GetDraining()
--- a/internal/size/size.go
+++ b/internal/size/size.go
@@ -55,6 +55,21 @@
 	return sz.coresMilli <= free.coresMilli && sz.memoryMB <= free.memoryMB && sz.accelerators <= free.accelerators
 }
 
+// CopiesIn returns how many amounts of this size the free one holds, at most a given number.
+func (sz Size) CopiesIn(free Size, most int) int {
+	return max(min(most, copiesIn(sz.coresMilli, free.coresMilli, most), copiesIn(sz.memoryMB, free.memoryMB, most), copiesIn(sz.accelerators, free.accelerators, most)), 0)
+}
+
+func copiesIn(amount, free int64, most int) int {
+	if amount <= 0 && free >= 0 {
+		return most
+	}
+	if amount <= 0 {
+		return 0
+	}
+	return int(min(free/amount, int64(most)))
+}
+
 // Dominant returns the dominant share of the size: the largest fraction that it takes of any resource of the total.
 func (sz Size) Dominant(total Size) float64 {
 	return max(fraction(sz.coresMilli, total.coresMilli), fraction(sz.memoryMB, total.memoryMB), fraction(sz.accelerators, total.accelerators))
--- /dev/null
+++ b/internal/size/size_test.go
@@ -0,0 +1,22 @@
+package size_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/size"
+)
+
+func TestCopiesInAgreesWithFits(t *testing.T) {
+	const most = 5
+	for _, need := range []size.Size{size.New(1000, 200, 0), size.New(0, 300, 1), size.New(0, 0, 0), size.New(9000, 1, 2)} {
+		for _, free := range []size.Size{size.New(8000, 900, 2), size.New(-1, 900, 2), size.New(8000, 0, 0), size.New(0, 0, 0), size.New(9000, 900, -1)} {
+			want := 0
+			for sum := need; want < most && sum.Fits(free); sum = sum.Plus(need) {
+				want++
+			}
+			qt.Check(t, need.CopiesIn(free, most), qt.Equals, want, qt.Commentf("%v in %v", need, free))
+		}
+	}
+}
