Reserve a VM that can make room for a waiting long-running task

Cause: the VM reserved for a long-running task that fits none was the one with the most free CPU whose whole capacity would hold it, also where other long-running tasks take the memory that it needs. Such a VM never makes room, and the one that could is refilled with small tasks as they end, so the task waits as long as these come.

Change: a VM is reserved only if the task fits beside the long-running tasks there.

Test failed before: TestVMThatCanMakeRoomIsReservedForLongRunningTask (0 starts in 3 s beside a stream of small tasks).

Also formats vm.go.

--- a/internal/jobcontrol/demand_test.go
+++ b/internal/jobcontrol/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -134,3 +135,33 @@
 	fl.run(500)
 	qt.Assert(t, fl.ct.Demands()["s"].LastingVMs(), qt.Equals, 1)
 }
+
+// Guards against a long-running task that never starts beside a stream of small tasks: the VM reserved for it was full of other long-running tasks, and the one that could make room was refilled.
+func TestVMThatCanMakeRoomIsReservedForLongRunningTask(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	fl.setBehavior(600_000, workpb.End_END_DONE)
+	fl.submit(jobOf("j1", &workpb.Step{Count: 1, CpuMilli: 1000, MemoryMb: 7900, Lasting: true}))
+	fl.run(500)
+	wk := workertest.New(fl.ck, vmOf("b"))
+	wk.Record = fl.record
+	wk.Behave = func(task string, _ int64) (int64, workpb.End) {
+		if strings.HasPrefix(task, "j2.") {
+			return 600_000, workpb.End_END_DONE
+		}
+		return 700 + 100*int64(len(fl.starts)%5), workpb.End_END_DONE
+	}
+	fl.workers["b"] = wk
+	fl.ct.SetVM(wk.VM())
+	submitted := 0
+	stream := func(forMS int64) {
+		for range forMS / 100 {
+			fl.submit(jobOf(fmt.Sprintf("short-%d", submitted), &workpb.Step{Count: 2, CpuMilli: 1000, MemoryMb: 200, EstimateMs: 900}))
+			submitted++
+			fl.run(100)
+		}
+	}
+	stream(2000)
+	fl.submit(jobOf("j2", &workpb.Step{Count: 1, CpuMilli: 3000, MemoryMb: 500, Lasting: true}))
+	stream(3000)
+	qt.Assert(t, fl.starts["j2.0.0.0"], qt.Equals, 1)
+}
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -244,11 +244,11 @@
 	ct.markDirty(tk.job())
 }
 
-// reserveVM reserves the VM with the most free CPU that could hold a long-running task for such tasks, so that small tasks don't take all capacity that becomes free.
+// reserveVM reserves the VM with the most free CPU that could hold a long-running task beside those that it has for such tasks, so that small tasks don't take all capacity that becomes free.
 func reserveVM(st *step, pool []*vmState) {
 	var best *vmState
 	for _, vm := range pool {
-		if !vm.reserved && st.need().Fits(vm.capacity()) && allowed(st, vm) && (best == nil || vm.free().CoresMilli() > best.free().CoresMilli()) {
+		if !vm.reserved && st.need().Fits(vm.capacity().Minus(vm.lastingUse())) && allowed(st, vm) && (best == nil || vm.free().CoresMilli() > best.free().CoresMilli()) {
 			best = vm
 		}
 	}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -45,7 +45,7 @@
 	reserved        bool
 	// lastingSum is what the long-running tasks take, nil until lastingUse computes it in a planning pass.
 	lastingSum *size.Size
-	suspicion       *suspicion.Suspicion
+	suspicion  *suspicion.Suspicion
 	// pace is the pace last set for best-effort tasks on the VM, in percent; 100 is unthrottled.
 	pace int64
 }
