Count the end of a waiting task's last run, also one learnt late

Change: a listed end `done` of a task's last run counts while the task waits; one that has started again elsewhere is left alone, as are gangs and long-running tasks. Steps that allow duplicates had this already. Event run-done-late.

Test failed before: TestRunDoneOnVMOutOfReachCountsWhileItsTaskWaits (2 starts of each task; the fleet's own check "starts after the task was reported done" fired too).

--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -501,3 +501,25 @@
 	due := fl.ct.DuePolls()
 	qt.Assert(t, slices.ContainsFunc(due, func(lr *workpb.LookRequest) bool { return lr.GetVm() == "new" }), qt.IsTrue)
 }
+
+// Guards against a second run of a task whose VM lists it as done before that run starts: the lease of a run on a VM out of reach had expired, the task waited, and the end, acknowledged all the same, was ignored.
+func TestRunDoneOnVMOutOfReachCountsWhileItsTaskWaits(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		newOwner bool
+	}{{"same owner", false}, {"a new owner", true}} {
+		fl := newFleet(t, vmOf("a"))
+		fl.setBehavior(700, workpb.End_END_DONE)
+		fl.submit(jobOf("j1", stepOf(1)))
+		fl.run(300)
+		fl.unresponsive["a"] = true
+		fl.run(15_000)
+		if tc.newOwner {
+			fl.newOwner()
+		}
+		fl.unresponsive["a"] = false
+		fl.run(3000)
+		qt.Check(t, fl.starts["j1.0.0.0"], qt.Equals, 1, qt.Commentf(tc.name))
+		qt.Check(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED, qt.Commentf(tc.name))
+	}
+}
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -241,6 +241,26 @@
 		}
 		if row.GetEnd() == workpb.End_END_DONE {
 			ct.duplicateDone(row.GetTask())
+			ct.lastRunDone(key)
 		}
 	}
 }
+
+// lastRunDone records that a waiting task is done whose last run was given up while its VM couldn't be reached. A gang's tasks run together, so the end of one of them doesn't count.
+func (ct *Controller) lastRunDone(key runKey) {
+	nm, err := taskname.Parse(key.task)
+	if err != nil {
+		return
+	}
+	jb, ok := ct.jobs[nm.Job()]
+	if !ok || jb.ended() {
+		return
+	}
+	tk := jb.task(nm)
+	if tk == nil || tk.done || tk.current != nil || tk.run != key.run || tk.st.row.GetGang() || tk.st.row.GetLasting() {
+		return
+	}
+	ct.lg.Info("run-done-late", "task", key.task, "run", key.run)
+	ct.markDirty(jb)
+	ct.taskDone(tk)
+}
