--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -25,24 +25,99 @@
 	}
 }
 
-// SetMachines applies a list of machines whose read began at readMS: a VM has ended if its machine hosts another VM, or none because the machine is being moved or maintained.
+// minUnlistedReads is how many lists in a row, without an answer of its VM, must lack a machine before it counts as removed: a list is read in pages, and a machine may be missed while others come and go.
+const minUnlistedReads = 2
+
+// SetMachines applies a list of machines whose read began at readMS and ends the runs of VMs that, by this list, have ended.
 func (ct *Controller) SetMachines(readMS int64, list []*workpb.Machine) {
+	if len(list) == 0 {
+		return
+	}
 	rows := make(map[string]*workpb.Machine, len(list))
 	for _, row := range list {
 		rows[row.GetId()] = row
 	}
-	for id, vm := range ct.vms {
-		row, ok := rows[vm.reg.GetMachine()]
-		if !ok || vm.firstSeenMS >= readMS || vm.answeredMS >= readMS || len(vm.runs) == 0 {
+	for _, vm := range ct.vms {
+		row := rows[vm.reg.GetMachine()]
+		vm.countUnlisted(row)
+		ct.logUnresolved(vm, row)
+		if vm.firstSeenMS >= readMS || vm.answeredMS >= readMS || len(vm.runs) == 0 {
 			continue
 		}
-		replaced := row.GetUp() && row.GetVm() != "" && row.GetVm() != id
-		if replaced || row.GetMoving() || row.GetInUpkeep() {
-			ct.lg.Info("vm-ended", "vm", id, "machine", row.GetId(), "runs", len(vm.runs))
+		switch {
+		case vm.endedBy(row):
+			ct.lg.Info("vm-ended", "vm", vm.id, "machine", vm.reg.GetMachine(), "machine-status", machineStatus(row), "runs", len(vm.runs))
 			vm.synced = false
 			ct.expireRuns(vm)
+		case row.GetDown() && row.GetVm() != vm.id:
+			vm.synced = false
+			ct.endBegunRuns(vm, readMS)
+		}
+	}
+}
+
+// endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept.
+func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
+	before := len(vm.runs)
+	for _, rn := range vm.runs {
+		if rn.settled || (rn.phase == phaseRunning && !rn.repeated && rn.startedMS < readMS) {
+			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 		}
 	}
+	if ended := before - len(vm.runs); ended > 0 {
+		ct.lg.Info("vm-down", "vm", vm.id, "machine", vm.reg.GetMachine(), "ended-runs", ended, "unanswered-starts", len(vm.runs))
+	}
+}
+
+// countUnlisted counts the lists in a row that lack the VM's machine; row is nil for such a list.
+func (vm *vmState) countUnlisted(row *workpb.Machine) {
+	if row != nil || vm.reg.GetMachine() == "" {
+		vm.unlistedReads = 0
+		return
+	}
+	vm.unlistedReads++
+}
+
+// endedBy reports whether the row of the VM's machine proves that the VM has ended: the machine is removed for good, hosts another VM, or hosts none because it is being moved or maintained.
+func (vm *vmState) endedBy(row *workpb.Machine) bool {
+	if row == nil {
+		return vm.unlistedReads >= minUnlistedReads
+	}
+	replaced := row.GetUp() && row.GetVm() != "" && row.GetVm() != vm.id
+	return replaced || row.GetMoving() || row.GetInUpkeep()
+}
+
+// logUnresolved logs what the list of machines says of a VM that has runs but isn't registered or doesn't answer, once for each change.
+func (ct *Controller) logUnresolved(vm *vmState, row *workpb.Machine) {
+	if len(vm.runs) == 0 || (vm.registered && !vm.unresponsive) {
+		vm.machineStatus = ""
+		return
+	}
+	status := machineStatus(row)
+	if vm.machineStatus == status {
+		return
+	}
+	vm.machineStatus = status
+	ct.lg.Info("vm-unresolved", "vm", vm.id, "machine", vm.reg.GetMachine(), "machine-status", status, "hosts", row.GetVm(),
+		"registered", vm.registered, "runs", len(vm.runs), "wait-ms", vm.leaseUntilMS-ct.ck.Now())
+}
+
+// machineStatus names the status of a listed machine for the log; row is nil for a machine that isn't listed.
+func machineStatus(row *workpb.Machine) string {
+	switch {
+	case row == nil:
+		return "unlisted"
+	case row.GetUp():
+		return "up"
+	case row.GetMoving():
+		return "moving"
+	case row.GetInUpkeep():
+		return "in-maintenance"
+	case row.GetDown():
+		return "down"
+	default:
+		return "unknown"
+	}
 }
 
 // handleRestart records that a VM has restarted: its end numbers begin at 0 again, and stops accepted before the restart no longer hold. Its earlier runs are over unless the VM lists them, since a start may already have been executed in the new incarnation.
@@ -55,6 +130,10 @@
 	vm.leaseUntilMS = max(vm.leaseUntilMS, ct.ck.Now()+inDoubtMS)
 	for _, rn := range vm.runs {
 		rn.stoppedMS = 0
+		if rn.phase == phaseRunning && rn.repeated && !rn.settled {
+			// The next incarnation may execute another copy of the start, so the run must be stopped there before its task may start elsewhere.
+			ct.setPhase(rn, phaseInDoubt)
+		}
 	}
 }
 
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -121,6 +121,7 @@
 	vm.failedPolls = 0
 	ct.zoneAnswered(vm.reg.GetZone())
 	vm.answeredMS = nowMS
+	vm.unlistedReads = 0
 	if lk.GetBornMs() != 0 && lk.GetBornMs() != vm.startMS {
 		if vm.startMS != 0 {
 			ct.handleRestart(vm, lk.GetBornMs())
@@ -202,7 +203,7 @@
 	if nm, err := taskname.Parse(key.task); err == nil {
 		if jb, ok := ct.jobs[nm.Job()]; ok {
 			if tk := jb.task(nm); tk != nil {
-				rn.need, rn.capUse, rn.team = tk.st.need(), tk.st.capUse(), jb.row.GetTeam()
+				rn.st, rn.need, rn.capUse, rn.team = tk.st, tk.st.need(), tk.st.capUse(), jb.row.GetTeam()
 			}
 		}
 	}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -46,6 +46,10 @@
 	// lastingSum is what the long-running tasks take, nil until lastingUse computes it in a planning pass.
 	lastingSum *size.Size
 	suspicion  *suspicion.Suspicion
+	// unlistedReads counts the lists of machines in a row, since the VM's last answer, that lacked the VM's machine.
+	unlistedReads int
+	// machineStatus is the status of the VM's machine that was logged last, empty while the VM answers.
+	machineStatus string
 	// pace is the pace last set for best-effort tasks on the VM, in percent; 100 is unthrottled.
 	pace int64
 }
@@ -82,12 +86,20 @@
 	// isDuplicate is set for a run that was detached so that its task may start elsewhere as well.
 	isDuplicate bool
 	// task is nil for a run that doesn't belong to a task, or no longer does.
-	task   *task
+	task *task
+	// st is the step of the run's task, also while the run no longer belongs to the task; nil for an unknown task.
+	st     *step
 	team   string
 	need   size.Size
 	capUse size.Size
 	phase  phase
 	token  int64
+	// repeated is set for a run whose start was sent more than once, so that a copy may still be executed after the run was confirmed.
+	repeated bool
+	// settled is set once no order can start the run any more: it was confirmed, and inDoubtMS has passed since its start was ordered.
+	settled bool
+	// target is the VM on which room is held for the task while this run is stopped to move it, or nil.
+	target *vmState
 	// startedMS is when the run was created, its start was ordered or the start was accepted, whichever came last.
 	startedMS  int64
 	percent    int64
@@ -163,7 +175,7 @@
 func (vm *vmState) runsOfStep(st *step) int {
 	count := 0
 	for _, rn := range vm.runs {
-		if rn.task != nil && rn.task.st == st {
+		if rn.st == st {
 			count++
 		}
 	}
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
@@ -12,6 +13,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/relay"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/startretry"
 	"github.com/fulmarloft/fulmarloft/internal/startwindow"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
@@ -55,6 +57,7 @@
 	startMS     int64
 
 	committing    bool
+	commits       sync.WaitGroup
 	lastCommitMS  int64
 	lastPlanMS    int64
 	planDue       bool
@@ -66,6 +69,7 @@
 	cleaner       *rowCleaner
 	lag           *lag.Lag
 	starts        *startwindow.Window
+	startRetry    *startretry.Delay
 	nextScanMS    int64
 	nextRelaysMS  int64
 	// yielded is set when this entry gives up the ownership because it is overloaded.
@@ -107,7 +111,7 @@
 		deps: deps, ck: ck, lg: lg, ow: ow,
 		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
 		events: make(chan func(), eventBuffer), orderQueues: map[string]*orderQueue{},
-		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), starts: startwindow.New(),
+		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), starts: startwindow.New(), startRetry: startretry.New(),
 	}
 	rn.waves = newWaves(rn)
 	rn.pools = newPoolResizer(rn)
@@ -119,6 +123,8 @@
 func (rn *Runner) Run(ctx context.Context) error {
 	stop := ctx.Done()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	// The ownership isn't safe for concurrent use, so a commit in flight must end before it is released or polled.
+	defer rn.commits.Wait()
 	defer cancel()
 	rn.applyRules()
 	if err := rn.restore(ctx, stop); err != nil {
@@ -302,7 +308,8 @@
 	}
 	rn.committing = true
 	rn.lastCommitMS = nowMS
-	go rn.commit(ctx, bt, counts, waveRows, rn.cleaner.nextProgressIDs(jobcontrol.MaxRows-len(bt.Rows())))
+	progressIDs := rn.cleaner.nextProgressIDs(jobcontrol.MaxRows - len(bt.Rows()))
+	rn.commits.Go(func() { rn.commit(ctx, bt, counts, waveRows, progressIDs) })
 }
 
 // pendingCounts returns the counts of waiting jobs when they are due to be stored, or nil.
--- a/internal/jobrunner/waves.go
+++ b/internal/jobrunner/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,11 +14,13 @@
 
 // waves runs the maintenance waves during one ownership.
 type waves struct {
-	rn          *Runner
-	drivers     map[int64]*waveDriver
-	restored    map[int64]*workpb.Upkeep
-	machines    []*workpb.Machine
-	listReadMS  int64
+	rn         *Runner
+	drivers    map[int64]*waveDriver
+	restored   map[int64]*workpb.Upkeep
+	machines   []*workpb.Machine
+	listReadMS int64
+	// listUnused is set while the waves haven't been moved forward with the last list.
+	listUnused  bool
 	reading     bool
 	nextReadMS  int64
 	nextDrainMS int64
@@ -29,7 +32,9 @@
 	wave *maintenance.Wave
 	// storedRow is the last state that was stored or is being stored.
 	storedRow *workpb.Upkeep
-	orders    []string
+	// orders lists the machines whose maintenance is to be ordered once storedRow is stored, sending those whose order has no answer yet.
+	orders  []string
+	sending map[string]bool
 	// reported is the status last published to the operators.
 	reported  reportedStatus
 	reporting bool
@@ -80,6 +85,7 @@
 		wv.reading = true
 		go wv.readMachines(ctx)
 	}
+	wv.advance()
 	for _, dr := range wv.drivers {
 		wv.reportStatus(ctx, dr)
 		if nowMS >= wv.nextDrainMS && wv.rn.ow.Held() {
@@ -93,7 +99,10 @@
 
 func (wv *waves) addDriver(spec *workpb.Wave) {
 	ct := wv.rn.ct
-	dr := &waveDriver{spec: spec, wave: maintenance.New(spec, ct.Cordon, ct.Evacuate, ct.Load, ct.HasLasting)}
+	dr := &waveDriver{spec: spec, sending: map[string]bool{}, wave: maintenance.New(spec, ct.Cordon, ct.Evacuate, ct.Load, ct.HasLasting)}
+	dr.wave.OnDone = func(machine, reason string, readMS int64) {
+		wv.rn.lg.Info("machine-maintained", "wave", spec.GetNumber(), "machine", machine, "reason", reason, "list-read-ms", readMS)
+	}
 	if row, ok := wv.restored[spec.GetNumber()]; ok {
 		dr.wave.Restore(row)
 		dr.storedRow = row
@@ -124,16 +133,18 @@
 		}
 		wv.machines, wv.listReadMS = list, readMS
 		wv.rn.ct.SetMachines(readMS, list)
+		wv.listUnused = true
 		wv.advance()
 	})
 }
 
-// advance moves each wave forward with the last list of machines.
+// advance moves each wave forward with the last list of machines, once the ownership is held.
 func (wv *waves) advance() {
 	nowMS := wv.rn.ck.Now()
-	if !wv.rn.ow.Held() {
+	if !wv.listUnused || !wv.rn.ow.Held() {
 		return
 	}
+	wv.listUnused = false
 	for _, dr := range wv.drivers {
 		dr.orders = dr.wave.Step(nowMS, wv.listReadMS, wv.machines)
 	}
@@ -152,26 +163,31 @@
 	return out
 }
 
-// rowsStored sends the maintenance orders of the waves whose states were just stored.
+// rowsStored sends the maintenance orders that the rows just stored contain.
 func (wv *waves) rowsStored(ctx context.Context, rows []*workpb.Upkeep) {
 	for _, row := range rows {
 		dr := wv.drivers[row.GetWave()]
+		var unstored []string
 		for _, id := range dr.orders {
-			go wv.orderMaintenance(ctx, dr, id)
+			switch {
+			case !slices.Contains(row.GetOrdered(), id):
+				unstored = append(unstored, id)
+			case !dr.sending[id] && wv.rn.ow.Held():
+				dr.sending[id] = true
+				go wv.orderMaintenance(ctx, dr, id)
+			}
 		}
-		dr.orders = nil
+		dr.orders = unstored
 	}
 }
 
 func (wv *waves) orderMaintenance(ctx context.Context, dr *waveDriver, id string) {
 	rn := wv.rn
-	if !rn.ow.Held() {
-		return
-	}
 	limited, cancel := rn.withinLease(ctx)
 	defer cancel()
 	err := rn.deps.Maintain(limited, id, dr.spec.GetNumber(), rn.ow.Token())
 	rn.post(ctx, func() {
+		delete(dr.sending, id)
 		rn.lg.Info("maintenance-ordered", "wave", dr.spec.GetNumber(), "machine", id, "code", int(code.Of(err)))
 		switch code.Of(err) {
 		case code.OK:
@@ -179,6 +195,7 @@
 		case code.LeaseLapsed:
 			rn.ownershipLost = true
 		case code.TableInDoubt:
+			dr.wave.RecordUnanswered(id)
 		default:
 			dr.wave.RecordRefused(id)
 		}
