--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -58,6 +58,7 @@
 	out := ct.candidates(nowMS)
 	for service, list := range out {
 		if len(pools[service]) == 0 {
+			ct.recordWithoutVMs(service, list, nowMS)
 			delete(out, service)
 			continue
 		}
@@ -85,15 +86,27 @@
 	}
 }
 
+// recordWithoutVMs records the long-running steps among the candidates of a service if it has no VM that will be usable.
+func (ct *Controller) recordWithoutVMs(service string, list []candidate, nowMS int64) {
+	if ct.countVMs(service) > 0 {
+		return
+	}
+	for _, cd := range list {
+		if cd.lasting() {
+			ct.recordUnplaceable(cd.st, nil, nowMS)
+		}
+	}
+}
+
 func (cd candidate) lasting() bool { return cd.tier == tierLasting }
 
 func (cd candidate) ending() bool { return !cd.lasting() }
 
-// pools returns the usable VMs of each service, without those in a zone that is cut off, and clears their reservations.
+// pools returns the usable VMs of each service, without those in a zone that is cut off, and clears what the pass before left on them.
 func (ct *Controller) pools(nowMS int64) map[string][]*vmState {
 	pools := map[string][]*vmState{}
 	for _, vm := range ct.vms {
-		vm.reserved = false
+		vm.reserved, vm.lastingSum = false, nil
 		if vm.usable(nowMS) && !ct.CutOff(vm.reg.GetZone()) {
 			pools[vm.reg.GetService()] = append(pools[vm.reg.GetService()], vm)
 		}
@@ -184,7 +197,8 @@
 	})
 }
 
-func (ct *Controller) placeStep(bt *Batch, cd candidate, pool []*vmState, nowMS int64) {
+func (ct *Controller) placeStep(bt *Batch, cd candidate, all []*vmState, nowMS int64) {
+	pool := all
 	if ct.queueOf(cd.st.oc.jb).GetAdvised() {
 		pool = ct.vmsWithTicket(cd.st, pool, nowMS)
 	}
@@ -205,7 +219,7 @@
 		vm := chooseVM(tk, pool)
 		if vm == nil {
 			if cd.lasting() {
-				ct.recordUnplaceable(ct.queueOf(cd.st.oc.jb).GetService(), nowMS)
+				ct.recordUnplaceable(cd.st, all, nowMS)
 				reserveVM(cd.st, pool)
 			}
 			return
@@ -250,15 +264,16 @@
 // planStart gives a task a run on a VM; its start is ordered once the batch is stored.
 func (ct *Controller) planStart(bt *Batch, vm *vmState, tk *task, number int64) {
 	tk.run = number
+	vm.lastingSum = nil
 	bt.starts = append(bt.starts, ct.allocate(vm, tk, phasePlanned))
 	ct.markDirty(tk.job())
 }
 
-// reserveVM reserves the VM with the most free CPU that could hold a long-running task for such tasks, so that small tasks don't take all capacity that becomes free.
+// reserveVM reserves the VM with the most free CPU that could hold a long-running task beside those that it has for such tasks, so that small tasks don't take all capacity that becomes free.
 func reserveVM(st *step, pool []*vmState) {
 	var best *vmState
 	for _, vm := range pool {
-		if !vm.reserved && st.need().Fits(vm.capacity()) && allowed(st, vm) && (best == nil || vm.free().CoresMilli() > best.free().CoresMilli()) {
+		if !vm.reserved && st.need().Fits(vm.capacity().Minus(vm.lastingUse())) && allowed(st, vm) && (best == nil || vm.free().CoresMilli() > best.free().CoresMilli()) {
 			best = vm
 		}
 	}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -43,7 +43,9 @@
 	cordonedForMove bool
 	leaving         bool
 	reserved        bool
-	suspicion       *suspicion.Suspicion
+	// lastingSum is what the long-running tasks take, nil until lastingUse computes it in a planning pass.
+	lastingSum *size.Size
+	suspicion  *suspicion.Suspicion
 	// unlistedReads counts the lists of machines in a row, since the VM's last answer, that lacked the VM's machine.
 	unlistedReads int
 	// machineStatus is the status of the VM's machine that was logged last, empty while the VM answers.
@@ -120,6 +122,20 @@
 
 func (vm *vmState) free() size.Size { return vm.capacity().Minus(vm.used) }
 
+// lastingUse returns what the long-running tasks on the VM take.
+func (vm *vmState) lastingUse() size.Size {
+	if vm.lastingSum == nil {
+		var sum size.Size
+		for _, rn := range vm.runs {
+			if rn.lasting() {
+				sum = sum.Plus(rn.need)
+			}
+		}
+		vm.lastingSum = &sum
+	}
+	return *vm.lastingSum
+}
+
 // accepting reports whether the VM is registered, responsive and not draining.
 func (vm *vmState) accepting() bool {
 	return vm.registered && !vm.unresponsive && !vm.reg.GetDraining()
