Keep a repeated start from running beside the next run after a restart

Callers would see: a task runs twice (TWICE). A start without an answer is sent again and confirmed; its VM crashes, and starts again under its id within 13 s. The task is started elsewhere, and then the VM executes the first copy, which it no longer knows to be over. Cause: a confirmed run counted as one that no order can start any more, though its first copy was still unanswered. Now a run knows until when an unanswered copy of its start may be executed: until then a VM that has restarted is told to stop the run, which makes it refuse the copy, before the task starts again; a machine that is down doesn't end the run, and it isn't settled. TestFirstCopyOfARepeatedStartDoesNotRunBesideTheNextRun failed before in both cases (a start beside the next run, 3 starts, want 2). Open, as before: once the leases have expired (4.3 s) such a run, and a start without any answer, ends at the latest.

--- a/internal/jobcontrol/end.go
+++ b/internal/jobcontrol/end.go
@@ -134,6 +134,18 @@
 	}
 }
 
+// HandleRepeated records that a start without an answer was sent again: its first copy may be executed later than the second.
+func (ct *Controller) HandleRepeated(od *workpb.Order) {
+	vm, ok := ct.vms[od.GetVm()]
+	if !ok {
+		return
+	}
+	if rn, ok := vm.runs[runKey{od.GetTask(), od.GetRun()}]; ok {
+		rn.repeated = true
+		rn.mayStartUntilMS = ct.ck.Now() + inDoubtMS
+	}
+}
+
 // HandleWithdrawn records that the start of a run that is to be stopped was withdrawn before it was sent.
 func (ct *Controller) HandleWithdrawn(od *workpb.Order) {
 	vm, ok := ct.vms[od.GetVm()]
@@ -155,6 +167,9 @@
 		return
 	}
 	if vd == workpb.Verdict_ACCEPTED {
+		if !rn.repeated {
+			rn.mayStartUntilMS = 0
+		}
 		if rn.phase == phaseOrdered {
 			ct.setPhase(rn, phaseRunning)
 			rn.startedMS = ct.ck.Now()
--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -58,9 +58,9 @@
 
 // endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept.
 func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
-	before := len(vm.runs)
+	before, nowMS := len(vm.runs), ct.ck.Now()
 	for _, rn := range vm.runs {
-		if rn.settled || (rn.phase == phaseRunning && rn.startedMS < readMS) {
+		if rn.settled || (rn.phase == phaseRunning && rn.startedMS < readMS && nowMS >= rn.mayStartUntilMS) {
 			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 		}
 	}
--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -355,3 +355,36 @@
 	fl.run(2000)
 	qt.Assert(t, len(fl.runningOn), qt.Equals, 2)
 }
+
+// A start without an answer is sent again; the VM's next incarnation may execute the first copy.
+func TestFirstCopyOfARepeatedStartDoesNotRunBesideTheNextRun(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		downMS int64
+	}{
+		{name: "restarted at once"},
+		{name: "listed as down", downMS: 2000},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t, hostedVM("a"), hostedVM("b"))
+			fl.setBehavior(0, workpb.End_END_UNKNOWN)
+			fl.holdStarts = true
+			fl.submit(jobOf("j1", lastingStep(1)))
+			fl.run(100)
+			fl.holdStarts = false
+			od := fl.held[0]
+			host := od.GetVm()
+			vd := fl.workers[host].Order(od)
+			fl.ct.HandleRepeated(od)
+			fl.ct.HandleVerdict(od, vd)
+			fl.run(1000)
+			fl.crash(host)
+			fl.runWithLists(tc.downMS, fl.machinesWithDown)
+			fl.startAgain(host)
+			fl.run(500)
+			fl.workers[host].Order(od)
+			fl.run(1000)
+			qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+		})
+	}
+}
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -75,7 +75,7 @@
 		ticketText = text
 	}
 	ct.setPhase(rn, phaseOrdered)
-	rn.startedMS = nowMS
+	rn.startedMS, rn.mayStartUntilMS = nowMS, nowMS+inDoubtMS
 	rn.vm.nextPollMS = min(rn.vm.nextPollMS, nowMS+busyPollIntervalMS)
 	od := ct.newOrder(workpb.Verb_START, rn)
 	od.Payload = rn.task.job().row.GetPayload()
--- a/internal/jobcontrol/reconcile.go
+++ b/internal/jobcontrol/reconcile.go
@@ -23,6 +23,9 @@
 		case listed[key]:
 			ct.settleRuns(rn, nowMS)
 			ct.reconcileListed(rn, nowMS)
+		case rn.phase == phaseRunning && rn.startedMS < sentMS && nowMS < rn.mayStartUntilMS:
+			// The VM has restarted and doesn't know yet that the run must not start there.
+			ct.stop(rn)
 		case rn.phase == phaseRunning && rn.startedMS < sentMS:
 			ct.lg.Info("run-vanished", "vm", vm.id, "task", key.task, "run", key.run)
 			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
@@ -46,7 +49,7 @@
 	}
 	jb := rn.task.job()
 	jb.eachTask(func(tk *task) {
-		if cur := tk.current; cur != nil && cur.phase == phaseRunning && nowMS-cur.startedMS >= inDoubtMS {
+		if cur := tk.current; cur != nil && cur.phase == phaseRunning && nowMS-cur.startedMS >= inDoubtMS && nowMS >= cur.mayStartUntilMS {
 			cur.settled = true
 		}
 	})
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -92,6 +92,10 @@
 	token  int64
 	// settled is set once no order can start the run any more: it was confirmed, and inDoubtMS has passed since its start was ordered.
 	settled bool
+	// mayStartUntilMS is until when an unanswered copy of the run's start may still be executed, 0 if there is none.
+	mayStartUntilMS int64
+	// repeated is set once the run's start was sent again.
+	repeated bool
 	// target is the VM on which room is held for the task while this run is stopped to move it, or nil.
 	target *vmState
 	// startedMS is when the run was created, its start was ordered or the start was accepted, whichever came last.
--- a/internal/jobrunner/orderqueue.go
+++ b/internal/jobrunner/orderqueue.go
@@ -99,7 +99,8 @@
 		if send {
 			vd = oq.send(ctx, od)
 		}
-		if vd == workpb.Verdict_IN_DOUBT && oq.shouldRepeat(od) {
+		repeated := vd == workpb.Verdict_IN_DOUBT && oq.shouldRepeat(od)
+		if repeated {
 			vd = repeatedVerdict(oq.send(ctx, od))
 		}
 		tookMS := oq.rn.ck.Now() - sentMS
@@ -107,6 +108,9 @@
 		oq.rn.post(ctx, func() {
 			oq.rn.recordCall(vd, tookMS)
 			oq.rn.recordOrder(vd, tookMS)
+			if repeated {
+				oq.rn.ct.HandleRepeated(od)
+			}
 			oq.rn.handleAnswer(od, vd)
 		})
 	}
