Measure the store's speed by answered commits only, so that two lost answers don't cost the ownership

Callers would see: work stands still for a second or more at each change of owner. In the incident a third of the store's answers were lost, and in six seconds three owners followed one another though none had failed: both losers logged a commit of 1,774 and 1,777 ms ('commit-failed', then 'scheduling-lost'). The third owner had to wait for leases that the first two had seen end. Cause: a commit without an answer is sent again after a delay of six times the last commit's duration, 250 ms at least. After one lost answer that duration is over 250 ms, so the delay becomes 1,500 ms; if the next commit's answer is lost as well, it isn't sent again before the others take over (1,200 ms). Now the delay follows the duration of the attempt that was answered. A slow store still lengthens it. TestLostAnswersInARowDoNotCostTheOwnership failed before: the second commit in a row ended with 'context deadline exceeded'.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -71,7 +71,7 @@
 	maxHedgeDelayMS = 1500
 	// commitTimeoutMS is how long a commit is attempted before its failure is reported.
 	commitTimeoutMS = 1500
-	// hedgeDelayFactor is the ratio of the hedge delay to the duration of the last commit.
+	// hedgeDelayFactor is the ratio of the hedge delay to the duration of the last commit's answered attempt.
 	hedgeDelayFactor = 6
 	// deferPerClassMS is how long an entry defers to each class of stronger ones; it exceeds the interval between their polls.
 	deferPerClassMS = 300
@@ -323,13 +323,14 @@
 	defer cancel()
 	policy := hedge.New(ow.ck, ow.hedgeDelayMS, ow.hedgeDelayMS, isConflict)
 	rs, err := hedge.Do(limited, policy, func(ctx context.Context, _ int) (commitResult, error) {
+		sentMS := ow.ck.Now()
 		version, current, err := ow.st.Commit(ctx, tx)
 		if code.Of(err) == code.TableInDoubt {
 			ow.inDoubt.Store(true)
 		}
-		return commitResult{version, current}, err
+		return commitResult{version, current, ow.ck.Now() - sentMS}, err
 	})
-	ow.adaptHedgeDelay(code.Of(err), ow.ck.Now()-startMS)
+	ow.adaptHedgeDelay(code.Of(err), rs.tookMS)
 	switch {
 	case isConflict(err):
 		return ow.resolveConflict(rs.current, next)
@@ -354,6 +355,8 @@
 type commitResult struct {
 	version int64
 	current []rowstore.Row
+	// tookMS is how long the attempt that was answered took.
+	tookMS int64
 }
 
 func isConflict(err error) bool { return code.Of(err) == code.Conflict }
@@ -366,7 +369,7 @@
 	ow.inDoubt.Store(false)
 }
 
-// adaptHedgeDelay adapts the hedge delay to the duration of commits.
+// adaptHedgeDelay adapts the hedge delay to the duration of the attempts that are answered; one whose answer is lost tells nothing of the store's speed.
 func (ow *Ownership) adaptHedgeDelay(result code.Code, tookMS int64) {
 	if result == code.OK || result == code.Conflict {
 		ow.hedgeDelayMS = min(max(hedgeDelayFactor*tookMS, minHedgeDelayMS), maxHedgeDelayMS)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -214,3 +214,30 @@
 		})
 	}
 }
+
+// Each commit's first answer is lost, on a connection that delivers nothing further.
+func TestLostAnswersInARowDoNotCostTheOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ck := clock.New()
+		st := rowstoretest.New(ck).Rowstore()
+		lossy := *st
+		var lose atomic.Bool
+		lossy.Commit = func(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+			version, current, err := st.Commit(ctx, tx)
+			if !lose.CompareAndSwap(true, false) {
+				return version, current, err
+			}
+			<-ctx.Done()
+			return 0, nil, code.TableInDoubt.Wrap(ctx.Err())
+		}
+		ow := ownership.New(&lossy, ck, "one", "one.1", 2)
+		qt.Assert(t, poll(t, ow), qt.IsTrue)
+		for range 4 {
+			lose.Store(true)
+			startMS := ck.Now()
+			qt.Assert(t, ow.Commit(t.Context(), put("a")), qt.IsNil)
+			qt.Assert(t, ck.Now()-startMS < ownership.LeaseMS/2, qt.IsTrue, qt.Commentf("committed after %d ms", ck.Now()-startMS))
+			qt.Assert(t, ow.Held(), qt.IsTrue)
+		}
+	})
+}
