Don't hold up starts because answers to some orders are lost

Callers would see: while answers of VMs are lost, few tasks start. Cause: an order that was given up after 300 ms, and a start that was confirmed when sent again, counted as late answers, which tell of this machine's own load; the number of starts under way fell from 64 to its minimum of 8. Now only answered orders tell of it, by the time of the try that was answered; unanswered ones count where no other order is answered. TestLostAnswersDoNotHoldUpStarts: with the same orders recorded as before, the limit fell to 8 (want 64 at least).

--- a/internal/jobrunner/orderqueue.go
+++ b/internal/jobrunner/orderqueue.go
@@ -101,6 +101,7 @@
 		}
 		repeated := vd == workpb.Verdict_IN_DOUBT && oq.shouldRepeat(od)
 		if repeated {
+			sentMS = oq.rn.ck.Now()
 			vd = repeatedVerdict(oq.send(ctx, od))
 		}
 		tookMS := oq.rn.ck.Now() - sentMS
@@ -177,7 +178,11 @@
 
 // recordOrder adapts the number of starts under way to the latency of an order that was sent.
 func (rn *Runner) recordOrder(vd workpb.Verdict, tookMS int64) {
-	if vd != workpb.Verdict_NOT_SENT {
+	switch vd {
+	case workpb.Verdict_NOT_SENT:
+	case workpb.Verdict_IN_DOUBT:
+		rn.starts.RecordUnanswered(rn.ck.Now())
+	default:
 		rn.starts.Record(rn.ck.Now(), tookMS)
 	}
 }
--- a/internal/startwindow/startwindow.go
+++ b/internal/startwindow/startwindow.go
@@ -6,6 +6,8 @@
 	periodMS int64
 	answers  int
 	late     int
+	// unanswered counts the orders that were given up.
+	unanswered int
 }
 
 const (
@@ -30,24 +32,35 @@
 // Limit returns how many starts may be under way.
 func (wd *Window) Limit() int { return wd.limit }
 
-// Record records an order that was answered, or given up, at nowMS after tookMS.
+// Record records an order that was answered at nowMS after tookMS.
 func (wd *Window) Record(nowMS, tookMS int64) {
-	if period := nowMS / adaptPeriodMS; period != wd.periodMS {
-		wd.adapt()
-		wd.periodMS = period
-	}
+	wd.advance(nowMS)
 	wd.answers++
 	if tookMS >= lateMS {
 		wd.late++
 	}
 }
 
-// adapt shrinks the limit after a period with late answers and grows it by the answers of any other.
+// RecordUnanswered records an order that was given up at nowMS. It tells of this machine's load only where no other order is answered: answers may just be lost.
+func (wd *Window) RecordUnanswered(nowMS int64) {
+	wd.advance(nowMS)
+	wd.unanswered++
+}
+
+// advance adapts the limit when a new period begins.
+func (wd *Window) advance(nowMS int64) {
+	if period := nowMS / adaptPeriodMS; period != wd.periodMS {
+		wd.adapt()
+		wd.periodMS = period
+	}
+}
+
+// adapt shrinks the limit after a period with late answers, or with unanswered orders alone, and grows it by the answers of any other.
 func (wd *Window) adapt() {
-	if wd.late*lateDivisor >= wd.answers && wd.late > 0 {
+	if wd.late*lateDivisor >= wd.answers && wd.late+wd.unanswered > 0 {
 		wd.limit = max(wd.limit*shrinkNumerator/shrinkDenominator, minLimit)
 	} else {
 		wd.limit = min(wd.limit+wd.answers, maxLimit)
 	}
-	wd.answers, wd.late = 0, 0
+	wd.answers, wd.late, wd.unanswered = 0, 0, 0
 }
--- a/internal/startwindow/startwindow_test.go
+++ b/internal/startwindow/startwindow_test.go
@@ -71,3 +71,24 @@
 	}
 	qt.Assert(t, wd.Limit() > 500, qt.IsTrue, qt.Commentf("limit %d", wd.Limit()))
 }
+
+// Answers that are lost say nothing of this machine's load while others come at once.
+func TestLostAnswersDoNotHoldUpStarts(t *testing.T) {
+	const timeoutMS, orders = 300, 10
+	wd := startwindow.New()
+	for nowMS := int64(1000); nowMS < 6000; nowMS += 10 {
+		for at := range orders {
+			if at%2 == 0 {
+				wd.RecordUnanswered(nowMS)
+				continue
+			}
+			wd.Record(nowMS, 5)
+		}
+	}
+	limit := wd.Limit()
+	qt.Assert(t, limit >= 64, qt.IsTrue, qt.Commentf("limit %d", limit))
+	for nowMS := int64(6000); nowMS < 7000; nowMS += timeoutMS {
+		wd.RecordUnanswered(nowMS)
+	}
+	qt.Assert(t, wd.Limit() < limit, qt.IsTrue, qt.Commentf("limit %d", wd.Limit()))
+}
