Settle the starts of long-running tasks as soon as they are answered

Cause: a run counted as settled for later owners only 15 s after its start. But a start that was sent once and answered has no other copy that could be executed, so its end is provable from the beginning. Now such a start of a long-running task is settled at once, by one write a job and pass; other runs share a later write as before, since they are many. A run that began after a list's read isn't ended by that list, whether settled or not. TestLastingTaskThatJustStartedOnACrashedVMRunsAgainUnderANewOwner failed before (1 start, want 2 within 6 s).

--- a/internal/jobcontrol/end.go
+++ b/internal/jobcontrol/end.go
@@ -168,7 +168,7 @@
 	}
 	if vd == workpb.Verdict_ACCEPTED {
 		if !rn.repeated {
-			rn.mayStartUntilMS = 0
+			ct.settleStart(rn)
 		}
 		if rn.phase == phaseOrdered {
 			ct.setPhase(rn, phaseRunning)
@@ -182,6 +182,15 @@
 	ct.handleRefusedStart(rn, vd)
 }
 
+// settleStart records that the only copy of a run's start was answered. A long-running task is marked as settled for later owners at once; other runs share a later write.
+func (ct *Controller) settleStart(rn *run) {
+	rn.mayStartUntilMS = 0
+	if rn.lasting() && !rn.settled {
+		rn.settled = true
+		ct.markDirty(rn.task.job())
+	}
+}
+
 // handleRefusedStart handles a start that certainly wasn't and won't be executed.
 func (ct *Controller) handleRefusedStart(rn *run, vd workpb.Verdict) {
 	nowMS := ct.ck.Now()
--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -60,7 +60,8 @@
 func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
 	before, nowMS := len(vm.runs), ct.ck.Now()
 	for _, rn := range vm.runs {
-		if rn.settled || (rn.phase == phaseRunning && rn.startedMS < readMS && nowMS >= rn.mayStartUntilMS) {
+		confirmed := rn.phase == phaseRunning && nowMS >= rn.mayStartUntilMS
+		if rn.startedMS < readMS && (rn.settled || confirmed) {
 			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 		}
 	}
--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -388,3 +388,17 @@
 		})
 	}
 }
+
+func TestLastingTaskThatJustStartedOnACrashedVMRunsAgainUnderANewOwner(t *testing.T) {
+	fl := newFleet(t, hostedVM("a"), hostedVM("b"))
+	fl.setBehavior(0, workpb.End_END_UNKNOWN)
+	fl.run(settledMS)
+	fl.submit(jobOf("j1", lastingStep(1)))
+	fl.run(1000)
+	host := fl.runningOn["j1.0.0.0"]
+	fl.crash(host)
+	fl.newOwner()
+	fl.runWithLists(maxTaskDowntimeMS, fl.machinesWithDown)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Not(qt.Equals), host)
+}
--- a/internal/jobcontrol/vm.go
+++ b/internal/jobcontrol/vm.go
@@ -90,7 +90,7 @@
 	capUse size.Size
 	phase  phase
 	token  int64
-	// settled is set once no order can start the run any more: it was confirmed, and inDoubtMS has passed since its start was ordered.
+	// settled is set once no order can start the run any more: it was confirmed, and its start was sent once, or inDoubtMS has passed since.
 	settled bool
 	// mayStartUntilMS is until when an unanswered copy of the run's start may still be executed, 0 if there is none.
 	mayStartUntilMS int64
