--- a/internal/jobcontrol/end.go
+++ b/internal/jobcontrol/end.go
@@ -134,14 +134,15 @@
 	}
 }
 
-// MarkRepeated records that a start was sent more than once.
-func (ct *Controller) MarkRepeated(od *workpb.Order) {
+// HandleRepeated records that a start was sent more than once: an unanswered copy may be executed after the run was confirmed.
+func (ct *Controller) HandleRepeated(od *workpb.Order) {
 	vm, ok := ct.vms[od.GetVm()]
 	if !ok {
 		return
 	}
 	if rn, ok := vm.runs[runKey{od.GetTask(), od.GetRun()}]; ok {
 		rn.repeated = true
+		rn.mayStartUntilMS = ct.ck.Now() + inDoubtMS
 	}
 }
 
@@ -166,6 +167,9 @@
 		return
 	}
 	if vd == workpb.Verdict_ACCEPTED {
+		if !rn.repeated {
+			ct.settleStart(rn)
+		}
 		if rn.phase == phaseOrdered {
 			ct.setPhase(rn, phaseRunning)
 			rn.startedMS = ct.ck.Now()
@@ -178,6 +182,15 @@
 	ct.handleRefusedStart(rn, vd)
 }
 
+// settleStart records that the only copy of a run's start was answered. A long-running task is marked as settled for later owners at once; other runs share a later write.
+func (ct *Controller) settleStart(rn *run) {
+	rn.mayStartUntilMS = 0
+	if rn.lasting() && !rn.settled {
+		rn.settled = true
+		ct.markDirty(rn.task.job())
+	}
+}
+
 // handleRefusedStart handles a start that certainly wasn't and won't be executed.
 func (ct *Controller) handleRefusedStart(rn *run, vd workpb.Verdict) {
 	nowMS := ct.ck.Now()
--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/jobcontrol/lifecycle.go
@@ -58,9 +58,10 @@
 
 // endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept.
 func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
-	before := len(vm.runs)
+	before, nowMS := len(vm.runs), ct.ck.Now()
 	for _, rn := range vm.runs {
-		if rn.settled || (rn.phase == phaseRunning && !rn.repeated && rn.startedMS < readMS) {
+		confirmed := rn.phase == phaseRunning && nowMS >= rn.mayStartUntilMS
+		if rn.startedMS < readMS && (rn.settled || confirmed) {
 			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 		}
 	}
@@ -130,10 +131,6 @@
 	vm.leaseUntilMS = max(vm.leaseUntilMS, ct.ck.Now()+inDoubtMS)
 	for _, rn := range vm.runs {
 		rn.stoppedMS = 0
-		if rn.phase == phaseRunning && rn.repeated && !rn.settled {
-			// The next incarnation may execute another copy of the start, so the run must be stopped there before its task may start elsewhere.
-			ct.setPhase(rn, phaseInDoubt)
-		}
 	}
 }
 
--- a/internal/jobrunner/orderqueue.go
+++ b/internal/jobrunner/orderqueue.go
@@ -94,32 +94,39 @@
 		if od == nil {
 			return
 		}
-		sentMS := oq.rn.ck.Now()
-		vd, copies := workpb.Verdict_NOT_SENT, 0
+		an := orderAnswer{verdict: workpb.Verdict_NOT_SENT}
 		if send {
-			vd, copies = oq.send(ctx, od)
+			an = oq.send(ctx, od)
 		}
-		tookMS := oq.rn.ck.Now() - sentMS
-		oq.countUnanswered(vd)
+		oq.countUnanswered(an.verdict)
 		oq.rn.post(ctx, func() {
-			oq.rn.recordCall(vd, tookMS)
-			oq.rn.recordOrder(vd, tookMS)
-			if copies > 1 {
-				oq.rn.ct.MarkRepeated(od)
+			oq.rn.recordCall(an.verdict, an.tookMS)
+			oq.rn.recordOrder(an.verdict, an.tookMS)
+			if an.copies > 1 {
+				oq.rn.ct.HandleRepeated(od)
 			}
-			oq.rn.handleAnswer(od, vd)
+			oq.rn.handleAnswer(od, an.verdict)
 		})
 	}
 }
 
-// send sends an order and returns its verdict and how often it was sent; while its answer is late, another sender takes over the orders behind it.
-func (oq *orderQueue) send(ctx context.Context, od *workpb.Order) (vd workpb.Verdict, copies int) {
+// orderAnswer is the outcome of an order: its verdict, how long the copy that decided it took, and how many copies were sent.
+type orderAnswer struct {
+	verdict workpb.Verdict
+	tookMS  int64
+	copies  int
+}
+
+// send sends an order; while its answer is late, another sender takes over the orders behind it.
+func (oq *orderQueue) send(ctx context.Context, od *workpb.Order) orderAnswer {
 	stopTimer := oq.rn.ck.AfterFunc(lateAnswerMS, func() { oq.addSender(ctx) })
 	defer stopTimer()
 	if od.GetVerb() == workpb.Verb_START {
 		return oq.sendStart(ctx, od)
 	}
-	return oq.rn.sendOrder(ctx, od), 1
+	sentMS := oq.rn.ck.Now()
+	vd := oq.rn.sendOrder(ctx, od)
+	return orderAnswer{verdict: vd, tookMS: oq.rn.ck.Now() - sentMS, copies: 1}
 }
 
 // stopWaits reports whether a stop of an order's run is waiting.
@@ -161,7 +168,11 @@
 
 // recordOrder adapts the number of starts under way to the latency of an order that was sent.
 func (rn *Runner) recordOrder(vd workpb.Verdict, tookMS int64) {
-	if vd != workpb.Verdict_NOT_SENT {
+	switch vd {
+	case workpb.Verdict_NOT_SENT:
+	case workpb.Verdict_IN_DOUBT:
+		rn.starts.RecordUnanswered(rn.ck.Now())
+	default:
 		rn.starts.Record(rn.ck.Now(), tookMS)
 	}
 }
--- a/internal/jobrunner/startcopies.go
+++ b/internal/jobrunner/startcopies.go
@@ -13,43 +13,45 @@
 type startCopies struct {
 	oq       *orderQueue
 	od       *workpb.Order
-	answers  chan workpb.Verdict
+	answers  chan orderAnswer
 	sent     int
 	inFlight int
-	// inDoubt is set once a copy got no answer, refused once one certainly wasn't executed, for the reason in refusal.
+	// inDoubt is set once a copy got no answer, refused once one certainly wasn't executed.
 	inDoubt bool
 	refused bool
-	refusal workpb.Verdict
 }
 
-// sendStart sends a start and returns its verdict and the number of copies that were sent.
-func (oq *orderQueue) sendStart(ctx context.Context, od *workpb.Order) (vd workpb.Verdict, copies int) {
-	sc := &startCopies{oq: oq, od: od, answers: make(chan workpb.Verdict, maxStartCopies)}
-	return sc.send(ctx), sc.sent
+// sendStart sends a start until its outcome is known or too many copies got no answer.
+func (oq *orderQueue) sendStart(ctx context.Context, od *workpb.Order) orderAnswer {
+	sc := &startCopies{oq: oq, od: od, answers: make(chan orderAnswer, maxStartCopies)}
+	an := sc.send(ctx)
+	an.copies = sc.sent
+	return an
 }
 
 // send returns the first answer that the start was executed. A refusal doesn't tell while another copy is in doubt: that copy's run may have ended already.
-func (sc *startCopies) send(ctx context.Context) workpb.Verdict {
+func (sc *startCopies) send(ctx context.Context) orderAnswer {
 	sc.sendCopy(ctx)
+	var refusal, doubt orderAnswer
 	for sc.inFlight > 0 {
-		vd, answered := sc.wait()
+		an, answered := sc.wait()
 		switch {
 		case !answered:
-		case vd == workpb.Verdict_ACCEPTED || vd == workpb.Verdict_FENCED:
-			return vd
-		case vd == workpb.Verdict_IN_DOUBT:
-			sc.inDoubt = true
+		case an.verdict == workpb.Verdict_ACCEPTED || an.verdict == workpb.Verdict_FENCED:
+			return an
+		case an.verdict == workpb.Verdict_IN_DOUBT:
+			sc.inDoubt, doubt = true, an
 		default:
-			sc.refused, sc.refusal = true, vd
+			sc.refused, refusal = true, an
 		}
 		if sc.mayRepeat() {
 			sc.sendCopy(ctx)
 		}
 	}
 	if sc.inDoubt {
-		return workpb.Verdict_IN_DOUBT
+		return doubt
 	}
-	return sc.refusal
+	return refusal
 }
 
 // sendCopy sends the start once more; its answer goes to answers, which has room for all copies.
@@ -60,24 +62,25 @@
 	sentMS := rn.ck.Now()
 	go func() {
 		vd := rn.sendOrder(ctx, sc.od)
+		tookMS := rn.ck.Now() - sentMS
 		if vd == workpb.Verdict_ACCEPTED {
-			rn.startRetry.Record(rn.ck.Now() - sentMS)
+			rn.startRetry.Record(tookMS)
 		}
-		sc.answers <- vd
+		sc.answers <- orderAnswer{verdict: vd, tookMS: tookMS}
 	}()
 }
 
 // wait waits for the answer to a copy, or until another copy may be sent.
-func (sc *startCopies) wait() (vd workpb.Verdict, answered bool) {
+func (sc *startCopies) wait() (an orderAnswer, answered bool) {
 	due := make(chan struct{})
 	stopTimer := sc.oq.rn.ck.AfterFunc(sc.oq.rn.startRetry.MS(), func() { close(due) })
 	defer stopTimer()
 	select {
-	case vd = <-sc.answers:
+	case an = <-sc.answers:
 		sc.inFlight--
-		return vd, true
+		return an, true
 	case <-due:
-		return workpb.Verdict_IN_DOUBT, false
+		return orderAnswer{}, false
 	}
 }
 
