--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -68,6 +68,8 @@
 	starts        *startwindow.Window
 	nextScanMS    int64
 	nextRelaysMS  int64
+	// startAccepted is set once a VM has accepted a start of this ownership.
+	startAccepted bool
 	// yielded is set when this entry gives up the ownership because it is overloaded.
 	yielded bool
 }
--- a/internal/jobrunner/orderqueue.go
+++ b/internal/jobrunner/orderqueue.go
@@ -191,5 +191,9 @@
 		rn.handleFenced(od.GetVm(), od.GetToken())
 		return
 	}
+	if !rn.startAccepted && od.GetVerb() == workpb.Verb_START && vd == workpb.Verdict_ACCEPTED {
+		rn.startAccepted = true
+		rn.lg.Info("first-start-accepted", "token", rn.ow.Token(), "after-ms", rn.ck.Now()-rn.startMS)
+	}
 	rn.ct.HandleVerdict(od, vd)
 }
