--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,9 +22,10 @@
 	finalStates map[string]workpb.State
 }
 
-// Tables of the jobs, partitioned by job id, and of their progress, in the partition of the scheduling owner.
+// Tables of the jobs and of what is kept of ended ones, partitioned by job id, and of the jobs' progress, in the partition of the scheduling owner.
 const (
 	JobsTable     = "jobs"
+	EndedTable    = "ended"
 	ProgressTable = "progress"
 )
 
@@ -102,9 +103,10 @@
 	return current, err
 }
 
-// jobTx returns a transaction that writes a job row if the row still has the given version.
+// jobTx returns a transaction that writes a job row if the row still has the given version and the job isn't among the ended ones.
 func (in *Intake) jobTx(jb *workpb.Job, version int64, raw []byte) *rowstore.Tx {
-	return rowstore.NewTx(Partition(jb.GetId())).Require(JobsTable, jb.GetId(), version).Put(JobsTable, jb.GetId(), raw)
+	id := jb.GetId()
+	return rowstore.NewTx(Partition(id)).Require(JobsTable, id, version).Require(EndedTable, id, 0).Put(JobsTable, id, raw)
 }
 
 // resolveInDoubt determines the outcome of a commit that got no answer. It keeps trying until the time for the submission is over, since callers can't safely repeat a submission whose outcome they don't know.
@@ -170,16 +172,13 @@
 	return nil, 0
 }
 
-// Cancel stores that a job is cancelled. An error with code.JobUnknown means that the job does not exist.
+// Cancel stores that a job is cancelled, unless it has ended. An error with code.JobUnknown means that the job does not exist.
 func (in *Intake) Cancel(ctx context.Context, id string) error {
-	rw, ok, err := in.st.Get(ctx, JobsTable, Partition(id), id)
-	if err != nil {
+	stored, version, err := in.get(ctx, id)
+	if err != nil || Final(stored.GetEnded()) {
 		return err
 	}
-	if stored, _ := storedJob([]rowstore.Row{rw}); !ok || stored == nil || stored.GetRefused() {
-		return code.JobUnknown.New("job %q does not exist", id)
-	}
-	tx := rowstore.NewTx(Partition(id)).Require(JobsTable, id, rw.Version()).Put(JobsTable, CancelKey(id), []byte{1})
+	tx := rowstore.NewTx(Partition(id)).Require(JobsTable, id, version).Put(JobsTable, CancelKey(id), []byte{1})
 	for range cancelAttempts {
 		_, _, err = in.st.Commit(ctx, tx)
 		if err == nil {
@@ -189,6 +188,20 @@
 	return err
 }
 
+// get returns a stored job, which some time after its end is found in another table, and its row version.
+func (in *Intake) get(ctx context.Context, id string) (*workpb.Job, int64, error) {
+	for _, table := range []string{JobsTable, EndedTable} {
+		rw, ok, err := in.st.Get(ctx, table, Partition(id), id)
+		if err != nil {
+			return nil, 0, err
+		}
+		if stored, version := storedJob([]rowstore.Row{rw}); ok && stored != nil && !stored.GetRefused() {
+			return stored, version, nil
+		}
+	}
+	return nil, 0, code.JobUnknown.New("job %q does not exist", id)
+}
+
 // State returns a job's state. An error with code.JobUnknown means that the job does not exist.
 func (in *Intake) State(ctx context.Context, id string) (workpb.State, error) {
 	if st, ok := in.cachedFinalState(id); ok {
@@ -206,29 +219,18 @@
 		in.cacheFinalState(id, pg.GetState())
 		return pg.GetState(), nil
 	}
-	rw, ok, err = in.st.Get(ctx, JobsTable, Partition(id), id)
+	stored, _, err := in.get(ctx, id)
 	if err != nil {
 		return 0, err
 	}
-	stored, _ := storedJob([]rowstore.Row{rw})
-	if !ok || stored == nil || stored.GetRefused() {
-		return 0, code.JobUnknown.New("job %q does not exist", id)
-	}
 	in.cacheFinalState(id, stored.GetEnded())
 	return stored.GetEnded(), nil
 }
 
 // Payload returns the payload of a stored job. An error with code.JobUnknown means that the job does not exist.
 func (in *Intake) Payload(ctx context.Context, id string) (string, error) {
-	rw, ok, err := in.st.Get(ctx, JobsTable, Partition(id), id)
-	if err != nil {
-		return "", err
-	}
-	stored, _ := storedJob([]rowstore.Row{rw})
-	if !ok || stored == nil || stored.GetRefused() {
-		return "", code.JobUnknown.New("job %q does not exist", id)
-	}
-	return stored.GetPayload(), nil
+	stored, _, err := in.get(ctx, id)
+	return stored.GetPayload(), err
 }
 
 // Final reports whether a state is final.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -179,3 +179,39 @@
 		qt.Check(t, code.Of(err), qt.Equals, code.JobUnknown)
 	})
 }
+
+// endedJob stores what is kept of a completed job in place of its row.
+func endedJob(t *testing.T, st *rowstoretest.Store) {
+	raw, err := proto.Marshal(&workpb.Job{Id: jobID, Queue: "q", Ended: workpb.State_COMPLETED})
+	qt.Assert(t, err, qt.IsNil)
+	tx := rowstore.NewTx(intake.Partition(jobID)).Put(intake.EndedTable, jobID, raw).Remove(intake.JobsTable, jobID)
+	_, _, err = st.Rowstore().Commit(context.Background(), tx)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// A commit of a submission that is applied seconds later must not store a job anew that has ended meanwhile, nor must a repeated submission.
+func TestEndedJobIsNotStoredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := rowstoretest.New(clock.NewFake(0))
+		in := intake.New(st.Rowstore())
+		st.SetCommitOutcome(outcomes(rowstoretest.Late))
+		qt.Assert(t, in.Submit(context.Background(), job()), qt.IsNil)
+		endedJob(t, st)
+		qt.Check(t, st.ApplyLate(), qt.Equals, 0)
+		qt.Check(t, in.Submit(context.Background(), job()), qt.IsNil)
+		qt.Check(t, st.Keys(intake.JobsTable), qt.Equals, "")
+	})
+}
+
+// The state of a job whose row was replaced after its end must stay readable, and a cancellation of it must be answered and change nothing.
+func TestEndedJobStaysKnown(t *testing.T) {
+	st := rowstoretest.New(clock.NewFake(0))
+	in := intake.New(st.Rowstore())
+	qt.Assert(t, in.Submit(context.Background(), job()), qt.IsNil)
+	endedJob(t, st)
+	qt.Check(t, in.Cancel(context.Background(), jobID), qt.IsNil)
+	got, err := in.State(context.Background(), jobID)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, got, qt.Equals, workpb.State_COMPLETED)
+	qt.Check(t, st.Keys(intake.JobsTable), qt.Equals, "")
+}
--- a/internal/jobrunner/cleaner.go
+++ b/internal/jobrunner/cleaner.go
@@ -13,13 +13,15 @@
 
 // rowCleaner deletes the rows of jobs whose retention period has ended: the job rows first and the progress afterwards, so that no successor mistakes an ended job for one that never ran.
 //
-// Some time after its end, a job's row is shortened and its progress deleted, so that a successor reads little more than the jobs that haven't ended.
+// Some time after its end, a job's row is replaced by a short one in the table of ended jobs and its progress deleted, so that a successor can begin once it has read little more than the jobs that haven't ended.
 type rowCleaner struct {
 	rn *Runner
 	rt *retention.Retention
 	// whole holds the ended jobs whose rows are still whole.
 	whole     *retention.Retention
 	nextRunMS int64
+	// moved holds the jobs moved to the table of ended jobs until that table has been loaded.
+	moved map[string]bool
 	// removing is set while the rows of a partition are being deleted or shortened.
 	removing bool
 	// progressIDs lists the jobs whose own rows are deleted and whose progress is deleted with the next commit.
@@ -27,15 +29,15 @@
 }
 
 const (
-	// cleanupIntervalMS is how often rows are deleted, cleanupBatch the maximum number of jobs at once; both limit the store calls that compete with those made for callers.
+	// cleanupIntervalMS is how often rows are deleted, cleanupBatch the maximum number of jobs at once, with three rows each; both limit the store calls that compete with those made for callers.
 	cleanupIntervalMS = 500
-	cleanupBatch      = 40
+	cleanupBatch      = 33
 	// shortenAfterMS is how long after its end a job's row is shortened; most callers have asked for its state by then.
 	shortenAfterMS = 5000
 )
 
 func newRowCleaner(rn *Runner, retentionMS int64) *rowCleaner {
-	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), whole: retention.New(shortenAfterMS)}
+	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), whole: retention.New(shortenAfterMS), moved: map[string]bool{}}
 }
 
 // addRefused schedules the deletion of a refused job, whose row exists only to keep a late submission from taking effect.
@@ -99,7 +101,7 @@
 			rc.rn.lg.Fail("row-unshortened", err, "job", id)
 			continue
 		}
-		tx.Put(intake.JobsTable, id, raw)
+		tx.Put(intake.EndedTable, id, raw).Remove(intake.JobsTable, id)
 		ids = append(ids, id)
 	}
 	if len(ids) > 0 {
@@ -120,6 +122,9 @@
 		}
 		for _, id := range ids {
 			rc.rn.ct.RowShortened(id)
+			if rc.moved != nil {
+				rc.moved[id] = true
+			}
 		}
 		rc.progressIDs = append(rc.progressIDs, ids...)
 	})
@@ -131,6 +136,7 @@
 	for _, id := range ids {
 		tx.Remove(intake.JobsTable, id)
 		tx.Remove(intake.JobsTable, intake.CancelKey(id))
+		tx.Remove(intake.EndedTable, id)
 	}
 	_, _, err := rc.rn.deps.Store.Commit(ctx, tx)
 	rc.rn.post(ctx, func() {
--- a/internal/jobrunner/cleaner_test.go
+++ b/internal/jobrunner/cleaner_test.go
@@ -53,6 +53,7 @@
 				tc.disturb(si)
 				si.wait(2*retentionMS + 8000)
 				qt.Check(t, si.st.Keys(intake.JobsTable), qt.Equals, "")
+				qt.Check(t, si.st.Keys(intake.EndedTable), qt.Equals, "")
 				qt.Check(t, si.st.Keys(intake.ProgressTable), qt.Equals, "")
 				_, err := intake.New(si.st.Rowstore()).State(context.Background(), fmt.Sprintf("%d%015d", 1, 1))
 				qt.Check(t, code.Of(err), qt.Equals, code.JobUnknown)
@@ -61,6 +62,24 @@
 	}
 }
 
+// Rows that an earlier owner moved to the table of ended jobs must be deleted by its successor.
+func TestRowsMovedByAnEarlierOwnerAreDeleted(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.retentionMS = 20_000
+		si.start("one")
+		si.wait(500)
+		si.start("two")
+		si.submit("00000000000000aa", 1)
+		si.wait(12_000)
+		qt.Assert(t, si.st.Keys(intake.EndedTable), qt.Equals, "00000000000000aa")
+		si.kill("one")
+		si.wait(10_000)
+		qt.Check(t, si.st.Keys(intake.EndedTable), qt.Equals, "00000000000000aa")
+		si.wait(15_000)
+		qt.Check(t, si.st.Keys(intake.EndedTable), qt.Equals, "")
+	})
+}
+
 func TestRowsAreKeptForTheRetentionPeriod(t *testing.T) {
 	simulate(t, func(si *simulation) {
 		si.retentionMS = 5000
@@ -93,7 +112,7 @@
 	sum := 0
 	partitions, err := si.st.Rowstore().Partitions(context.Background(), intake.JobsTable)
 	qt.Assert(si.t, err, qt.IsNil)
-	for _, table := range []string{intake.JobsTable, intake.ProgressTable} {
+	for _, table := range []string{intake.JobsTable, intake.EndedTable, intake.ProgressTable} {
 		for _, partition := range append(partitions, ownership.Partition) {
 			list, _, err := si.st.Rowstore().ReadAll(context.Background(), table, partition)
 			qt.Assert(si.t, err, qt.IsNil)
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -56,6 +56,9 @@
 	// movesHang is set while move orders get no answer; lastMoveEndMS is when the last one was given up.
 	movesHang     bool
 	lastMoveEndMS int64
+	// rowsRead counts the rows that entries have read, rowsReadAtStart is their number at the last start.
+	rowsRead        int
+	rowsReadAtStart int
 }
 
 // entry is one scheduling process with its own connection to the store.
@@ -137,6 +140,7 @@
 		return
 	}
 	si.lastStartMS = si.ck.Now()
+	si.rowsReadAtStart = si.rowsRead
 	si.starts[task]++
 	if (si.live[task] && !si.allowDuplicates) || si.done[task] {
 		si.t.Errorf("task %s run %d started on %s although running=%v or done=%v", task, run, vm, si.live[task], si.done[task])
@@ -194,7 +198,11 @@
 			if err := cut(); err != nil {
 				return rowstore.Page{}, err
 			}
-			return inner.Read(ctx, table, partition, from, to)
+			pg, err := inner.Read(ctx, table, partition, from, to)
+			si.mu.Lock()
+			defer si.mu.Unlock()
+			si.rowsRead += len(pg.Rows())
+			return pg, err
 		},
 		Partitions: func(ctx context.Context, table string) ([]string, error) {
 			if err := cut(); err != nil {
--- a/internal/jobrunner/poolresizer.go
+++ b/internal/jobrunner/poolresizer.go
@@ -105,6 +105,12 @@
 	}
 }
 
+// observeAgain starts the forecast anew from the arrivals that are known now.
+func (pr *poolResizer) observeAgain() {
+	pr.fc = peakforecast.New()
+	pr.observedUntilMS, pr.firstArrivalMS = 0, 0
+}
+
 // warmingUp reports whether a service may still be waiting for its first demand peak, so that its pool keeps its machines.
 func (pr *poolResizer) warmingUp(nowMS int64, service string) bool {
 	return !pr.fc.HasPeaked(service) && (pr.firstArrivalMS == 0 || nowMS-pr.firstArrivalMS < warmupMS)
--- a/internal/jobrunner/restore.go
+++ b/internal/jobrunner/restore.go
@@ -28,6 +28,8 @@
 	maxRestoreMS = 60_000
 	// maxReadTries is how many times each read of a restore is made.
 	maxReadTries = 3
+	// endedRetryMS is the pause before a failed read of ended jobs is repeated.
+	endedRetryMS = 1000
 )
 
 // restore loads the stored rows and starts to follow their changes, unless stop is closed before. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
@@ -140,5 +142,56 @@
 	rn.cleaner.addOrphans(keySet(sn.jobs), progress)
 	rn.applyRegistry(sn.registry, true)
 	rn.startFollowing(ctx, sn)
+	go rn.loadEnded(ctx)
 	return nil
 }
+
+// loadEnded loads the ended jobs, which nothing waits for: their rows are deleted one day, and the forecast learns from them.
+func (rn *Runner) loadEnded(ctx context.Context) {
+	var partitions []string
+	rn.readUntilAnswered(ctx, func() (err error) {
+		partitions, err = rn.deps.Store.Partitions(ctx, intake.EndedTable)
+		return err
+	})
+	for _, partition := range partitions {
+		var list []rowstore.Row
+		startMS := rn.ck.Now()
+		rn.readUntilAnswered(ctx, func() (err error) {
+			list, _, err = rn.deps.Store.ReadAll(ctx, intake.EndedTable, partition)
+			return err
+		})
+		rn.post(ctx, func() { rn.applyEnded(list) })
+		// The pause leaves half of a slow link to other calls.
+		_ = rn.ck.Sleep(ctx, rn.ck.Now()-startMS)
+	}
+	rn.post(ctx, func() {
+		rn.cleaner.moved = nil
+		rn.pools.observeAgain()
+	})
+}
+
+// readUntilAnswered repeats a read of ended jobs until it succeeds or the context ends.
+func (rn *Runner) readUntilAnswered(ctx context.Context, read func() error) {
+	for ctx.Err() == nil {
+		err := read()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		rn.lg.Fail("ended-jobs-unread", err)
+		_ = rn.ck.Sleep(ctx, endedRetryMS)
+	}
+}
+
+// applyEnded adds the ended jobs that this owner hasn't moved there itself.
+func (rn *Runner) applyEnded(list []rowstore.Row) {
+	for _, rw := range list {
+		jb := &workpb.Job{}
+		if err := proto.Unmarshal(rw.Value(), jb); err != nil {
+			rn.lg.Fail("job-unreadable", err, "job", rw.Key())
+			continue
+		}
+		if !rn.cleaner.moved[jb.GetId()] {
+			rn.ct.Restore(jb, nil)
+		}
+	}
+}
--- a/internal/jobrunner/restore_test.go
+++ b/internal/jobrunner/restore_test.go
@@ -96,3 +96,29 @@
 		si.st.SetUnresponsive(false)
 	})
 }
+
+// A successor must not read the rows of jobs that ended long ago before it starts tasks: with many jobs stored they are most of what a restore reads.
+func TestFirstStartDoesNotWaitForEndedJobs(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.start("one")
+		si.wait(500)
+		si.start("two")
+		const ended = 60
+		for at := range ended {
+			si.submit(fmt.Sprintf("%x%015x", at%16, at), 1)
+			si.wait(200)
+		}
+		si.wait(20_000)
+		si.st.SetScanLatency(intake.EndedTable, 5000)
+		si.kill("one")
+		si.submit("00000000000000aa", 1)
+		si.mu.Lock()
+		si.rowsRead = 0
+		si.mu.Unlock()
+		si.wait(3000)
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_RUNNING)
+		si.mu.Lock()
+		defer si.mu.Unlock()
+		qt.Check(t, si.rowsReadAtStart < ended, qt.IsTrue, qt.Commentf("%d rows read before the first start", si.rowsReadAtStart))
+	})
+}
