Let whole rows of ended jobs leave after one second; delete and shorten rows by turns

Cause: (1) of what a restore reads at 10,000 jobs (64 ends a second) three quarters are whole rows of jobs that ended up to 9 s ago: shortened 5 s after the end, one partition of 16 each 500 ms. (2) A fault found on the way: deletions that are due all the time (from 150 s after the first end on, at more than two ends a second) kept rows from being shortened at all, since each run did one of the two, deletions first.

Change: rows are shortened 1 s after the end; the progress stays 4 s longer, so that callers' queries of the state need one read as before. Both kinds take turns, and a batch of 16 jobs or more is followed by the next one after 100 ms.

Changed: TestRowsAreKeptForTheRetentionPeriod looked into the jobs' table alone, from which the row now moves earlier; it asks both tables for the row, and for the state besides.

--- a/internal/jobrunner/cleaner.go
+++ b/internal/jobrunner/cleaner.go
@@ -13,13 +13,17 @@
 
 // rowCleaner deletes the rows of jobs whose retention period has ended: the job rows first and the progress afterwards, so that no successor mistakes an ended job for one that never ran.
 //
-// Some time after its end, a job's row is replaced by a short one in the table of ended jobs and its progress deleted, so that a successor can begin once it has read little more than the jobs that haven't ended.
+// Some time after its end, a job's row is replaced by a short one in the table of ended jobs, and its progress is deleted later, so that a successor can begin once it has read little more than the jobs that haven't ended.
 type rowCleaner struct {
 	rn *Runner
 	rt *retention.Retention
 	// whole holds the ended jobs whose rows are still whole.
 	whole     *retention.Retention
 	nextRunMS int64
+	// shortenNext is set when it is the turn of rows to be shortened.
+	shortenNext bool
+	// shown holds the moved jobs whose progress is still stored, in one partition.
+	shown *retention.Retention
 	// moved holds the jobs moved to the table of ended jobs until that table has been loaded.
 	moved map[string]bool
 	// removing is set while the rows of a partition are being deleted or shortened.
@@ -32,12 +36,17 @@
 	// cleanupIntervalMS is how often rows are deleted, cleanupBatch the maximum number of jobs at once, with three rows each; both limit the store calls that compete with those made for callers.
 	cleanupIntervalMS = 500
 	cleanupBatch      = 33
-	// shortenAfterMS is how long after its end a job's row is shortened; most callers have asked for its state by then.
-	shortenAfterMS = 5000
+	// busyIntervalMS is the interval after a batch of busyBatch jobs or more.
+	busyIntervalMS = 100
+	busyBatch      = cleanupBatch / 2
+	// shortenAfterMS is how long after its end a job's row is shortened.
+	shortenAfterMS = 1000
+	// showAfterMS is for how long after that its progress is kept; most callers have asked for its state by then, which the progress answers with one read.
+	showAfterMS = 4000
 )
 
 func newRowCleaner(rn *Runner, retentionMS int64) *rowCleaner {
-	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), whole: retention.New(shortenAfterMS), moved: map[string]bool{}}
+	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), whole: retention.New(shortenAfterMS), shown: retention.New(showAfterMS), moved: map[string]bool{}}
 }
 
 // addRefused schedules the deletion of a refused job, whose row exists only to keep a late submission from taking effect.
@@ -61,14 +70,30 @@
 		rc.rt.RecordEnded(intake.Partition(id), id, nowMS)
 		rc.whole.RecordEnded(intake.Partition(id), id, nowMS)
 	}
+	_, shown := rc.shown.TakeDue(nowMS, cleanupBatch)
+	rc.progressIDs = append(rc.progressIDs, shown...)
 	if rc.removing || nowMS < rc.nextRunMS || !rn.ow.Held() {
 		return
 	}
 	rc.nextRunMS = nowMS + cleanupIntervalMS
+	rc.shortenNext = !rc.shortenNext
+	if rc.shortenNext {
+		rc.shortenRows(ctx, nowMS)
+	}
+	if !rc.removing {
+		rc.removeRows(ctx, nowMS)
+	}
+	if !rc.removing && !rc.shortenNext {
+		rc.shortenRows(ctx, nowMS)
+	}
+}
+
+// removeRows deletes the rows that are due in one partition.
+func (rc *rowCleaner) removeRows(ctx context.Context, nowMS int64) {
 	partition, due := rc.rt.TakeDue(nowMS, cleanupBatch)
 	var ids []string
 	for _, id := range due {
-		if rn.ct.Forget(id) {
+		if rc.rn.ct.Forget(id) {
 			ids = append(ids, id)
 			continue
 		}
@@ -76,10 +101,16 @@
 	}
 	if len(ids) > 0 {
 		rc.removing = true
+		rc.hurry(due, nowMS)
 		go rc.removeJobs(ctx, partition, ids)
-		return
 	}
-	rc.shortenRows(ctx, nowMS)
+}
+
+// hurry shortens the time to the next run after a large batch.
+func (rc *rowCleaner) hurry(due []string, nowMS int64) {
+	if len(due) >= busyBatch {
+		rc.nextRunMS = nowMS + busyIntervalMS
+	}
 }
 
 // shortenRows shortens the rows that are due in one partition.
@@ -106,11 +137,12 @@
 	}
 	if len(ids) > 0 {
 		rc.removing = true
+		rc.hurry(due, nowMS)
 		go rc.commitShortRows(ctx, tx, ids)
 	}
 }
 
-// commitShortRows writes short rows; the progress of their jobs, which they replace, is deleted with the next commit.
+// commitShortRows writes short rows; the progress of their jobs, which they replace, is deleted some time after.
 func (rc *rowCleaner) commitShortRows(ctx context.Context, tx *rowstore.Tx, ids []string) {
 	_, _, err := rc.rn.deps.Store.Commit(ctx, tx)
 	rc.rn.post(ctx, func() {
@@ -122,11 +154,11 @@
 		}
 		for _, id := range ids {
 			rc.rn.ct.RowShortened(id)
+			rc.shown.RecordEnded("", id, rc.rn.ck.Now())
 			if rc.moved != nil {
 				rc.moved[id] = true
 			}
 		}
-		rc.progressIDs = append(rc.progressIDs, ids...)
 	})
 }
 
--- a/internal/jobrunner/cleaner_test.go
+++ b/internal/jobrunner/cleaner_test.go
@@ -90,7 +90,10 @@
 		si.kill("one")
 		si.start("two")
 		si.wait(4500)
-		qt.Assert(t, si.st.Keys(intake.JobsTable), qt.Equals, "00000000000000aa")
+		qt.Assert(t, si.st.Keys(intake.JobsTable)+si.st.Keys(intake.EndedTable), qt.Equals, "00000000000000aa")
+		st, err := intake.New(si.st.Rowstore()).State(context.Background(), "00000000000000aa")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, st, qt.Equals, workpb.State_COMPLETED)
 	})
 }
 
@@ -107,6 +110,40 @@
 	})
 }
 
+// The whole rows of ended jobs must leave soon, since a restore reads them, while their progress answers callers that ask for the state for some time more.
+func TestRowsLeaveSoonAfterTheEnd(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.start("one")
+		si.wait(500)
+		si.submit("00000000000000aa", 1)
+		si.wait(3700)
+		qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+		qt.Check(t, si.st.Keys(intake.JobsTable), qt.Equals, "")
+		qt.Check(t, si.st.Keys(intake.ProgressTable), qt.Equals, "00000000000000aa")
+		si.wait(8000)
+		qt.Check(t, si.st.Keys(intake.ProgressTable), qt.Equals, "")
+		qt.Check(t, intake.Final(si.state("00000000000000aa")), qt.IsTrue)
+	})
+}
+
+// Rows that are due to be deleted all the time must not keep those of jobs that have just ended from being shortened.
+func TestDeletionsDoNotKeepRowsWhole(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		const retentionMS, intervalMS, maxWhole = 20_000, 100, 150
+		si.retentionMS = retentionMS
+		si.start("one")
+		for at := range 3 * retentionMS / intervalMS {
+			jb := &workpb.Job{Id: fmt.Sprintf("%x%015x", at%16, at), Queue: "q", AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{
+				{Count: 1, CpuMilli: 100, MemoryMb: 10, EstimateMs: 800},
+			}}
+			qt.Assert(t, si.in.Submit(context.Background(), jb), qt.IsNil)
+			si.wait(intervalMS)
+		}
+		whole := len(strings.Fields(si.st.Keys(intake.JobsTable)))
+		qt.Check(t, whole < maxWhole, qt.IsTrue, qt.Commentf("%d whole rows", whole))
+	})
+}
+
 // storedBytes returns the size of the stored jobs and their progress.
 func (si *simulation) storedBytes() int {
 	sum := 0
--- a/internal/jobrunner/restore_bench_test.go
+++ b/internal/jobrunner/restore_bench_test.go
@@ -124,7 +124,7 @@
 	return rowstore.NewPage(nil, false, after), err
 }
 
-// fill stores jobs as a long uninterrupted service leaves them: of a hundred two are open, six ended a short time ago and the others earlier.
+// fill stores jobs as a long uninterrupted service leaves them: of a hundred two are open, the rows of three are still whole and the progress of six still stored after their end, and the others ended earlier.
 func (ls *linkStore) fill(tb testing.TB, jobs int) {
 	payload := strings.Repeat("x", payloadBytes)
 	for at := range jobs {
@@ -135,9 +135,12 @@
 		}
 		switch at % 100 {
 		case 0, 50:
-		case 1, 2, 3, 4, 5, 6:
+		case 1, 2, 3:
 			ls.put(tb, intake.ProgressTable, ownership.Partition, id, &workpb.Progress{Id: id, State: workpb.State_COMPLETED})
 		default:
+			if at%100 <= 6 {
+				ls.put(tb, intake.ProgressTable, ownership.Partition, id, &workpb.Progress{Id: id, State: workpb.State_COMPLETED})
+			}
 			table = intake.EndedTable
 			row = &workpb.Job{Id: id, Queue: "q", AcceptedMs: row.GetAcceptedMs(), Ended: workpb.State_COMPLETED, WorkCoreMs: 17_280}
 		}
