Read short partitions of jobs at once when an owner restores

Change: three partitions first; if their rows are short, all others at once. The partitions are known, and the version to follow from is the earliest of the reads, so the two calls before them are gone.

TestRestoreFromASlowStoreTakesFewAnswers failed before (first start 3,380 ms after the loss; 2,900 allowed).

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -31,6 +31,8 @@
 
 const (
 	cancelSuffix = ".cancel"
+	// idDigits are the digits of job ids.
+	idDigits = "0123456789abcdef"
 	// cancelAttempts is how many times Cancel tries its commit, so that a commit that the store did not apply is repeated.
 	cancelAttempts = 2
 	// firstTimeoutMS is how long the first commit of a submission waits for its answer before the commit is repeated; secondTimeoutMS covers a store that is sixty times slower than normal.
@@ -52,6 +54,15 @@
 // Partition returns the partition that contains a job's row.
 func Partition(id string) string { return "j" + strings.ToLower(id[:1]) }
 
+// Partitions returns the partitions that Partition distinguishes.
+func Partitions() []string {
+	out := make([]string, 0, len(idDigits))
+	for _, digit := range idDigits {
+		out = append(out, Partition(string(digit)))
+	}
+	return out
+}
+
 // CancelKey returns the key of the row that marks a job as cancelled.
 func CancelKey(id string) string { return id + cancelSuffix }
 
--- a/internal/jobrunner/follow.go
+++ b/internal/jobrunner/follow.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/rowfeed"
 	"github.com/fulmarloft/fulmarloft/internal/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/workpb"
@@ -20,8 +20,9 @@
 	// jobsIntervalMS and registryIntervalMS are the minimum times between feed calls, which are billed: a job may be picked up slightly late, and VMs update their registrations constantly.
 	jobsIntervalMS     = 30
 	registryIntervalMS = 100
-	// maxPartitionReads bounds the concurrent reads of partitions, whose responses delay all other calls on a slow link.
-	maxPartitionReads = 3
+	// maxLongReads bounds the concurrent reads of partitions with long responses, which delay all other calls on a slow link; shortReadBytes is the mean size up to which they are short.
+	maxLongReads   = 3
+	shortReadBytes = 16 << 10
 	// registryPartition is the partition that holds the registrations.
 	registryPartition = ""
 )
@@ -36,31 +37,51 @@
 	return rn.deps.Store.ReadAll(ctx, rn.deps.RegistryTable, registryPartition)
 }
 
-// readJobs reads the jobs of all partitions concurrently and returns the version to follow from, which is that of a read made before all others: a later version would miss changes, and earlier changes may concern jobs whose rows are already deleted.
+// readJobs reads the jobs of all partitions and returns the version to follow from, which is the earliest of the reads: a later one would miss changes.
+//
+// A few partitions are read first. If their rows are short, all others are read at once, which a slow store answers as soon as one; long ones are read a few at a time.
 func (rn *Runner) readJobs(ctx context.Context) ([]rowstore.Row, int64, error) {
-	pg, err := rn.deps.Store.Read(ctx, intake.JobsTable, ownership.Partition, "", "")
+	partitions := intake.Partitions()
+	first, version, err := rn.readPartitions(ctx, partitions[:maxLongReads], maxLongReads)
 	if err != nil {
 		return nil, 0, err
 	}
-	partitions, err := rn.deps.Store.Partitions(ctx, intake.JobsTable)
-	if err != nil {
-		return nil, 0, err
+	limit := maxLongReads
+	if rowBytes(first) <= maxLongReads*shortReadBytes {
+		limit = len(partitions)
 	}
+	rest, restVersion, err := rn.readPartitions(ctx, partitions[maxLongReads:], limit)
+	return append(first, rest...), min(version, restVersion), err
+}
+
+// readPartitions reads the jobs of partitions, some at once, and returns the earliest version of the reads.
+func (rn *Runner) readPartitions(ctx context.Context, partitions []string, atOnce int) ([]rowstore.Row, int64, error) {
 	var mu sync.Mutex
 	var all []rowstore.Row
+	earliest := int64(math.MaxInt64)
 	gr, ctx := errgroup.WithContext(ctx)
-	gr.SetLimit(maxPartitionReads)
+	gr.SetLimit(atOnce)
 	for _, partition := range partitions {
 		gr.Go(func() error {
-			list, _, err := rn.deps.Store.ReadAll(ctx, intake.JobsTable, partition)
+			list, version, err := rn.deps.Store.ReadAll(ctx, intake.JobsTable, partition)
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, list...)
+			earliest = min(earliest, version)
 			return err
 		})
 	}
-	err = gr.Wait()
-	return all, pg.Version(), err
+	err := gr.Wait()
+	return all, earliest, err
+}
+
+// rowBytes returns the size of the rows' values.
+func rowBytes(list []rowstore.Row) int {
+	sum := 0
+	for _, rw := range list {
+		sum += len(rw.Value())
+	}
+	return sum
 }
 
 // followTable posts the changes of a table to the runner, or all of its rows after a gap in the change history.
--- a/internal/jobrunner/restore_test.go
+++ b/internal/jobrunner/restore_test.go
@@ -1,6 +1,7 @@
 package jobrunner_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -122,3 +123,29 @@
 		qt.Check(t, si.rowsReadAtStart < ended, qt.IsTrue, qt.Commentf("%d rows read before the first start", si.rowsReadAtStart))
 	})
 }
+
+// A restore from a slow store must not wait for one partition after the other, each of which takes as long as all of them.
+func TestRestoreFromASlowStoreTakesFewAnswers(t *testing.T) {
+	const answerMS, lossMS = 300, 1700
+	simulate(t, func(si *simulation) {
+		for _, wk := range si.workers {
+			wk.Behave = func(string, int64) (int64, workpb.End) { return 30_000, workpb.End_END_DONE }
+		}
+		si.startFive()
+		for at := range 17 {
+			if at == 16 {
+				si.wait(500)
+				si.slowDownScans(answerMS)
+				si.kill(si.owner())
+			}
+			jb := &workpb.Job{Id: fmt.Sprintf("%x%015d", at%16, at), Queue: "q", AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{{Count: 1, CpuMilli: 500, MemoryMb: 10, EstimateMs: 30_000}}}
+			qt.Assert(t, si.in.Submit(context.Background(), jb), qt.IsNil)
+		}
+		killedMS := si.ck.Now()
+		si.wait(6000)
+		si.mu.Lock()
+		defer si.mu.Unlock()
+		tookMS := si.lastStartMS - killedMS
+		qt.Check(t, tookMS > 0 && tookMS < lossMS+4*answerMS, qt.IsTrue, qt.Commentf("first start %d ms after the loss", tookMS))
+	})
+}
