--- a/internal/maintenance/counted_test.go
+++ b/internal/maintenance/counted_test.go
@@ -184,7 +184,8 @@
 
 // finish lets all waves go on undisturbed, which must complete them within forMS.
 func (fl *fleet) finish(forMS int64) {
-	for endMS := fl.nowMS + forMS; fl.nowMS < endMS; {
+	undone := func(ow *ownedWave) bool { return !ow.wv.Done() }
+	for endMS := fl.nowMS + forMS; fl.nowMS < endMS && slices.ContainsFunc(fl.waves, undone); {
 		fl.pass()
 		for _, ow := range fl.waves {
 			fl.step(ow, fl.nowMS, fl.list(), true)
