Let a new owner reach VMs that run on without a registration

Now a progress row keeps address and zone of each host, once for all tasks of a job on it. Another VM at the address refuses the poll, which proves the end as before. TestTaskOnAnUnregisteredVMKeepsItsRunUnderANewOwner failed before (a second run on the other VM).

--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -140,7 +140,7 @@
 	case workpb.Phase_INTENDED:
 		host := hostOf(pg, tr)
 		vm := ct.ensureVM(host.GetVm())
-		vm.reg.Machine = host.GetMachine()
+		vm.reg.Machine, vm.reg.Address, vm.reg.Zone = host.GetMachine(), host.GetAddress(), host.GetZone()
 		rn := ct.allocate(vm, tk, phaseInDoubt)
 		rn.token, rn.settled = 0, tr.GetSettled()
 	case workpb.Phase_WAITING:
--- a/internal/jobcontrol/fleet_test.go
+++ b/internal/jobcontrol/fleet_test.go
@@ -29,6 +29,8 @@
 	workers map[string]*workertest.Worker
 	// unresponsive VMs answer nothing; loseAnswer selects orders that are executed but whose answer is lost.
 	unresponsive map[string]bool
+	// unregistered VMs are missing from the registry.
+	unregistered map[string]bool
 	loseAnswer   func(od *workpb.Order) bool
 	// held collects the starts that are neither executed nor answered while holdStarts is set.
 	holdStarts bool
@@ -48,7 +50,7 @@
 
 func newFleet(t *testing.T, vms ...*workpb.VM) *fleet {
 	fl := &fleet{
-		t: t, ck: clock.NewFake(1_000_000), workers: map[string]*workertest.Worker{}, unresponsive: map[string]bool{},
+		t: t, ck: clock.NewFake(1_000_000), workers: map[string]*workertest.Worker{}, unresponsive: map[string]bool{}, unregistered: map[string]bool{},
 		stored: map[string]*workpb.Progress{}, jobs: map[string]*workpb.Job{},
 		runningOn: map[string]string{}, doneTasks: map[string]bool{}, starts: map[string]int{},
 	}
@@ -71,8 +73,10 @@
 	for _, id := range fl.jobIDs() {
 		fl.ct.Restore(fl.jobs[id], fl.stored[id])
 	}
-	for _, wk := range fl.workers {
-		fl.ct.SetVM(wk.VM())
+	for id, wk := range fl.workers {
+		if !fl.unregistered[id] {
+			fl.ct.SetVM(wk.VM())
+		}
 	}
 }
 
--- a/internal/jobcontrol/job.go
+++ b/internal/jobcontrol/job.go
@@ -214,7 +214,7 @@
 	if at, ok := hosts[reg.GetId()]; ok {
 		return at
 	}
-	pg.Hosts = append(pg.Hosts, &workpb.Host{Vm: reg.GetId(), Machine: reg.GetMachine()})
+	pg.Hosts = append(pg.Hosts, &workpb.Host{Vm: reg.GetId(), Machine: reg.GetMachine(), Address: reg.GetAddress(), Zone: reg.GetZone()})
 	hosts[reg.GetId()] = int32(len(pg.GetHosts()))
 	return hosts[reg.GetId()]
 }
--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/jobcontrol/lifecycle_test.go
@@ -434,3 +434,14 @@
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
 	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Not(qt.Equals), host)
 }
+
+// The registration of a VM may lapse while its store or its network is disturbed, though it runs on and answers its polls.
+func TestTaskOnAnUnregisteredVMKeepsItsRunUnderANewOwner(t *testing.T) {
+	fl, host := newLastingTask(t, hostedVM("a"), hostedVM("b"))
+	fl.ct.DropVM(host)
+	fl.unregistered[host] = true
+	fl.newOwner()
+	fl.run(settledMS)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, host)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
