Count an owner's term from the start of its scheduling

Cause: the 3 s that an owner keeps the ownership at least counted from its taking, and the restore had used 2.5 s of them; calls that were delayed by the restore then ended the term, and a successor restored anew. TestRestoreDoesNotCountAsTerm failed before (the owner changed 1.0 s after scheduling started). The owner no longer yields there.

--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -55,6 +55,8 @@
 	events      chan func()
 	orderQueues map[string]*orderQueue
 	startMS     int64
+	// scheduleStartMS is when the restore had ended.
+	scheduleStartMS int64
 
 	committing    bool
 	commits       sync.WaitGroup
@@ -92,7 +94,7 @@
 	countsIntervalMS = 600
 	// finishTimeoutMS bounds the wait for the last commit.
 	finishTimeoutMS = 1500
-	// minTermMS is the minimum time that an owner keeps the ownership before it yields.
+	// minTermMS is the minimum time that an owner schedules before it yields.
 	minTermMS = 3000
 	// stableTermMS is the term of an owner from which the load seems to be one that an entry can carry.
 	stableTermMS = 30_000
@@ -132,7 +134,8 @@
 	if err := rn.restore(ctx, stop); err != nil {
 		return err
 	}
-	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.ck.Now()-rn.startMS)
+	rn.scheduleStartMS = rn.ck.Now()
+	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.scheduleStartMS-rn.startMS)
 	defer rn.deps.Relays.Update(nil)
 	tick := time.NewTicker(tickIntervalMS * time.Millisecond)
 	defer tick.Stop()
@@ -171,7 +174,7 @@
 	if rn.ow.PredecessorMS() < stableTermMS {
 		termMS = stableTermMS
 	}
-	return nowMS-rn.startMS >= termMS
+	return nowMS-rn.scheduleStartMS >= termMS
 }
 
 // finish waits for the commit in flight, since the ownership cannot be released before its outcome is known.
--- a/internal/jobrunner/restore_test.go
+++ b/internal/jobrunner/restore_test.go
@@ -149,3 +149,31 @@
 		qt.Check(t, tookMS > 0 && tookMS < lossMS+4*answerMS, qt.IsTrue, qt.Commentf("first start %d ms after the loss", tookMS))
 	})
 }
+
+// A restore delays all calls to VMs; the owner that made it must get the time to catch up before its term may end.
+func TestRestoreDoesNotCountAsTerm(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		const restoreMS = 2500
+		si.startFive()
+		si.wait(32_000)
+		for at := range 40 {
+			si.submit(fmt.Sprintf("%014d%02d", 0, at), 2)
+		}
+		si.st.SetScanLatency(intake.ProgressTable, restoreMS)
+		si.kill(si.owner())
+		for _, en := range si.entries {
+			en.setSlow(500)
+		}
+		si.wait(2000)
+		successor := si.owner()
+		for at := range 43 {
+			si.submit(fmt.Sprintf("%014d%02d", 1, at), 1)
+			si.wait(100)
+		}
+		qt.Check(t, si.owner(), qt.Equals, successor)
+		for _, en := range si.entries {
+			en.setSlow(0)
+		}
+		si.wait(1000)
+	})
+}
