Leave long-running gangs on draining VMs

They stay until the VM ends, as before the move of tasks off draining VMs. TestGangDoesNotLeaveADrainingVM failed before (a second run of both members).

--- a/internal/jobcontrol/evacuate.go
+++ b/internal/jobcontrol/evacuate.go
@@ -96,14 +96,17 @@
 	return chooseVM(rn.task, pool)
 }
 
-// evacuateDraining moves long-running tasks off VMs that are about to end, one of each step at least, as far as other VMs have room for them: at its VM's end a task is unavailable for longer.
+// evacuateDraining moves long-running tasks off VMs that are about to end, as many of each step at a time as its budget allows and at least one, if other VMs have room for them: at its VM's end a task is unavailable for longer. Gangs stay, since moving one member stops the others.
 func (ct *Controller) evacuateDraining(pools map[string][]*vmState, hr heldRoom, nowMS int64) {
 	for _, vm := range ct.vms {
 		if !vm.registered || !vm.reg.GetDraining() || vm.unresponsive {
 			continue
 		}
 		for _, rn := range vm.runs {
-			if rn.phase != phaseRunning || !rn.lasting() || !ct.mayEvacuate(rn, max(int(rn.task.st.row.GetDisruptionBudget()), 1)) {
+			if rn.phase != phaseRunning || !rn.lasting() || rn.task.st.row.GetGang() {
+				continue
+			}
+			if !ct.mayEvacuate(rn, max(int(rn.task.st.row.GetDisruptionBudget()), 1)) {
 				continue
 			}
 			if rn.target = ct.chooseOtherVM(rn, pools, nowMS); rn.target != nil {
--- a/internal/jobcontrol/evacuate_test.go
+++ b/internal/jobcontrol/evacuate_test.go
@@ -140,3 +140,16 @@
 	fl.run(2000)
 	qt.Assert(t, len(fl.runningOn), qt.Equals, 2)
 }
+
+// Moving one member stops the others, also those on VMs that stay.
+func TestGangDoesNotLeaveADrainingVM(t *testing.T) {
+	fl := newFleet(t, hostedVM("a"), hostedVM("b"), hostedVM("c"))
+	fl.setBehavior(0, workpb.End_END_UNKNOWN)
+	st := lastingStep(2)
+	st.Gang, st.MaxPerVm = true, 1
+	fl.submit(jobOf("j1", st))
+	fl.run(settledMS)
+	fl.drain(fl.runningOn["j1.0.0.0"])
+	fl.run(2000)
+	qt.Assert(t, fl.starts, qt.DeepEquals, map[string]int{"j1.0.0.0": 1, "j1.0.0.1": 1})
+}
