Start nothing in a zone that the operators evacuate

Now every entry follows these rows, and the owner starts and moves nothing in such a zone until its row is removed.

--- a/internal/jobcontrol/controller.go
+++ b/internal/jobcontrol/controller.go
@@ -34,9 +34,11 @@
 	// shortRows holds the short rows of completed jobs whose rows are still whole.
 	shortRows map[string]*workpb.Job
 	// endedIDs holds the ids of ended jobs that Ended hasn't returned yet.
-	endedIDs  []string
-	vms       map[string]*vmState
-	zones     map[string]*zone
+	endedIDs []string
+	vms      map[string]*vmState
+	zones    map[string]*zone
+	// evacuated holds the zones in which the operators allow no starts.
+	evacuated map[string]bool
 	used      map[string]size.Size
 	dirtyJobs []*job
 	outbox    []*workpb.Order
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -555,3 +555,32 @@
 	}
 	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
 }
+
+func TestNothingIsStartedInAnEvacuatedZone(t *testing.T) {
+	one, other := vmOf("a"), vmOf("b")
+	one.Zone, other.Zone = "x", "y"
+	fl := newFleet(t, one, other)
+	fl.ct.SetEvacuatedZones(map[string]bool{"x": true})
+	fl.beforeOrder = func(od *workpb.Order) {
+		qt.Check(t, od.GetVerb() == workpb.Verb_START && od.GetVm() == "a", qt.IsFalse, qt.Commentf("%s starts in the evacuated zone", od.GetTask()))
+	}
+	fl.submit(jobOf("j1", stepOf(16)))
+	fl.run(4000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+	fl.beforeOrder = func(*workpb.Order) {}
+	fl.ct.SetEvacuatedZones(nil)
+	fl.submit(jobOf("j2", stepOf(16)))
+	fl.run(100)
+	qt.Assert(t, fl.workers["a"].Running() > 0, qt.IsTrue)
+}
+
+func TestStartPlannedBeforeAnEvacuationIsNotSent(t *testing.T) {
+	one := vmOf("a")
+	one.Zone = "x"
+	fl := newFleet(t, one)
+	fl.run(1000)
+	fl.submit(jobOf("j1", stepOf(1)))
+	bt := fl.ct.Plan(true)
+	fl.ct.SetEvacuatedZones(map[string]bool{"x": true})
+	qt.Assert(t, fl.ct.ConfirmStored(bt), qt.HasLen, 0)
+}
--- a/internal/jobcontrol/place.go
+++ b/internal/jobcontrol/place.go
@@ -102,12 +102,12 @@
 
 func (cd candidate) ending() bool { return !cd.lasting() }
 
-// pools returns the usable VMs of each service, without those in a zone that is cut off, and clears what the pass before left on them.
+// pools returns the usable VMs of each service, without those in a zone that is evacuated or cut off, and clears what the pass before left on them.
 func (ct *Controller) pools(nowMS int64) map[string][]*vmState {
 	pools := map[string][]*vmState{}
 	for _, vm := range ct.vms {
 		vm.reserved, vm.lastingSum = false, nil
-		if vm.usable(nowMS) && !ct.CutOff(vm.reg.GetZone()) {
+		if vm.usable(nowMS) && !ct.ZoneClosed(vm.reg.GetZone()) {
 			pools[vm.reg.GetService()] = append(pools[vm.reg.GetService()], vm)
 		}
 	}
--- a/internal/jobcontrol/plan.go
+++ b/internal/jobcontrol/plan.go
@@ -61,7 +61,7 @@
 // startOrder returns the order for a stored start, or ends the run and returns nil if the job has ended, the VM has become unusable or the ticket has expired in the meantime.
 func (ct *Controller) startOrder(rn *run) *workpb.Order {
 	nowMS := ct.ck.Now()
-	if rn.task == nil || rn.task.job().ended() || !rn.vm.usable(nowMS) {
+	if rn.task == nil || rn.task.job().ended() || !rn.vm.usable(nowMS) || ct.evacuated[rn.vm.reg.GetZone()] {
 		ct.endRun(rn, workpb.End_END_STOPPED, "")
 		return nil
 	}
--- a/internal/jobcontrol/unplaceable.go
+++ b/internal/jobcontrol/unplaceable.go
@@ -101,11 +101,11 @@
 	return st.need().CopiesIn(free, limit)
 }
 
-// countVMs counts a service's schedulable VMs, including those cordoned for a move, but not those under suspicion or in a zone that is cut off, which pool sizing doesn't count either.
+// countVMs counts a service's schedulable VMs, including those cordoned for a move, but not those under suspicion or in a zone that is evacuated or cut off, which pool sizing doesn't count either.
 func (ct *Controller) countVMs(service string) int {
 	count := 0
 	for _, vm := range ct.vms {
-		if vm.reg.GetService() == service && vm.schedulable() && vm.suspicion.Usable(ct.ck.Now()) && !ct.CutOff(vm.reg.GetZone()) {
+		if vm.reg.GetService() == service && vm.schedulable() && vm.suspicion.Usable(ct.ck.Now()) && !ct.ZoneClosed(vm.reg.GetZone()) {
 			count++
 		}
 	}
--- a/internal/jobcontrol/zone.go
+++ b/internal/jobcontrol/zone.go
@@ -61,3 +61,9 @@
 	nowMS := ct.ck.Now()
 	return nowMS-zn.answeredMS >= zoneUnansweredMS && nowMS-zn.failedMS < zoneRetryMS
 }
+
+// SetEvacuatedZones sets the availability zones in which the operators allow no starts; what runs there goes on.
+func (ct *Controller) SetEvacuatedZones(zones map[string]bool) { ct.evacuated = zones }
+
+// ZoneClosed reports whether nothing may be started or moved in an availability zone: it is evacuated or seems to be cut off.
+func (ct *Controller) ZoneClosed(name string) bool { return ct.evacuated[name] || ct.CutOff(name) }
--- a/internal/jobrunner/jobrunner.go
+++ b/internal/jobrunner/jobrunner.go
@@ -42,6 +42,8 @@
 	// Rules returns the rules in force, or nil before the first read; Waves returns all waves.
 	Rules func() *rulesindex.Index
 	Waves func() []*workpb.Wave
+	// EvacuatedZones returns the availability zones in which the operators allow no starts.
+	EvacuatedZones func() map[string]bool
 }
 
 // Runner schedules jobs, maintenance and pool moves for the duration of one ownership; its state belongs to the goroutine of Run.
@@ -255,6 +257,7 @@
 		rn.rules = ix
 		rn.ct.SetRules(ix)
 	}
+	rn.ct.SetEvacuatedZones(rn.deps.EvacuatedZones())
 }
 
 // pollVMs starts the polls that are due. An owner that cannot renew its own lease stops renewing run leases after jobcontrol.RenewalWindowMS, so that a successor knows when all of them have expired.
--- a/internal/jobrunner/jobrunner_test.go
+++ b/internal/jobrunner/jobrunner_test.go
@@ -172,7 +172,7 @@
 		RegistryTable: registryTable, DecodeVM: decodeVM,
 		Machines: si.list, Maintain: si.maintain, Move: si.move,
 		WaveStatus: si.waveStatus,
-		Rules:      rules(), Waves: si.waveSpecs,
+		Rules:      rules(), Waves: si.waveSpecs, EvacuatedZones: func() map[string]bool { return nil },
 	}
 	deps.Relays = relay.New(si.ck, event.Discard(), 0)
 	sc := jobrunner.NewScheduler(deps, si.ck, event.Discard(), ow, 0, si.retentionMS)
--- a/internal/jobrunner/poolresizer.go
+++ b/internal/jobrunner/poolresizer.go
@@ -141,7 +141,7 @@
 	return out
 }
 
-// hosts returns the machines that are or will be usable in their pools, without those that are in a maintenance wave, whose VM accepts no work or whose zone is unreachable.
+// hosts returns the machines that are or will be usable in their pools, without those that are in a maintenance wave, whose VM accepts no work or whose zone is evacuated or unreachable.
 func (pr *poolResizer) hosts() []poolsize.Host {
 	var out []poolsize.Host
 	standby := map[string]bool{}
@@ -149,11 +149,11 @@
 		standby[sv.GetName()] = sv.GetStandby()
 	}
 	for _, mc := range pr.rn.waves.machines {
-		if mo, ok := pr.ordered[mc.GetId()]; ok && !pr.rn.ct.CutOff(mc.GetZone()) {
+		if mo, ok := pr.ordered[mc.GetId()]; ok && !pr.rn.ct.ZoneClosed(mc.GetZone()) {
 			out = append(out, poolsize.NewHost(mc.GetId(), mo.pool, "", mc.GetCpuMilli(), 0, true))
 			continue
 		}
-		if (!mc.GetUp() && !mc.GetMoving()) || pr.rn.waves.inProgress(mc.GetId()) || pr.rn.ct.Unusable(mc.GetVm()) || pr.rn.ct.CutOff(mc.GetZone()) {
+		if (!mc.GetUp() && !mc.GetMoving()) || pr.rn.waves.inProgress(mc.GetId()) || pr.rn.ct.Unusable(mc.GetVm()) || pr.rn.ct.ZoneClosed(mc.GetZone()) {
 			continue
 		}
 		pinned := !mc.GetUp() || (!standby[mc.GetPool()] && !pr.rn.ct.Movable(mc.GetVm()))
--- a/internal/operatorfeed/operatorfeed.go
+++ b/internal/operatorfeed/operatorfeed.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/admission"
@@ -18,9 +21,11 @@
 	Table    string
 	RulesKey string
 	// IsWave reports whether a key is that of a wave.
-	IsWave      func(key string) bool
-	DecodeRules func(raw []byte) (*workpb.Rules, error)
-	DecodeWave  func(raw []byte) (*workpb.Wave, error)
+	IsWave func(key string) bool
+	// EvacuatedZone returns the availability zone that a row with this key evacuates, for as long as the row exists.
+	EvacuatedZone func(key string) (zone string, ok bool)
+	DecodeRules   func(raw []byte) (*workpb.Rules, error)
+	DecodeWave    func(raw []byte) (*workpb.Wave, error)
 }
 
 // Feed follows the operators' rows and puts new rules into force.
@@ -33,6 +38,8 @@
 
 	mu    sync.Mutex
 	waves map[string]*workpb.Wave
+	// evacuated holds the evacuated zones; it is replaced at each change.
+	evacuated map[string]bool
 }
 
 const (
@@ -44,7 +51,7 @@
 
 // New returns a feed that passes the rules to the admission.
 func New(st *rowstore.Store, ck *clock.Clock, lg *event.Log, sc Schema, ad *admission.Admission) *Feed {
-	return &Feed{st: st, ck: ck, lg: lg, sc: sc, ad: ad, waves: map[string]*workpb.Wave{}}
+	return &Feed{st: st, ck: ck, lg: lg, sc: sc, ad: ad, waves: map[string]*workpb.Wave{}, evacuated: map[string]bool{}}
 }
 
 // Run follows the rows until the context ends.
@@ -56,6 +63,7 @@
 	rf.OnRecovery = func(version int64) { fd.lg.Info("operators-feed-regained", "version", version) }
 	rf.Run(ctx, func(ch rowfeed.Change) {
 		fd.apply(ch.Rows())
+		fd.applyEvacuations(ch)
 		fd.ad.ConfirmCurrent(ch.SentMS())
 	})
 }
@@ -107,3 +115,34 @@
 	}
 	return list
 }
+
+// applyEvacuations takes up the zones that are evacuated or taken back; a complete list names all that are evacuated.
+func (fd *Feed) applyEvacuations(ch rowfeed.Change) {
+	zones := map[string]bool{}
+	if !ch.Complete() {
+		maps.Copy(zones, fd.EvacuatedZones())
+	}
+	for _, rw := range ch.Rows() {
+		zone, ok := fd.sc.EvacuatedZone(rw.Key())
+		switch {
+		case !ok:
+		case rw.Deleted():
+			delete(zones, zone)
+		default:
+			zones[zone] = true
+		}
+	}
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	if !maps.Equal(zones, fd.evacuated) {
+		fd.lg.Info("zones-evacuated", "zones", strings.Join(slices.Sorted(maps.Keys(zones)), ","))
+		fd.evacuated = zones
+	}
+}
+
+// EvacuatedZones returns the availability zones in which nothing may be started; the map must not be changed.
+func (fd *Feed) EvacuatedZones() map[string]bool {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	return fd.evacuated
+}
--- a/internal/operatorfeed/operatorfeed_test.go
+++ b/internal/operatorfeed/operatorfeed_test.go
@@ -23,6 +23,7 @@
 func schema() operatorfeed.Schema {
 	return operatorfeed.Schema{
 		Table: "o", RulesKey: "rules", IsWave: func(key string) bool { return strings.HasPrefix(key, "w") },
+		EvacuatedZone: func(key string) (string, bool) { return strings.CutPrefix(key, "zone-") },
 		DecodeRules: func(raw []byte) (*workpb.Rules, error) {
 			version, err := strconv.ParseInt(string(raw), 10, 64)
 			if err != nil {
@@ -119,3 +120,16 @@
 		})
 	}
 }
+
+func TestZonesAreEvacuatedUntilTheirRowsAreRemoved(t *testing.T) {
+	runFeed(t, func(fx *fixture) {
+		fx.publish(t, "zone-a", "{}")
+		fx.publish(t, "zone-b", "{}")
+		qt.Assert(t, fx.fd.EvacuatedZones(), qt.DeepEquals, map[string]bool{"a": true, "b": true})
+		_, _, err := fx.st.Rowstore().Commit(context.Background(), rowstore.NewTx("").Remove("o", "zone-a"))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		qt.Assert(t, fx.fd.EvacuatedZones(), qt.DeepEquals, map[string]bool{"b": true})
+	})
+}
