Count the failure of a run that was given up, also one learnt late

Now a task remembers the runs that this owner gave up and on which VM, and a failure that is listed later counts once. Failures of runs that an earlier owner gave up aren't known, as before. TestFailureOfARunThatWasGivenUpCountsAsAnAttempt failed before (4 starts, want 3).

--- a/internal/jobcontrol/end.go
+++ b/internal/jobcontrol/end.go
@@ -1,6 +1,9 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import (
+	"github.com/fulmarloft/fulmarloft/internal/taskname"
+	"github.com/fulmarloft/fulmarloft/internal/workpb"
+)
 
 const (
 	// retryBackoffMS is the delay before a failed task's next run, multiplied by its failures so far.
@@ -21,6 +24,9 @@
 	if checkpoint != "" {
 		tk.checkpoint = checkpoint
 	}
+	if how == workpb.End_END_LEASE_EXPIRED {
+		tk.giveUp(rn)
+	}
 	if len(tk.avoid) > maxAvoidedVMs {
 		tk.avoid = tk.avoid[len(tk.avoid)-maxAvoidedVMs:]
 	}
@@ -42,6 +48,34 @@
 	}
 }
 
+// giveUp remembers a run whose end isn't known.
+func (tk *task) giveUp(rn *run) {
+	if tk.givenUp == nil {
+		tk.givenUp = map[int64]string{}
+	}
+	tk.givenUp[rn.key.run] = rn.vm.id
+}
+
+// givenUpRunFailed counts a failure that the VM reports after its run was given up.
+func (ct *Controller) givenUpRunFailed(vm string, key runKey) {
+	nm, err := taskname.Parse(key.task)
+	if err != nil {
+		return
+	}
+	jb, ok := ct.jobs[nm.Job()]
+	if !ok || jb.ended() {
+		return
+	}
+	tk := jb.task(nm)
+	if tk == nil || tk.done || tk.givenUp[key.run] != vm || tk.st.row.GetGang() || tk.st.row.GetLasting() {
+		return
+	}
+	delete(tk.givenUp, key.run)
+	ct.lg.Info("run-failed-late", "vm", vm, "task", key.task, "run", key.run)
+	ct.markDirty(jb)
+	ct.taskFailed(tk)
+}
+
 func (ct *Controller) taskDone(tk *task) {
 	if tk.st.row.GetLasting() {
 		return
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/jobcontrol/faults_test.go
@@ -584,3 +584,17 @@
 	fl.ct.SetEvacuatedZones(map[string]bool{"x": true})
 	qt.Assert(t, fl.ct.ConfirmStored(bt), qt.HasLen, 0)
 }
+
+func TestFailureOfARunThatWasGivenUpCountsAsAnAttempt(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	fl.setBehavior(100, workpb.End_END_FAILED)
+	fl.run(settledMS)
+	fl.submit(jobOf("j1", stepOf(1)))
+	fl.run(2 * stepMS)
+	fl.unresponsive["a"] = true
+	fl.run(runLeaseMS + 1500)
+	fl.unresponsive["a"] = false
+	fl.run(8000)
+	qt.Assert(t, fl.state("j1"), qt.Equals, workpb.State_FAILED)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 3)
+}
--- a/internal/jobcontrol/job.go
+++ b/internal/jobcontrol/job.go
@@ -53,6 +53,8 @@
 	notBeforeMS int64
 	current     *run
 	avoid       []string
+	// givenUp holds the runs, with their VMs, that this owner ended without knowing how they ended.
+	givenUp map[int64]string
 	// movedOffSlowVM is set once a run of the task was stopped because it was slow.
 	movedOffSlowVM bool
 }
--- a/internal/jobcontrol/poll.go
+++ b/internal/jobcontrol/poll.go
@@ -240,9 +240,13 @@
 		if ok {
 			ct.endRun(rn, row.GetEnd(), row.GetCheckpoint())
 		}
-		if row.GetEnd() == workpb.End_END_DONE {
+		switch row.GetEnd() {
+		case workpb.End_END_DONE:
 			ct.duplicateDone(row.GetTask())
 			ct.lastRunDone(key)
+		case workpb.End_END_FAILED:
+			ct.givenUpRunFailed(vm.id, key)
+		default:
 		}
 	}
 }
