--- a/cmd/fulmarloft/admin.go
+++ b/cmd/fulmarloft/admin.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/identity"
-	"github.com/fulmarloft/fulmarloft/internal/operatorapi"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/operatorapi"
+	"github.com/fulmarloft/fulmarloft/internal/membership/identity"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/cmd/fulmarloft/admin_test.go
+++ b/cmd/fulmarloft/admin_test.go
@@ -11,7 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundletest"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/bundletest"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/cmd/fulmarloft/allot.go
+++ b/cmd/fulmarloft/allot.go
@@ -7,7 +7,7 @@
 	"slices"
 	"text/tabwriter"
 
-	"github.com/fulmarloft/fulmarloft/internal/apportion"
+	"github.com/fulmarloft/fulmarloft/internal/limits/apportion"
 )
 
 const (
--- a/cmd/fulmarloft/bundle.go
+++ b/cmd/fulmarloft/bundle.go
@@ -10,8 +10,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundledelta"
-	"github.com/fulmarloft/fulmarloft/internal/operatorapi"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/bundledelta"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/operatorapi"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/signoff"
--- a/cmd/fulmarloft/compare.go
+++ b/cmd/fulmarloft/compare.go
@@ -7,8 +7,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/maintenancerate"
-	"github.com/fulmarloft/fulmarloft/internal/zonemodel"
+	"github.com/fulmarloft/fulmarloft/internal/machines/maintenancerate"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/zonemodel"
 )
 
 func compareCommands(app *kingpin.Application) []command {
--- a/cmd/fulmarloft/entry.go
+++ b/cmd/fulmarloft/entry.go
@@ -10,7 +10,7 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/entry"
-	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/settings"
 )
 
--- a/cmd/fulmarloft/explain.go
+++ b/cmd/fulmarloft/explain.go
@@ -7,7 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/explain"
+	"github.com/fulmarloft/fulmarloft/internal/observability/explain"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/cmd/fulmarloft/footprint.go
+++ b/cmd/fulmarloft/footprint.go
@@ -6,7 +6,7 @@
 	"os"
 	"text/tabwriter"
 
-	"github.com/fulmarloft/fulmarloft/internal/footprint"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/footprint"
 )
 
 // compareFootprint prints the resource use per entry of idle fleets of increasing size.
--- a/cmd/fulmarloft/key.go
+++ b/cmd/fulmarloft/key.go
@@ -7,7 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/operatorapi"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/operatorapi"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/key"
--- a/cmd/fulmarloft/load.go
+++ b/cmd/fulmarloft/load.go
@@ -10,9 +10,9 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/loadplan"
-	"github.com/fulmarloft/fulmarloft/internal/loadstats"
-	"github.com/fulmarloft/fulmarloft/internal/report"
+	"github.com/fulmarloft/fulmarloft/internal/observability/report"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/loadplan"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/loadstats"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/cmd/fulmarloft/platform.go
+++ b/cmd/fulmarloft/platform.go
@@ -8,7 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/platform/boot"
 	"github.com/fulmarloft/fulmarloft/platform/edge"
 )
--- a/cmd/fulmarloft/standin.go
+++ b/cmd/fulmarloft/standin.go
@@ -6,10 +6,10 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/recorder"
-	"github.com/fulmarloft/fulmarloft/internal/standin/endpoint"
-	"github.com/fulmarloft/fulmarloft/internal/standin/platform"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/recorder"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/standin/endpoint"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/standin/platform"
 )
 
 const (
--- a/cmd/fulmarloft/try.go
+++ b/cmd/fulmarloft/try.go
@@ -8,7 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/try"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/try"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/acceptance/acceptance.go
+++ b/internal/configuration/acceptance/acceptance.go
@@ -5,9 +5,9 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/clockdrift"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/roster"
+	"github.com/fulmarloft/fulmarloft/internal/membership/clockdrift"
+	"github.com/fulmarloft/fulmarloft/internal/membership/roster"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 )
 
 // Tracker collects the acknowledgements of the entries and determines which version is accepted. It never reports a version accepted while an entry could take keyed work under an older one. It is safe for concurrent use.
--- a/internal/acceptance/acceptance_test.go
+++ b/internal/configuration/acceptance/acceptance_test.go
@@ -5,9 +5,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/acceptance"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/acceptance"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 )
 
 // step is an acknowledgement or, with gone set, the platform's report that the incarnation ended, at a time after the commit.
--- a/internal/bundledelta/bundledelta.go
+++ b/internal/configuration/bundledelta/bundledelta.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/fulmarloft/fulmarloft/internal/blocks"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/bundledelta/bundledelta_test.go
+++ b/internal/configuration/bundledelta/bundledelta_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundledelta"
-	"github.com/fulmarloft/fulmarloft/internal/bundletest"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/bundledelta"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/bundletest"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/bundledelta/fuzz_test.go
+++ b/internal/configuration/bundledelta/fuzz_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundledelta"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/bundledelta"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 )
 
 // FuzzApply applies arbitrary messages from another entry; the size of a result must be bounded by the sizes of base and message.
--- a/internal/config/config.go
+++ b/internal/configuration/config/config.go
@@ -6,10 +6,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundledelta"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/keyring"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/bundledelta"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/keyring"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
--- a/internal/configlease/configlease.go
+++ b/internal/configuration/configlease/configlease.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/clockdrift"
+	"github.com/fulmarloft/fulmarloft/internal/membership/clockdrift"
 )
 
 // Lease bounds how long an entry may accept keyed work under its configuration version without contact to other entries or the table.
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/configuration/operatorapi/operatorapi.go
@@ -9,10 +9,10 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/fulmarloft/fulmarloft/internal/cluster"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/requestbody"
+	"github.com/fulmarloft/fulmarloft/internal/membership/cluster"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestbody"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/signoff"
 )
--- a/internal/operatorfeed/operatorfeed.go
+++ b/internal/configuration/operatorfeed/operatorfeed.go
@@ -7,13 +7,13 @@
 	"strings"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/admission"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/rowfeed"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/admission"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowfeed"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 )
 
 // Schema describes where the operators' rows are stored and how they are decoded.
--- a/internal/operatorfeed/operatorfeed_test.go
+++ b/internal/configuration/operatorfeed/operatorfeed_test.go
@@ -10,13 +10,13 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/admission"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/operatorfeed"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/operatorfeed"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/admission"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/rowstoretest"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/publish/publish.go
+++ b/internal/configuration/publish/publish.go
@@ -6,9 +6,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/key"
--- a/internal/rulesindex/rulesindex.go
+++ b/internal/configuration/rulesindex/rulesindex.go
@@ -4,7 +4,7 @@
 	"sort"
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // Index is an immutable index of one version of the rules.
--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -5,9 +5,9 @@
 	"maps"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/capacity"
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/capacity"
 	"github.com/fulmarloft/fulmarloft/pkg/pool"
 )
 
--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
 )
 
 // A VM's slots must not be lent to a new pool while the previous borrower still has requests there.
--- a/internal/entry/cluster.go
+++ b/internal/entry/cluster.go
@@ -8,12 +8,12 @@
 
 	"storj.io/drpc"
 
-	"github.com/fulmarloft/fulmarloft/internal/cluster"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/identity"
-	"github.com/fulmarloft/fulmarloft/internal/leavingpb"
-	"github.com/fulmarloft/fulmarloft/internal/operatorapi"
-	"github.com/fulmarloft/fulmarloft/internal/peer"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/operatorapi"
+	"github.com/fulmarloft/fulmarloft/internal/membership/cluster"
+	"github.com/fulmarloft/fulmarloft/internal/membership/identity"
+	"github.com/fulmarloft/fulmarloft/internal/membership/peer"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/leavingpb"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,14 +8,14 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/platformclient"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vmlist"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/settings"
-	"github.com/fulmarloft/fulmarloft/internal/table"
-	"github.com/fulmarloft/fulmarloft/internal/vmlist"
+	"github.com/fulmarloft/fulmarloft/internal/store/platformclient"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 )
 
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleet"
-	"github.com/fulmarloft/fulmarloft/internal/fleetapi"
-	"github.com/fulmarloft/fulmarloft/internal/fleettable"
-	"github.com/fulmarloft/fulmarloft/internal/leaseset"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleet"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleetapi"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleettable"
+	"github.com/fulmarloft/fulmarloft/internal/membership/leaseset"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 )
 
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -6,13 +6,13 @@
 
 	"github.com/google/uuid"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/jobapi"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/scheduler"
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/vmsizes"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobapi"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/scheduler"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/vmsizes"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/team"
 )
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -7,9 +7,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/unit"
-	"github.com/fulmarloft/fulmarloft/internal/vmlist"
+	"github.com/fulmarloft/fulmarloft/internal/limits/unit"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vmlist"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -8,12 +8,12 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/limit"
-	"github.com/fulmarloft/fulmarloft/internal/limitpb"
-	"github.com/fulmarloft/fulmarloft/internal/liveness"
-	"github.com/fulmarloft/fulmarloft/internal/unit"
+	"github.com/fulmarloft/fulmarloft/internal/limits/limit"
+	"github.com/fulmarloft/fulmarloft/internal/limits/unit"
+	"github.com/fulmarloft/fulmarloft/internal/membership/liveness"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/limitpb"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
--- a/internal/entry/operatorapi_test.go
+++ b/internal/entry/operatorapi_test.go
@@ -13,14 +13,14 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundletest"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/entry"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/identity"
-	"github.com/fulmarloft/fulmarloft/internal/identitytest"
+	"github.com/fulmarloft/fulmarloft/internal/membership/identity"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/settings"
-	"github.com/fulmarloft/fulmarloft/internal/standin/platform"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/bundletest"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/identitytest"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/standin/platform"
 )
 
 const loopback = "127.0.0.1:0"
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -6,14 +6,14 @@
 	"net/http"
 	"strconv"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
-	"github.com/fulmarloft/fulmarloft/internal/drain"
-	"github.com/fulmarloft/fulmarloft/internal/forwardpb"
-	"github.com/fulmarloft/fulmarloft/internal/idempotencykey"
-	"github.com/fulmarloft/fulmarloft/internal/leaserow"
-	"github.com/fulmarloft/fulmarloft/internal/operatorapi"
-	"github.com/fulmarloft/fulmarloft/internal/refusal"
-	"github.com/fulmarloft/fulmarloft/internal/requestrouter"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/operatorapi"
+	"github.com/fulmarloft/fulmarloft/internal/membership/leaserow"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/forwardpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/drain"
+	"github.com/fulmarloft/fulmarloft/internal/request/idempotencykey"
+	"github.com/fulmarloft/fulmarloft/internal/request/refusal"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestrouter"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/entry/requests_test.go
+++ b/internal/entry/requests_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/drain"
+	"github.com/fulmarloft/fulmarloft/internal/request/drain"
 )
 
 // A draining entry that issues no request ids any more must say so with its code and when to come back.
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -8,10 +8,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/slot"
-	"github.com/fulmarloft/fulmarloft/internal/slotpb"
+	"github.com/fulmarloft/fulmarloft/internal/limits/slot"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/slotpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -6,9 +6,9 @@
 	"slices"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/viewpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/viewpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/apportion/apportion_test.go
+++ b/internal/limits/apportion/apportion_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/fulmarloft/fulmarloft/internal/apportion"
-	"github.com/fulmarloft/fulmarloft/internal/property"
+	"github.com/fulmarloft/fulmarloft/internal/limits/apportion"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/property"
 )
 
 func TestAllocations(t *testing.T) {
--- a/internal/limit/case_test.go
+++ b/internal/limits/limit/case_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/unit"
+	"github.com/fulmarloft/fulmarloft/internal/limits/unit"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/limit/holder.go
+++ b/internal/limits/limit/holder.go
@@ -7,9 +7,9 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/limitpb"
-	"github.com/fulmarloft/fulmarloft/internal/table"
-	"github.com/fulmarloft/fulmarloft/internal/unit"
+	"github.com/fulmarloft/fulmarloft/internal/limits/unit"
+	"github.com/fulmarloft/fulmarloft/internal/pb/limitpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/limit/lend.go
+++ b/internal/limits/limit/lend.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/limitpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/pb/limitpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/limit/model_test.go
+++ b/internal/limits/limit/model_test.go
@@ -13,11 +13,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/limitpb"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/table"
-	"github.com/fulmarloft/fulmarloft/internal/unit"
+	"github.com/fulmarloft/fulmarloft/internal/limits/unit"
+	"github.com/fulmarloft/fulmarloft/internal/pb/limitpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 )
 
 var seedCount = flag.Int64("limit-seeds", modelSeeds, "seeds of TestLimitHoldsOverSeeds")
--- a/internal/limit/refill.go
+++ b/internal/limits/limit/refill.go
@@ -4,9 +4,9 @@
 	"context"
 	"sort"
 
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/limitpb"
-	"github.com/fulmarloft/fulmarloft/internal/unit"
+	"github.com/fulmarloft/fulmarloft/internal/limits/unit"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/pb/limitpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/limit/row.go
+++ b/internal/limits/limit/row.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/limitpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/limitpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/limit/teamlimit.go
+++ b/internal/limits/limit/teamlimit.go
@@ -4,8 +4,8 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/limitpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/pb/limitpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/limit/tick.go
+++ b/internal/limits/limit/tick.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/limitpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/pb/limitpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/slot/slot.go
+++ b/internal/limits/slot/slot.go
@@ -5,8 +5,8 @@
 	"slices"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/apportion"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/limits/apportion"
 )
 
 // Allocator holds one entry's view of its own and the other entries' demand in its zone; entries with the same view compute the same allocations, which together use each slot once.
--- a/internal/slot/slot_test.go
+++ b/internal/limits/slot/slot_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/property"
-	"github.com/fulmarloft/fulmarloft/internal/slot"
+	"github.com/fulmarloft/fulmarloft/internal/limits/slot"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/property"
 )
 
 const slots = 8
--- a/internal/budget/budget.go
+++ b/internal/machines/budget/budget.go
@@ -5,8 +5,8 @@
 	"maps"
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/poolmembers"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/poolmembers"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/pool"
 )
--- a/internal/budget/budget_test.go
+++ b/internal/machines/budget/budget_test.go
@@ -7,12 +7,12 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/fulmarloft/fulmarloft/internal/budget"
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/poolmembers"
-	"github.com/fulmarloft/fulmarloft/internal/property"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/budget"
+	"github.com/fulmarloft/fulmarloft/internal/machines/poolmembers"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/property"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/pool"
 )
--- a/internal/fleet/adapter_test.go
+++ b/internal/machines/fleet/adapter_test.go
@@ -5,12 +5,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleet"
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/fleettable"
-	"github.com/fulmarloft/fulmarloft/internal/platformclient"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleet"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleettable"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/platformclient"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 )
 
--- a/internal/fleet/drive.go
+++ b/internal/machines/fleet/drive.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/poolmembers"
-	"github.com/fulmarloft/fulmarloft/internal/presence"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/poolmembers"
+	"github.com/fulmarloft/fulmarloft/internal/machines/presence"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/pool"
 )
 
--- a/internal/fleet/fault_test.go
+++ b/internal/machines/fleet/fault_test.go
@@ -7,11 +7,11 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/maintenancerate"
-	"github.com/fulmarloft/fulmarloft/internal/platformclient"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/maintenancerate"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/platformclient"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/fleet/register.go
+++ b/internal/machines/fleet/register.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/presence"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/presence"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/pool"
 )
--- a/internal/fleet/waves.go
+++ b/internal/machines/fleet/waves.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 
-	"github.com/fulmarloft/fulmarloft/internal/poolmembers"
-	"github.com/fulmarloft/fulmarloft/internal/presence"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
-	"github.com/fulmarloft/fulmarloft/internal/wave"
-	"github.com/fulmarloft/fulmarloft/internal/wavestep"
+	"github.com/fulmarloft/fulmarloft/internal/machines/poolmembers"
+	"github.com/fulmarloft/fulmarloft/internal/machines/presence"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/wave"
+	"github.com/fulmarloft/fulmarloft/internal/machines/wavestep"
 	"github.com/fulmarloft/fulmarloft/pkg/pool"
 )
 
--- a/internal/fleetapi/fleetapi.go
+++ b/internal/machines/fleetapi/fleetapi.go
@@ -6,9 +6,9 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleet"
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/requestbody"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleet"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestbody"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/fleetapi/fleetapi_test.go
+++ b/internal/machines/fleetapi/fleetapi_test.go
@@ -10,10 +10,10 @@
 	"github.com/gorilla/mux"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/fleet"
-	"github.com/fulmarloft/fulmarloft/internal/fleetapi"
-	"github.com/fulmarloft/fulmarloft/internal/fleettable"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleet"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleetapi"
+	"github.com/fulmarloft/fulmarloft/internal/machines/fleettable"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
--- a/internal/fleetapi/line.go
+++ b/internal/machines/fleetapi/line.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
-	"github.com/fulmarloft/fulmarloft/internal/wave"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/wave"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/fleettable/fleettable.go
+++ b/internal/machines/fleettable/fleettable.go
@@ -6,12 +6,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/poolmembers"
-	"github.com/fulmarloft/fulmarloft/internal/table"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
-	"github.com/fulmarloft/fulmarloft/internal/wave"
+	"github.com/fulmarloft/fulmarloft/internal/machines/poolmembers"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/wave"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/leaving/leaving.go
+++ b/internal/machines/leaving/leaving.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/leavingpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/leavingpb"
 )
 
 // Set holds the incarnations known to be leaving; it is safe for concurrent use.
--- a/internal/leaving/leaving_test.go
+++ b/internal/machines/leaving/leaving_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/leaving"
-	"github.com/fulmarloft/fulmarloft/internal/leavingpb"
+	"github.com/fulmarloft/fulmarloft/internal/machines/leaving"
+	"github.com/fulmarloft/fulmarloft/internal/pb/leavingpb"
 )
 
 const retentionMS = 60_000
--- a/internal/maintenance/counted_test.go
+++ b/internal/machines/maintenance/counted_test.go
@@ -9,9 +9,9 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
-	"github.com/fulmarloft/fulmarloft/internal/maintenance"
-	"github.com/fulmarloft/fulmarloft/internal/property"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/machines/maintenance"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/property"
 )
 
 // moveMS is how long the move of a machine to another pool takes.
--- a/internal/maintenance/maintenance.go
+++ b/internal/machines/maintenance/maintenance.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // Wave is the state machine that carries out one maintenance wave; it is not safe for concurrent use.
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/machines/maintenance/maintenance_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/maintenance"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/machines/maintenance"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 const (
--- a/internal/maintenancerate/maintenancerate_test.go
+++ b/internal/machines/maintenancerate/maintenancerate_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/maintenancerate"
+	"github.com/fulmarloft/fulmarloft/internal/machines/maintenancerate"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/presence/presence.go
+++ b/internal/machines/presence/presence.go
@@ -1,8 +1,8 @@
 package presence
 
 import (
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 )
 
 // Presence interprets one reading of the VM list; a VM that it doesn't show to be up counts as down.
--- a/internal/presence/presence_test.go
+++ b/internal/machines/presence/presence_test.go
@@ -5,9 +5,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/presence"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/presence"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 )
 
 // A VM must count as down if the list doesn't show its incarnation, is too old or is from the future, and must not count as returned by a list older than its state.
--- a/internal/vm/step.go
+++ b/internal/machines/vm/step.go
@@ -5,8 +5,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/vmlist/vmlist.go
+++ b/internal/machines/vmlist/vmlist.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 )
 
 // View holds the newest list that was read, also while the platform can't be reached; it is safe for concurrent use.
--- a/internal/vmlist/vmlist_test.go
+++ b/internal/machines/vmlist/vmlist_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/vmlist"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vmlist"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/wave/wave.go
+++ b/internal/machines/wave/wave.go
@@ -6,9 +6,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/wavestep/wavestep.go
+++ b/internal/machines/wavestep/wavestep.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/budget"
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
-	"github.com/fulmarloft/fulmarloft/internal/poolmembers"
-	"github.com/fulmarloft/fulmarloft/internal/presence"
-	"github.com/fulmarloft/fulmarloft/internal/vm"
-	"github.com/fulmarloft/fulmarloft/internal/wave"
+	"github.com/fulmarloft/fulmarloft/internal/machines/budget"
+	"github.com/fulmarloft/fulmarloft/internal/machines/poolmembers"
+	"github.com/fulmarloft/fulmarloft/internal/machines/presence"
+	"github.com/fulmarloft/fulmarloft/internal/machines/vm"
+	"github.com/fulmarloft/fulmarloft/internal/machines/wave"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
 	"github.com/fulmarloft/fulmarloft/pkg/pool"
 )
 
--- a/internal/clockdrift/clockdrift_test.go
+++ b/internal/membership/clockdrift/clockdrift_test.go
@@ -5,8 +5,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/clockdrift"
-	"github.com/fulmarloft/fulmarloft/internal/lease"
+	"github.com/fulmarloft/fulmarloft/internal/membership/clockdrift"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
 )
 
 // The holder's clock may be 1% slow and the other's 1% fast, and each reading is cut to a whole millisecond, so that a measured time may be up to 1 ms off. A holder must still end before the others stop waiting.
--- a/internal/cluster/cluster_test.go
+++ b/internal/membership/cluster/cluster_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundletest"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/bundletest"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
--- a/internal/cluster/property_test.go
+++ b/internal/membership/cluster/property_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundletest"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/bundletest"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/cluster/rollout_test.go
+++ b/internal/membership/cluster/rollout_test.go
@@ -13,13 +13,13 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/bundletest"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/cluster"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/peer"
+	"github.com/fulmarloft/fulmarloft/internal/membership/cluster"
+	"github.com/fulmarloft/fulmarloft/internal/membership/peer"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/bundletest"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
--- a/internal/cluster/rounds.go
+++ b/internal/membership/cluster/rounds.go
@@ -8,10 +8,10 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/leasevote"
-	"github.com/fulmarloft/fulmarloft/internal/liveness"
-	"github.com/fulmarloft/fulmarloft/internal/roster"
+	"github.com/fulmarloft/fulmarloft/internal/membership/leasevote"
+	"github.com/fulmarloft/fulmarloft/internal/membership/liveness"
+	"github.com/fulmarloft/fulmarloft/internal/membership/roster"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 )
 
 // SendHeartbeats sends one heartbeat to each heartbeat target of this entry.
--- a/internal/cluster/rows.go
+++ b/internal/membership/cluster/rows.go
@@ -6,11 +6,11 @@
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/liveness"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/publish"
-	"github.com/fulmarloft/fulmarloft/internal/roster"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/publish"
+	"github.com/fulmarloft/fulmarloft/internal/membership/liveness"
+	"github.com/fulmarloft/fulmarloft/internal/membership/roster"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/cluster/run.go
+++ b/internal/membership/cluster/run.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/signoff"
 )
--- a/internal/cluster/serve.go
+++ b/internal/membership/cluster/serve.go
@@ -5,9 +5,9 @@
 	"maps"
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/liveness"
-	"github.com/fulmarloft/fulmarloft/internal/roster"
+	"github.com/fulmarloft/fulmarloft/internal/membership/liveness"
+	"github.com/fulmarloft/fulmarloft/internal/membership/roster"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 )
 
 // Beat handles a heartbeat of another entry.
--- a/internal/identity/identity_test.go
+++ b/internal/membership/identity/identity_test.go
@@ -9,8 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/identity"
-	"github.com/fulmarloft/fulmarloft/internal/identitytest"
+	"github.com/fulmarloft/fulmarloft/internal/membership/identity"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/identitytest"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/lag/lag_test.go
+++ b/internal/membership/lag/lag_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/lag"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lag"
 )
 
 // unanswered stands for the duration of a call that gets no answer.
--- a/internal/lease/lease.go
+++ b/internal/membership/lease/lease.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/clockdrift"
+	"github.com/fulmarloft/fulmarloft/internal/membership/clockdrift"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/leaserow/row.go
+++ b/internal/membership/leaserow/row.go
@@ -8,10 +8,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/leasepb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/pb/leasepb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/leaserow/row_test.go
+++ b/internal/membership/leaserow/row_test.go
@@ -7,9 +7,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/leaserow"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/membership/leaserow"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/leaseset/leaseset.go
+++ b/internal/membership/leaseset/leaseset.go
@@ -5,8 +5,8 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/leaserow"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/membership/leaserow"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/leaseset/leaseset_test.go
+++ b/internal/membership/leaseset/leaseset_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/leaseset"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
+	"github.com/fulmarloft/fulmarloft/internal/membership/leaseset"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 )
 
 func TestOneHolderAtATimeAndTakeoverAfterRelease(t *testing.T) {
--- a/internal/leasevote/leasevote.go
+++ b/internal/membership/leasevote/leasevote.go
@@ -4,9 +4,9 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/clockdrift"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/roster"
+	"github.com/fulmarloft/fulmarloft/internal/membership/clockdrift"
+	"github.com/fulmarloft/fulmarloft/internal/membership/roster"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 )
 
 // Voter answers the vouch requests of lease holders, from the newest version and epoch heard of and the promises given; this state isn't persisted, since a restarted process is a new incarnation and counts as another entry.
--- a/internal/liveness/liveness.go
+++ b/internal/membership/liveness/liveness.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 )
 
 // View is the liveness of the other entries as observed by one entry, the viewer; it is safe for concurrent use.
--- a/internal/liveness/liveness_test.go
+++ b/internal/membership/liveness/liveness_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/liveness"
+	"github.com/fulmarloft/fulmarloft/internal/membership/liveness"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 )
 
 func entries(zones, perZone int) []*configpb.Member {
--- a/internal/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -8,9 +8,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/hedge"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/hedge"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/ownership/ownership_test.go
+++ b/internal/membership/ownership/ownership_test.go
@@ -11,9 +11,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/rowstoretest"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/peer/peer.go
+++ b/internal/membership/peer/peer.go
@@ -12,7 +12,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/peer/peer_test.go
+++ b/internal/membership/peer/peer_test.go
@@ -11,11 +11,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
-	"github.com/fulmarloft/fulmarloft/internal/identity"
-	"github.com/fulmarloft/fulmarloft/internal/identitytest"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/peer"
+	"github.com/fulmarloft/fulmarloft/internal/membership/identity"
+	"github.com/fulmarloft/fulmarloft/internal/membership/peer"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/identitytest"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/roster/roster.go
+++ b/internal/membership/roster/roster.go
@@ -5,8 +5,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/clockdrift"
-	"github.com/fulmarloft/fulmarloft/internal/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/clockdrift"
+	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/callmetrics/callmetrics.go
+++ b/internal/observability/callmetrics/callmetrics.go
@@ -4,9 +4,9 @@
 	"context"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/callmetrics/callmetrics_test.go
+++ b/internal/observability/callmetrics/callmetrics_test.go
@@ -6,12 +6,12 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/callmetrics"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/observability/callmetrics"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/rowstoretest"
 )
 
 func TestCallsAreCountedByResult(t *testing.T) {
--- a/internal/entrystatus/entrystatus_test.go
+++ b/internal/observability/entrystatus/entrystatus_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/entrystatus"
-	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/entrystatus"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/event/bounded.go
+++ b/internal/observability/event/bounded.go
@@ -8,7 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/logline"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logline"
 )
 
 const (
--- a/internal/event/event.go
+++ b/internal/observability/event/event.go
@@ -6,7 +6,7 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/fulmarloft/fulmarloft/internal/logline"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logline"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/event/event_test.go
+++ b/internal/observability/event/event_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/explain/explain_test.go
+++ b/internal/observability/explain/explain_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/explain"
+	"github.com/fulmarloft/fulmarloft/internal/observability/explain"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/explain/late.go
+++ b/internal/observability/explain/late.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/logline"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logline"
 )
 
 // whyLate says how long the job took and what delayed it.
--- a/internal/explain/refusal.go
+++ b/internal/observability/explain/refusal.go
@@ -1,7 +1,7 @@
 package explain
 
 import (
-	"github.com/fulmarloft/fulmarloft/internal/logline"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logline"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/explain/sentences_test.go
+++ b/internal/observability/explain/sentences_test.go
@@ -13,8 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/explain"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/explain"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
@@ -55,7 +55,7 @@
 // logCalls returns the calls of event.Log in the sources whose event is a literal.
 func logCalls(t *testing.T) []logCall {
 	var out []logCall
-	for _, dir := range []string{"../../internal", "../../platform", "../../cmd"} {
+	for _, dir := range []string{"../../../internal", "../../../platform", "../../../cmd"} {
 		err := filepath.WalkDir(dir, func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/internal/explain/subject.go
+++ b/internal/observability/explain/subject.go
@@ -4,8 +4,8 @@
 	"path"
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/logline"
-	"github.com/fulmarloft/fulmarloft/internal/taskname"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logline"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 )
 
 // idFields are the fields in which a line holds the id that it is about.
--- a/internal/explain/template.go
+++ b/internal/observability/explain/template.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/logline"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logline"
 )
 
 // missingValue stands for a field that a sentence needs and the line lacks.
--- a/internal/explain/why.go
+++ b/internal/observability/explain/why.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/logline"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logline"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/logline/logline_test.go
+++ b/internal/observability/logline/logline_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/logline"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logline"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/logsample/logsample_test.go
+++ b/internal/observability/logsample/logsample_test.go
@@ -6,7 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/logsample"
+	"github.com/fulmarloft/fulmarloft/internal/observability/logsample"
 )
 
 func TestAllow(t *testing.T) {
--- a/internal/report/report.go
+++ b/internal/observability/report/report.go
@@ -7,7 +7,7 @@
 	"slices"
 	"text/tabwriter"
 
-	"github.com/fulmarloft/fulmarloft/internal/loadstats"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/loadstats"
 )
 
 // Report holds the outcomes of each team's requests, measurements and the guarantees that were violated.
--- a/internal/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -4,8 +4,8 @@
 	"sync/atomic"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -5,10 +5,10 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/admission"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/admission"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/breaker/breaker_test.go
+++ b/internal/request/breaker/breaker_test.go
@@ -5,8 +5,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/breaker"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/request/breaker"
 )
 
 const (
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/request/dispatch/dispatch_test.go
@@ -11,12 +11,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/goccy/go-yaml"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/dispatch"
-	"github.com/fulmarloft/fulmarloft/internal/outcome"
-	"github.com/fulmarloft/fulmarloft/internal/picker"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/dispatch"
+	"github.com/fulmarloft/fulmarloft/internal/request/outcome"
+	"github.com/fulmarloft/fulmarloft/internal/request/picker"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/service"
 )
--- a/internal/dispatch/run.go
+++ b/internal/request/dispatch/run.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
-	"github.com/fulmarloft/fulmarloft/internal/outcome"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/refusal"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/outcome"
+	"github.com/fulmarloft/fulmarloft/internal/request/refusal"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/service"
 )
--- a/internal/drain/drain_test.go
+++ b/internal/request/drain/drain_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/drain"
-	"github.com/fulmarloft/fulmarloft/internal/refusal"
+	"github.com/fulmarloft/fulmarloft/internal/request/drain"
+	"github.com/fulmarloft/fulmarloft/internal/request/refusal"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/endpoint/endpoint.go
+++ b/internal/request/endpoint/endpoint.go
@@ -10,11 +10,11 @@
 	"strconv"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/connpool"
-	"github.com/fulmarloft/fulmarloft/internal/endtoend"
-	"github.com/fulmarloft/fulmarloft/internal/outcome"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/connpool"
+	"github.com/fulmarloft/fulmarloft/internal/request/endtoend"
+	"github.com/fulmarloft/fulmarloft/internal/request/outcome"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/request/endpoint/endpoint_test.go
@@ -13,10 +13,10 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/endpoint"
-	"github.com/fulmarloft/fulmarloft/internal/outcome"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/endpoint"
+	"github.com/fulmarloft/fulmarloft/internal/request/outcome"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/endpoint/unresponsive_test.go
+++ b/internal/request/endpoint/unresponsive_test.go
@@ -11,8 +11,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/endpoint"
-	"github.com/fulmarloft/fulmarloft/internal/outcome"
+	"github.com/fulmarloft/fulmarloft/internal/request/endpoint"
+	"github.com/fulmarloft/fulmarloft/internal/request/outcome"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/endtoend/endtoend.go
+++ b/internal/request/endtoend/endtoend.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
 )
 
 const ownPrefix = "Fulmarloft-"
--- a/internal/endtoend/endtoend_test.go
+++ b/internal/request/endtoend/endtoend_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/endtoend"
+	"github.com/fulmarloft/fulmarloft/internal/request/endtoend"
 )
 
 func TestHeaders(t *testing.T) {
--- a/internal/hedge/hedge_test.go
+++ b/internal/request/hedge/hedge_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/hedge"
+	"github.com/fulmarloft/fulmarloft/internal/request/hedge"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/request/httpconn/httpconn.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/outcome"
+	"github.com/fulmarloft/fulmarloft/internal/request/outcome"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/httpconn/stream.go
+++ b/internal/request/httpconn/stream.go
@@ -3,7 +3,7 @@
 import (
 	"net"
 
-	"github.com/fulmarloft/fulmarloft/internal/outcome"
+	"github.com/fulmarloft/fulmarloft/internal/request/outcome"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/idempotencykey/batch.go
+++ b/internal/request/idempotencykey/batch.go
@@ -6,8 +6,8 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/idempotencykey/batch_test.go
+++ b/internal/request/idempotencykey/batch_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/idempotencykey/claims.go
+++ b/internal/request/idempotencykey/claims.go
@@ -11,13 +11,13 @@
 	"github.com/zeebo/blake3"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
-	"github.com/fulmarloft/fulmarloft/internal/claimpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/requestdedup"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/claimpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestdedup"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/idempotencykey/claims_test.go
+++ b/internal/request/idempotencykey/claims_test.go
@@ -9,13 +9,13 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/idempotencykey"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/idempotencykey"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/picker/member.go
+++ b/internal/request/picker/member.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 )
 
 const (
--- a/internal/picker/picker.go
+++ b/internal/request/picker/picker.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 )
 
 // Picker reserves slots at the endpoints of one pool. It selects the less loaded of two random endpoints, first in its own zone and then in the others.
--- a/internal/picker/picker_test.go
+++ b/internal/request/picker/picker_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/picker"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/picker"
 )
 
 const (
--- a/internal/queue/deadline.go
+++ b/internal/request/queue/deadline.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"github.com/fulmarloft/fulmarloft/internal/refusal"
+	"github.com/fulmarloft/fulmarloft/internal/request/refusal"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/queue/queue.go
+++ b/internal/request/queue/queue.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/refusal"
+	"github.com/fulmarloft/fulmarloft/internal/request/refusal"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/refusal/refusal_test.go
+++ b/internal/request/refusal/refusal_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/refusal"
+	"github.com/fulmarloft/fulmarloft/internal/request/refusal"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/requestdedup/memory.go
+++ b/internal/request/requestdedup/memory.go
@@ -6,9 +6,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/requestid"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestid"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/requestdedup/memory_bench_test.go
+++ b/internal/request/requestdedup/memory_bench_test.go
@@ -5,10 +5,10 @@
 	"runtime"
 	"testing"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/requestdedup"
-	"github.com/fulmarloft/fulmarloft/internal/requestid"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestdedup"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestid"
 )
 
 // BenchmarkBytesPerID reports the heap size of one remembered id whose answer has a body of 256 bytes.
--- a/internal/requestrouter/router.go
+++ b/internal/request/requestrouter/router.go
@@ -6,11 +6,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/requestdedup"
-	"github.com/fulmarloft/fulmarloft/internal/requestid"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestdedup"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestid"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/requestrouter/router_test.go
+++ b/internal/request/requestrouter/router_test.go
@@ -7,11 +7,11 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/callpb"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/idempotencykey"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
-	"github.com/fulmarloft/fulmarloft/internal/requestrouter"
+	"github.com/fulmarloft/fulmarloft/internal/pb/callpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/idempotencykey"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestrouter"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/request/retrybudget/retrybudget_test.go
@@ -6,7 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/retrybudget"
+	"github.com/fulmarloft/fulmarloft/internal/request/retrybudget"
 )
 
 // Retries must stay within a tenth of the requests, plus a reserve, even if every request asks for one.
--- a/internal/capacity/capacity.go
+++ b/internal/scheduling/capacity/capacity.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/capacity/capacity_test.go
+++ b/internal/scheduling/capacity/capacity_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/fulmarloft/fulmarloft/internal/capacity"
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/capacity"
 )
 
 const (
--- a/internal/capacity/lend.go
+++ b/internal/scheduling/capacity/lend.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
 )
 
 // lend assigns the slots of each spare VM to one pool: loans that are still needed stay, then each unassigned VM goes to the pool with the largest shortage left.
--- a/internal/capacity/model_test.go
+++ b/internal/scheduling/capacity/model_test.go
@@ -6,9 +6,9 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/capacity"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/fleetpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/capacity"
 )
 
 const (
--- a/internal/duequeue/duequeue_test.go
+++ b/internal/scheduling/duequeue/duequeue_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/duequeue"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/duequeue"
 )
 
 func TestPopDue(t *testing.T) {
--- a/internal/fairshare/fairshare.go
+++ b/internal/scheduling/fairshare/fairshare.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/google/btree"
 
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Picker tracks the queued jobs and resource usage of each team and selects the job to start next; it isn't safe for concurrent use.
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/scheduling/fairshare/fairshare_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/fairshare"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/fairshare"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // startAll starts jobs until no queued one fits into the total and returns how many each team started.
--- a/internal/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -8,9 +8,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/job/job.go
+++ b/internal/scheduling/job/job.go
@@ -7,9 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/job/job_test.go
+++ b/internal/scheduling/job/job_test.go
@@ -6,11 +6,11 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/property"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/property"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/job/status.go
+++ b/internal/scheduling/job/status.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobapi/jobapi.go
+++ b/internal/scheduling/jobapi/jobapi.go
@@ -9,14 +9,14 @@
 	"github.com/gorilla/mux"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/refusal"
-	"github.com/fulmarloft/fulmarloft/internal/requestbody"
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/refusal"
+	"github.com/fulmarloft/fulmarloft/internal/request/requestbody"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobapi/jobapi_test.go
+++ b/internal/scheduling/jobapi/jobapi_test.go
@@ -13,12 +13,12 @@
 	"github.com/gorilla/mux"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/jobapi"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/refusal"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/request/refusal"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobapi"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobapi/rows.go
+++ b/internal/scheduling/jobapi/rows.go
@@ -5,9 +5,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/scheduler"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/scheduler"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobcontrol/accounts_test.go
+++ b/internal/scheduling/jobcontrol/accounts_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"maps"
 
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Accounts compares what the controller counts with its runs and tasks, and returns what doesn't agree, empty if all does.
--- a/internal/jobcontrol/acknowledge_test.go
+++ b/internal/scheduling/jobcontrol/acknowledge_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // The ends of a VM's next incarnation are numbered from 1 again, so an acknowledgement of earlier ones would drop them unread.
--- a/internal/jobcontrol/advice.go
+++ b/internal/scheduling/jobcontrol/advice.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 
 // ticket permits a VM to run a step until the ticket expires.
 type ticket struct {
--- a/internal/jobcontrol/advice_test.go
+++ b/internal/scheduling/jobcontrol/advice_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // A ticket is valid for the life of the VM for which it was requested, whether it was answered before or after the restart.
--- a/internal/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -5,10 +5,10 @@
 	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Controller holds all jobs and VMs of one ownership; it isn't safe for concurrent use.
--- a/internal/jobcontrol/counted_test.go
+++ b/internal/scheduling/jobcontrol/counted_test.go
@@ -6,7 +6,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // onePerVM returns a step whose tasks run one per VM and don't end by themselves within a test.
--- a/internal/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 const (
--- a/internal/jobcontrol/demand_test.go
+++ b/internal/scheduling/jobcontrol/demand_test.go
@@ -7,9 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/poolsize"
-	"github.com/fulmarloft/fulmarloft/internal/workertest"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/poolsize"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/workertest"
 )
 
 // Guards against counting runs on unreachable VMs as demand. They can be neither observed nor stopped, and their pool kept idle machines for them that another queue lacked at its peak.
--- a/internal/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 
 const (
 	// retryBackoffMS is the delay before a failed task's next run, multiplied by its failures so far.
--- a/internal/jobcontrol/evacuate.go
+++ b/internal/scheduling/jobcontrol/evacuate.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/size"
+import "github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 
 // handoverMS is how long a new owner waits before it evacuates long-running tasks; stops that an earlier owner ordered take less.
 const handoverMS = 1500
--- a/internal/jobcontrol/evacuate_test.go
+++ b/internal/scheduling/jobcontrol/evacuate_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workertest"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/workertest"
 )
 
 // drain announces the end of a VM.
--- a/internal/jobcontrol/failedrun_test.go
+++ b/internal/scheduling/jobcontrol/failedrun_test.go
@@ -7,10 +7,10 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/jobcontrol"
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
 )
 
 // The lines must tell on which VMs the runs of a failed job failed.
--- a/internal/jobcontrol/faults_test.go
+++ b/internal/scheduling/jobcontrol/faults_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // After any one fault of the owner or a VM, the job must complete in time, and no task may run twice at once or again after it was done.
--- a/internal/jobcontrol/fleet_test.go
+++ b/internal/scheduling/jobcontrol/fleet_test.go
@@ -9,11 +9,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/jobcontrol"
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workertest"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/workertest"
 )
 
 const (
--- a/internal/jobcontrol/historycalls_test.go
+++ b/internal/scheduling/jobcontrol/historycalls_test.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 const (
--- a/internal/jobcontrol/historycheck_test.go
+++ b/internal/scheduling/jobcontrol/historycheck_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 
-	"github.com/fulmarloft/fulmarloft/internal/jobcontrol"
-	"github.com/fulmarloft/fulmarloft/internal/taskname"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 )
 
 // historyAttempts is how often a task may fail.
--- a/internal/jobcontrol/historyfaults_test.go
+++ b/internal/scheduling/jobcontrol/historyfaults_test.go
@@ -5,8 +5,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 const (
--- a/internal/jobcontrol/historymore_test.go
+++ b/internal/scheduling/jobcontrol/historymore_test.go
@@ -5,8 +5,8 @@
 	"maps"
 	"math/rand/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 const (
--- a/internal/jobcontrol/historyplan_test.go
+++ b/internal/scheduling/jobcontrol/historyplan_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // faultKind is a kind of disturbance in a random history.
--- a/internal/jobcontrol/historyroom_test.go
+++ b/internal/scheduling/jobcontrol/historyroom_test.go
@@ -1,6 +1,6 @@
 package jobcontrol_test
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 
 // maxClearMS is how long after the end of all jobs something may still count on a VM, maxRoomMS how long a job may then wait for a whole VM.
 const (
--- a/internal/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/taskname"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 )
 
 // job is an accepted job that isn't completed; a failed or cancelled one stays until Forget removes it.
--- a/internal/jobcontrol/latestart.go
+++ b/internal/scheduling/jobcontrol/latestart.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 
 // keepLateStart remembers a run that was released though an unanswered copy of its start may still be executed. The VM refuses it as long as it runs on; if it starts again under its id, it has forgotten why.
 func (ct *Controller) keepLateStart(rn *run) {
--- a/internal/jobcontrol/latestart_bench_test.go
+++ b/internal/scheduling/jobcontrol/latestart_bench_test.go
@@ -5,10 +5,10 @@
 	"testing"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/jobcontrol"
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
 )
 
 // BenchmarkPlanBesideLateStarts makes planning passes of 200 starts on 3,000 VMs, with late starts of earlier runs on each.
--- a/internal/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 
 // SetVM applies a VM's registration.
 func (ct *Controller) SetVM(reg *workpb.VM) {
--- a/internal/jobcontrol/lifecycle_test.go
+++ b/internal/scheduling/jobcontrol/lifecycle_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 const (
--- a/internal/jobcontrol/lostanswers_test.go
+++ b/internal/scheduling/jobcontrol/lostanswers_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // nextPoll advances the clock until a poll of a VM is due, and returns it without answering it.
--- a/internal/jobcontrol/pace.go
+++ b/internal/scheduling/jobcontrol/pace.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 
 const (
 	// mixedPollIntervalMS is the interval between polls of a VM where best-effort tasks may slow down latency-sensitive ones.
--- a/internal/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -4,8 +4,8 @@
 	"slices"
 	"sort"
 
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // candidate is a step with tasks that may start.
--- a/internal/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -1,8 +1,8 @@
 package jobcontrol
 
 import (
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Batch is a set of decisions that take effect together once they are stored.
--- a/internal/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -1,8 +1,8 @@
 package jobcontrol
 
 import (
-	"github.com/fulmarloft/fulmarloft/internal/taskname"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 )
 
 const (
--- a/internal/jobcontrol/reconcile.go
+++ b/internal/scheduling/jobcontrol/reconcile.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 
 const (
 	// stopRetryMS is the minimum interval between stop orders for a run that doesn't end.
--- a/internal/jobcontrol/repeatedstart_test.go
+++ b/internal/scheduling/jobcontrol/repeatedstart_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // A start without an answer may be executed by the next incarnation of a VM whose machine is down.
--- a/internal/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/workpb"
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 
 // Restore adds a stored job with its stored progress, which is nil if none was stored.
 func (ct *Controller) Restore(row *workpb.Job, pg *workpb.Progress) {
--- a/internal/jobcontrol/review_test.go
+++ b/internal/scheduling/jobcontrol/review_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // The VM lists the end of a short run before the answer to its start arrives; its only copy is answered then.
--- a/internal/jobcontrol/shares_test.go
+++ b/internal/scheduling/jobcontrol/shares_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // Guards against two teams' jobs being late because a third asks for more than the pool's capacity: one team asks for twice the capacity, the two others for a fifth of it each.
--- a/internal/jobcontrol/tasks.go
+++ b/internal/scheduling/jobcontrol/tasks.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/taskname"
+import "github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 
 // taskNamed returns the task of a name, or nil if the controller doesn't know its job or the job has no such task.
 func (ct *Controller) taskNamed(name string) *task {
--- a/internal/jobcontrol/unplaceable.go
+++ b/internal/scheduling/jobcontrol/unplaceable.go
@@ -1,6 +1,6 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/size"
+import "github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 
 // unplaceable is the demand of a service's long-running tasks that fit none of its VMs, whatever is missing: memory, a label, or a VM that isn't at the step's limit per VM.
 type unplaceable struct {
--- a/internal/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -3,9 +3,9 @@
 import (
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/suspicion"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/suspicion"
 )
 
 // vmState is the controller's view of one VM: its registration and every run that may exist there.
--- a/internal/jobrunner/change.go
+++ b/internal/scheduling/jobrunner/change.go
@@ -5,9 +5,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobrunner/cleaner.go
+++ b/internal/scheduling/jobrunner/cleaner.go
@@ -5,10 +5,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/retention"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/retention"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 )
 
 // rowCleaner deletes the rows of jobs whose retention period has ended: the job rows first and the progress afterwards, so that no successor mistakes an ended job for one that never ran.
--- a/internal/jobrunner/cleaner_test.go
+++ b/internal/scheduling/jobrunner/cleaner_test.go
@@ -8,9 +8,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobrunner/export_test.go
+++ b/internal/scheduling/jobrunner/export_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/fulmarloft/fulmarloft/internal/jobcontrol"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
 )
 
 // MaxStartAgeMS is how long after it was handed over a start may be sent.
--- a/internal/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -8,10 +8,10 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/rowfeed"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowfeed"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 )
 
 const (
--- a/internal/jobrunner/lostanswers_test.go
+++ b/internal/scheduling/jobrunner/lostanswers_test.go
@@ -11,8 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 const (
--- a/internal/jobrunner/ordercopies.go
+++ b/internal/scheduling/jobrunner/ordercopies.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // maxOrderCopies is how often one start or stop is sent at most.
--- a/internal/jobrunner/orderqueue.go
+++ b/internal/scheduling/jobrunner/orderqueue.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // orderQueue sends orders to one VM in order. One connection carries them as long as answers come quickly; while an answer is late, further connections carry the orders behind it.
--- a/internal/jobrunner/pollcopies.go
+++ b/internal/scheduling/jobrunner/pollcopies.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // maxPollCopies is how often one poll of a responsive VM is sent at most.
--- a/internal/jobrunner/poolresizer.go
+++ b/internal/scheduling/jobrunner/poolresizer.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
-	"github.com/fulmarloft/fulmarloft/internal/peakforecast"
-	"github.com/fulmarloft/fulmarloft/internal/poolsize"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/peakforecast"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/poolsize"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobrunner/restore_bench_test.go
+++ b/internal/scheduling/jobrunner/restore_bench_test.go
@@ -13,13 +13,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/jobrunner"
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
-	"github.com/fulmarloft/fulmarloft/internal/relay"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobrunner"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/relay"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 )
 
 const (
--- a/internal/jobrunner/restore_test.go
+++ b/internal/scheduling/jobrunner/restore_test.go
@@ -7,9 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/intake"
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 )
 
 // startFive starts five entries and lets one of them become the owner.
--- a/internal/jobrunner/scheduler.go
+++ b/internal/scheduling/jobrunner/scheduler.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobrunner/unsent_test.go
+++ b/internal/scheduling/jobrunner/unsent_test.go
@@ -10,13 +10,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/jobrunner"
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
-	"github.com/fulmarloft/fulmarloft/internal/rulesindex"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobrunner"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/rowstoretest"
 )
 
 // A start that this entry keeps back says nothing on its VM, unlike a connection that fails.
--- a/internal/jobrunner/waves_test.go
+++ b/internal/scheduling/jobrunner/waves_test.go
@@ -10,8 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/ownership"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/jobrunner/yield_test.go
+++ b/internal/scheduling/jobrunner/yield_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // setLoses sets which answers of VMs are lost.
--- a/internal/peakforecast/peakforecast_test.go
+++ b/internal/scheduling/peakforecast/peakforecast_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/peakforecast"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/peakforecast"
 )
 
 const tickMS = 200
--- a/internal/pendingview/pendingview.go
+++ b/internal/scheduling/pendingview/pendingview.go
@@ -7,9 +7,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/jobrunner"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobrunner"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/placement/place.go
+++ b/internal/scheduling/placement/place.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Place returns a worker that fits the need. It prefers the zone with the fewest reservations of the team, then the sampled rack with the fewest, and within that rack the best fit. Workers listed in avoid are skipped. The search gives up after a bounded number of visits; the next call starts from another random rack.
--- a/internal/placement/placement.go
+++ b/internal/scheduling/placement/placement.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Index tracks the capacity and reservations of all workers; it isn't safe for concurrent use.
--- a/internal/placement/placement_test.go
+++ b/internal/scheduling/placement/placement_test.go
@@ -9,9 +9,9 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/fulmarloft/fulmarloft/internal/placement"
-	"github.com/fulmarloft/fulmarloft/internal/property"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/placement"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/property"
 )
 
 const workersPerRack = 4
--- a/internal/placement/tree.go
+++ b/internal/scheduling/placement/tree.go
@@ -1,6 +1,6 @@
 package placement
 
-import "github.com/fulmarloft/fulmarloft/internal/size"
+import "github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 
 // noCapacity is below every need, so that a leaf without usable workers never fits.
 var noCapacity = size.New(-1, -1, -1)
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/scheduling/poolsize/poolsize_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/poolsize"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/poolsize"
 )
 
 const cores = 32_000
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/scheduling/quarantine/quarantine_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/quarantine"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/quarantine"
 )
 
 const (
--- a/internal/reclaim/reclaim.go
+++ b/internal/scheduling/reclaim/reclaim.go
@@ -4,7 +4,7 @@
 	"sort"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Ladder escalates the measures against runs of a worker over capacity from throttle to checkpoint to stop; it isn't safe for concurrent use.
--- a/internal/reclaim/reclaim_test.go
+++ b/internal/scheduling/reclaim/reclaim_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/reclaim"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/reclaim"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 const stepMS = 3000
--- a/internal/relay/link.go
+++ b/internal/scheduling/relay/link.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/fulmarloft/fulmarloft/internal/relaypb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/relaypb"
 )
 
 // link is the stream to one entry. It is opened when a call first asks for it, and again some time after it was lost.
--- a/internal/relay/relay.go
+++ b/internal/scheduling/relay/relay.go
@@ -8,10 +8,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/relaypb"
-	"github.com/fulmarloft/fulmarloft/internal/taskname"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/relaypb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 )
 
 // Relay passes calls to VMs on to entries in the VM's availability zone; it is safe for concurrent use.
--- a/internal/relay/relay_test.go
+++ b/internal/scheduling/relay/relay_test.go
@@ -14,11 +14,11 @@
 	"storj.io/drpc"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/relay"
-	"github.com/fulmarloft/fulmarloft/internal/relaypb"
-	"github.com/fulmarloft/fulmarloft/internal/relayserver"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/relaypb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/relay"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/relayserver"
 )
 
 var errStreamClosed = errors.New("stream closed")
--- a/internal/relayserver/relayserver.go
+++ b/internal/scheduling/relayserver/relayserver.go
@@ -6,9 +6,9 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/relaypb"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/pb/relaypb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // Server makes the calls that the owner sends; its function fields must be set before it serves.
--- a/internal/retention/retention_test.go
+++ b/internal/scheduling/retention/retention_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/retention"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/retention"
 )
 
 func TestTakeDue(t *testing.T) {
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduling/scheduler/bench_test.go
@@ -7,13 +7,13 @@
 	"testing"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/scheduler"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/scheduler"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/team"
 )
 
--- a/internal/scheduler/chaos_test.go
+++ b/internal/scheduling/scheduler/chaos_test.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/team"
 )
--- a/internal/scheduler/commit.go
+++ b/internal/scheduling/scheduler/commit.go
@@ -7,10 +7,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/placement"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/placement"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/scheduler/follow.go
+++ b/internal/scheduling/scheduler/follow.go
@@ -5,13 +5,13 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/placement"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/reclaim"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/placement"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/reclaim"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduling/scheduler/place.go
@@ -4,10 +4,10 @@
 	"context"
 	"sort"
 
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/placement"
-	"github.com/fulmarloft/fulmarloft/internal/reclaim"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/placement"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/reclaim"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/scheduler/record.go
+++ b/internal/scheduling/scheduler/record.go
@@ -3,11 +3,11 @@
 import (
 	"strings"
 
-	"github.com/fulmarloft/fulmarloft/internal/job"
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/lease"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/membership/lease"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/job"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduling/scheduler/scheduler_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/jobpb"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/jobpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/team"
 )
--- a/internal/size/size_test.go
+++ b/internal/scheduling/size/size_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 func TestCopiesInAgreesWithFits(t *testing.T) {
--- a/internal/startretry/startretry_test.go
+++ b/internal/scheduling/startretry/startretry_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/startretry"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/startretry"
 )
 
 func TestDelayFollowsTheAnswers(t *testing.T) {
--- a/internal/startwindow/startwindow_test.go
+++ b/internal/scheduling/startwindow/startwindow_test.go
@@ -5,7 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/startwindow"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/startwindow"
 )
 
 // link is a connection of limited bandwidth on which each start waits for those before it.
--- a/internal/usage/usage.go
+++ b/internal/scheduling/usage/usage.go
@@ -4,7 +4,7 @@
 	"math"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Estimator keeps histograms with exponential decay of the ratio of observed to declared use; it isn't safe for concurrent use.
--- a/internal/usage/usage_test.go
+++ b/internal/scheduling/usage/usage_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/usage"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/usage"
 )
 
 // Declared sizes must be corrected towards the observed use, more cautiously after a single observation, and only for the team observed.
--- a/internal/vmsizes/vmsizes.go
+++ b/internal/scheduling/vmsizes/vmsizes.go
@@ -4,7 +4,7 @@
 	"maps"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Set holds the distinct sizes of all worker VMs, including those in maintenance. It isn't safe for concurrent use.
--- a/internal/vmsizes/vmsizes_test.go
+++ b/internal/scheduling/vmsizes/vmsizes_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/size"
-	"github.com/fulmarloft/fulmarloft/internal/vmsizes"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/vmsizes"
 )
 
 // A job is impossible only if no VM listed within the retention time could hold it; with no VM known, none is.
--- a/internal/platformclient/platformclient.go
+++ b/internal/store/platformclient/platformclient.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/rowfeed/rowfeed.go
+++ b/internal/store/rowfeed/rowfeed.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/hedge"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/request/hedge"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/rowfeed/rowfeed_test.go
+++ b/internal/store/rowfeed/rowfeed_test.go
@@ -10,9 +10,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/rowfeed"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
-	"github.com/fulmarloft/fulmarloft/internal/rowstoretest"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowfeed"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/rowstoretest"
 )
 
 const (
--- a/internal/table/envelope.go
+++ b/internal/store/table/envelope.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/tablepb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/tablepb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/table/guard.go
+++ b/internal/store/table/guard.go
@@ -9,11 +9,11 @@
 	"github.com/cenkalti/backoff/v5"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/breaker"
-	"github.com/fulmarloft/fulmarloft/internal/callbudget"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/metric"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/limits/callbudget"
+	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/breaker"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/table/table.go
+++ b/internal/store/table/table.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/baseline/baseline_bench_test.go
+++ b/internal/testbed/baseline/baseline_bench_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/fulmarloft/fulmarloft/internal/baseline"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/local"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/baseline"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/local"
 )
 
 const (
--- a/internal/footprint/footprint.go
+++ b/internal/testbed/footprint/footprint.go
@@ -6,8 +6,8 @@
 	"runtime"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/cputime"
-	"github.com/fulmarloft/fulmarloft/internal/local"
+	"github.com/fulmarloft/fulmarloft/internal/observability/cputime"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/local"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/load/load.go
+++ b/internal/testbed/load/load.go
@@ -13,7 +13,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/loadstats"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/loadstats"
 )
 
 // Generator sends requests at arrival times drawn from a seed, whether or not earlier requests were answered.
--- a/internal/loadplan/loadplan.go
+++ b/internal/testbed/loadplan/loadplan.go
@@ -8,7 +8,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/load"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/load"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/loadplan/loadplan_test.go
+++ b/internal/testbed/loadplan/loadplan_test.go
@@ -7,13 +7,13 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/fulmarloft/fulmarloft/internal/loadplan"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/loadplan"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
 // The example plan must be valid, and an invalid one must be refused with an error that names what was expected.
 func TestExample(t *testing.T) {
-	raw, err := os.ReadFile("../../examples/load.yaml")
+	raw, err := os.ReadFile("../../../examples/load.yaml")
 	qt.Assert(t, err, qt.IsNil)
 	pl, err := loadplan.Parse(raw)
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/local/bundle.go
+++ b/internal/testbed/local/bundle.go
@@ -9,9 +9,9 @@
 
 	"github.com/goccy/go-yaml"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformclient"
-	"github.com/fulmarloft/fulmarloft/internal/publish"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/configuration/publish"
+	"github.com/fulmarloft/fulmarloft/internal/store/platformclient"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/bundle"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 	"github.com/fulmarloft/fulmarloft/pkg/key"
--- a/internal/local/local.go
+++ b/internal/testbed/local/local.go
@@ -13,14 +13,14 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/entry"
-	"github.com/fulmarloft/fulmarloft/internal/event"
-	"github.com/fulmarloft/fulmarloft/internal/netmeter"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/recorder"
+	"github.com/fulmarloft/fulmarloft/internal/observability/event"
+	"github.com/fulmarloft/fulmarloft/internal/observability/netmeter"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 	"github.com/fulmarloft/fulmarloft/internal/settings"
-	"github.com/fulmarloft/fulmarloft/internal/standin/endpoint"
-	"github.com/fulmarloft/fulmarloft/internal/standin/platform"
-	"github.com/fulmarloft/fulmarloft/internal/standin/worker"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/recorder"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/standin/endpoint"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/standin/platform"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/standin/worker"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/local/local_test.go
+++ b/internal/testbed/local/local_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/load"
-	"github.com/fulmarloft/fulmarloft/internal/local"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/load"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/local"
 )
 
 // Requests from callers reach the endpoints: none runs twice, the team's limit holds, and requests with an unknown key are refused.
--- a/internal/local/network.go
+++ b/internal/testbed/local/network.go
@@ -5,8 +5,8 @@
 	"net"
 	"sync"
 
-	"github.com/fulmarloft/fulmarloft/internal/blackhole"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/blackhole"
 )
 
 // network holds the connections between entries and can partition zones from each other.
--- a/internal/local/path_test.go
+++ b/internal/testbed/local/path_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/local"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/local"
 )
 
 const (
--- a/internal/memtable/memtable.go
+++ b/internal/testbed/memtable/memtable.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/table"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/store/table"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/rowstoretest/rowstoretest.go
+++ b/internal/testbed/rowstoretest/rowstoretest.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/scenario/scenario_test.go
+++ b/internal/testbed/scenario/scenario_test.go
@@ -12,10 +12,10 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/clockdriver"
-	"github.com/fulmarloft/fulmarloft/internal/load"
-	"github.com/fulmarloft/fulmarloft/internal/loadstats"
-	"github.com/fulmarloft/fulmarloft/internal/local"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/clockdriver"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/load"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/loadstats"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/local"
 )
 
 // timeoutMS is how long, by the fake clock, a command waits before it fails, and the longest duration of a load.
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/testbed/standin/endpoint/endpoint.go
@@ -9,9 +9,9 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/fulmarloft/fulmarloft/internal/blackhole"
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/recorder"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/blackhole"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/recorder"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/standin/platform/fleet.go
+++ b/internal/testbed/standin/platform/fleet.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
 )
 
 const (
--- a/internal/standin/platform/platform.go
+++ b/internal/testbed/standin/platform/platform.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/memtable"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/memtable"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/standin/worker/worker.go
+++ b/internal/testbed/standin/worker/worker.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/platformpb"
-	"github.com/fulmarloft/fulmarloft/internal/recorder"
+	"github.com/fulmarloft/fulmarloft/internal/pb/platformpb"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/recorder"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/try/events.go
+++ b/internal/testbed/try/events.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"net/http"
 
-	"github.com/fulmarloft/fulmarloft/internal/loadstats"
-	"github.com/fulmarloft/fulmarloft/internal/local"
-	"github.com/fulmarloft/fulmarloft/internal/report"
+	"github.com/fulmarloft/fulmarloft/internal/observability/report"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/loadstats"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/local"
 )
 
 const (
--- a/internal/try/try.go
+++ b/internal/testbed/try/try.go
@@ -6,9 +6,9 @@
 	"io"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/load"
-	"github.com/fulmarloft/fulmarloft/internal/local"
-	"github.com/fulmarloft/fulmarloft/internal/report"
+	"github.com/fulmarloft/fulmarloft/internal/observability/report"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/load"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/local"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/try/withdraw.go
+++ b/internal/testbed/try/withdraw.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/fulmarloft/fulmarloft/internal/load"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/load"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
--- a/internal/workertest/workertest.go
+++ b/internal/testbed/workertest/workertest.go
@@ -4,7 +4,7 @@
 	"sort"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
 // Worker is one VM; its exported fields determine how runs behave and observe them.
--- a/internal/zonemodel/zonemodel.go
+++ b/internal/testbed/zonemodel/zonemodel.go
@@ -7,7 +7,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
-	"github.com/fulmarloft/fulmarloft/internal/slot"
+	"github.com/fulmarloft/fulmarloft/internal/limits/slot"
 )
 
 // Model simulates one strategy of sharing slots. Create it with New and call Run once.
