--- a/internal/scheduling/jobcontrol/shares.go
+++ b/internal/scheduling/jobcontrol/shares.go
@@ -7,6 +7,19 @@
 	// cores is the moving average of each team's use, in thousandths of a core.
 	cores map[string]float64
 	atMS  int64
+	// levels holds the teams above their share as of the last planning pass, with how far above it they are.
+	levels map[string]int32
+}
+
+// aboveShareLevel is the level of a team that uses more than its fair share; 0 is that of all others.
+const aboveShareLevel = 1
+
+// shareLevel returns how far a team was above its fair share of a service's pool in the last planning pass, 0 for not at all.
+func (ct *Controller) shareLevel(service, team string) int32 {
+	if sh, ok := ct.shares[service]; ok {
+		return sh.levels[team]
+	}
+	return 0
 }
 
 // noTeam is the team name of work from public queues.
@@ -56,9 +69,11 @@
 		weight += weights[team]
 	}
 	out := map[string]bool{}
+	sh.levels = map[string]int32{}
 	for team, mean := range sh.cores {
 		if weight > 0 && mean > shareFactor*used*weights[team]/weight {
 			out[team] = true
+			sh.levels[team] = aboveShareLevel
 		}
 	}
 	return out
