Bound what one submission can cost the owner

Cause: a valid submission could stop every owner in turn. A job with very many occurrences that are due at once opened all of them; one that asks for more cores than any fleet has kept the pool sizer in a loop; sums of estimates overflowed. A VM's list or a stored row that names a far occurrence had the first effect as well.

--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -66,6 +66,8 @@
 const (
 	minStepEstimateMS = 50
 	singleOccurrence  = 1
+	// maxOpenTasks bounds the tasks of a job's occurrences that are open at once, since each takes memory: as many as one occurrence may have.
+	maxOpenTasks = 20_000
 )
 
 func newJob(row *workpb.Job) *job {
@@ -100,15 +102,40 @@
 	return jb.row.GetFirstDueMs() + int64(number)*jb.row.GetPeriodMs()
 }
 
-// openDueOccurrences creates the occurrences that are due.
+// openDueOccurrences creates the occurrences that are due, as far as maxOpenTasks allows; the next ones are created when earlier ones have completed.
 func (jb *job) openDueOccurrences(nowMS int64) {
-	for len(jb.occurrences) < jb.totalOccurrences() {
-		number := len(jb.occurrences)
-		if jb.scheduled() && jb.dueMS(number) > nowMS {
-			return
+	if !jb.nextOccurrenceDue(nowMS) {
+		return
+	}
+	for mayOpen := jb.maxOpenOccurrences() - jb.openOccurrences(); mayOpen > 0 && jb.nextOccurrenceDue(nowMS); mayOpen-- {
+		jb.addOccurrence(len(jb.occurrences))
+	}
+}
+
+// nextOccurrenceDue reports whether the job has an occurrence that isn't created yet and is due.
+func (jb *job) nextOccurrenceDue(nowMS int64) bool {
+	number := len(jb.occurrences)
+	return number < jb.totalOccurrences() && (!jb.scheduled() || jb.dueMS(number) <= nowMS)
+}
+
+// maxOpenOccurrences returns how many occurrences of the job may be open at once, at least one.
+func (jb *job) maxOpenOccurrences() int {
+	tasks := 0
+	for _, row := range jb.row.GetSteps() {
+		tasks += int(row.GetCount())
+	}
+	return max(maxOpenTasks/max(tasks, 1), 1)
+}
+
+// openOccurrences counts the occurrences that have been created and aren't complete.
+func (jb *job) openOccurrences() int {
+	count := 0
+	for _, oc := range jb.occurrences {
+		if !oc.complete() {
+			count++
 		}
-		jb.addOccurrence(number)
 	}
+	return count
 }
 
 func (jb *job) addOccurrence(number int) {
@@ -123,11 +150,18 @@
 	jb.occurrences = append(jb.occurrences, oc)
 }
 
-// task returns the task of a name, or nil if there is none; it creates the occurrences up to the name's, which stored progress or a VM's list may refer to.
-func (jb *job) task(nm taskname.Name) *task {
-	for nm.Occurrence() >= len(jb.occurrences) && len(jb.occurrences) < jb.totalOccurrences() {
-		jb.addOccurrence(len(jb.occurrences))
+// storedTask returns the task of a name in stored progress, or nil if there is none; it creates the occurrences up to the name's, which an earlier owner had opened.
+func (jb *job) storedTask(nm taskname.Name) *task {
+	if nm.Occurrence() < len(jb.occurrences)+jb.maxOpenOccurrences() {
+		for nm.Occurrence() >= len(jb.occurrences) && len(jb.occurrences) < jb.totalOccurrences() {
+			jb.addOccurrence(len(jb.occurrences))
+		}
 	}
+	return jb.task(nm)
+}
+
+// task returns the task of a name, or nil if the job has no such task or its occurrence isn't open yet.
+func (jb *job) task(nm taskname.Name) *task {
 	if nm.Occurrence() >= len(jb.occurrences) || nm.Step() >= len(jb.row.GetSteps()) {
 		return nil
 	}
@@ -143,14 +177,12 @@
 	if len(jb.occurrences) < jb.totalOccurrences() {
 		return false
 	}
-	for _, oc := range jb.occurrences {
-		for _, st := range oc.steps {
-			if st.done < len(st.tasks) {
-				return false
-			}
-		}
-	}
-	return true
+	return jb.openOccurrences() == 0
+}
+
+// complete reports whether all tasks of the occurrence are done.
+func (oc *occurrence) complete() bool {
+	return !slices.ContainsFunc(oc.steps, func(st *step) bool { return st.done < len(st.tasks) })
 }
 
 func (jb *job) ended() bool { return intake.Final(jb.state) }
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -37,7 +37,7 @@
 }
 
 func (ct *Controller) restoreTask(jb *job, pg *workpb.Progress, tr *workpb.Task) {
-	tk := jb.task(taskNameOf(jb, tr))
+	tk := jb.storedTask(taskNameOf(jb, tr))
 	if tk == nil {
 		ct.lg.Info("stored-task-unknown", "job", jb.row.GetId(), "step", tr.GetStep(), "index", tr.GetIndex())
 		return
--- a/internal/scheduling/poolsize/poolsize.go
+++ b/internal/scheduling/poolsize/poolsize.go
@@ -112,9 +112,8 @@
 		uncovered -= ho.coresMilli
 		need++
 	}
-	for uncovered > 0 {
-		uncovered -= ps.typicalCores()
-		need++
+	if uncovered > 0 {
+		need += int((uncovered + ps.typicalCores() - 1) / ps.typicalCores())
 	}
 	return len(ps.hosts) - max(need, ps.demand.minVMs)
 }
--- a/internal/scheduling/poolsize/poolsize_test.go
+++ b/internal/scheduling/poolsize/poolsize_test.go
@@ -210,3 +210,10 @@
 	demands := []poolsize.Demand{poolsize.NewDemand("a", 20_000, 0, 1, false), poolsize.NewDemand("b", 0, 0, 0, false).WithLastingVMs(3)}
 	qt.Assert(t, poolsize.Summary(demands, hosts("b", 0, 0)), qt.Equals, "a:0/20000,b:2/0/3")
 }
+
+// Guards against an owner that is busy for minutes, and each successor after it, because a job asks for more cores than any fleet has.
+func TestDemandBeyondAnyFleetIsPlannedAtOnce(t *testing.T) {
+	demands := []poolsize.Demand{poolsize.NewDemand("a", 1<<53, 0, 1, false), poolsize.NewStandby("z")}
+	pl := poolsize.New().Plan(1000, demands, append(hosts("a", 1), hosts("z", 0)...))
+	qt.Assert(t, moved(pl, "a"), qt.DeepEquals, []string{"m-z0"})
+}
