Order work by the levels of teamshare

Cause: two ranks didn't tell teams above their share from each other, and use on VMs that a new owner hasn't polled or that are cut off didn't count, so a team there fell to rank 0. Change: jobcontrol observes all runs of a service each 100 ms (before: those on usable VMs, at each pass with work waiting), ranks by level, and hands over and takes the row of the averages. Queues without an objective know only level 0 and 1.

--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/teamshare"
 )
 
 // Controller holds all jobs and VMs of one ownership; it isn't safe for concurrent use.
@@ -24,7 +25,14 @@
 	caps  map[string]size.Size
 	// weights holds the teams' weights for fair sharing of a full pool.
 	weights map[string]float64
-	shares  map[string]*shares
+	// shares holds the teams' recent use of each service's pool.
+	shares map[string]*teamshare.Shares
+	// sharesObservedMS and sharesStoredMS are when the shares were observed and handed over to be stored last, sharesStored whether the stored ones hold a team above its share.
+	sharesObservedMS int64
+	sharesStoredMS   int64
+	sharesStored     bool
+	// loggedLevels holds for each service the teams above their share as they were logged last.
+	loggedLevels map[string]map[string]int32
 	// unplaceable holds the services with long-running tasks that fit none of their VMs.
 	unplaceable map[string]*unplaceable
 	jobs        map[string]*job
@@ -67,7 +75,7 @@
 func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
-		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{},
+		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*teamshare.Shares{}, loggedLevels: map[string]map[string]int32{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unplaceable: map[string]*unplaceable{},
 		startLimit: math.MaxInt,
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -14,8 +14,10 @@
 	tier int
 	// latestMS is the latest start with which the job can still meet its objective; for long-running tasks, their due time.
 	latestMS int64
-	// overShare is set while the job's team uses more than its fair share.
-	overShare bool
+	// objectiveMS is how long after its acceptance the job should end, 0 for a queue without an objective.
+	objectiveMS int64
+	// level is how far the job's team is above its fair share; work of a lower level goes first.
+	level int32
 }
 
 // Tiers of steps, in the order in which they are placed.
@@ -62,10 +64,7 @@
 			delete(out, service)
 			continue
 		}
-		over := ct.updateShares(service, pools[service], nowMS).overShare(ct.weights, list)
-		for at := range list {
-			list[at].overShare = list[at].ending() && over[list[at].team()]
-		}
+		ct.rankTeams(service, list, nowMS)
 		sortCandidates(list)
 	}
 	return out
@@ -157,7 +156,7 @@
 	criticalPath := slices.Max(st.oc.jb.criticalPaths)
 	objective := int64(qu.GetStretch()*float64(criticalPath)) + qu.GetTargetMs()
 	latest := st.oc.dueMS + objective - st.criticalPathMS()
-	cd := candidate{st: st, latestMS: latest}
+	cd := candidate{st: st, latestMS: latest, objectiveMS: objective}
 	graceMS := int64(onTimeSlackMS)
 	if !st.oc.started() {
 		graceMS = -firstStartMarginMS
@@ -184,8 +183,8 @@
 		if one.tier != other.tier {
 			return one.tier < other.tier
 		}
-		if one.overShare != other.overShare {
-			return other.overShare
+		if one.level != other.level {
+			return one.level < other.level
 		}
 		if one.tier == tierLate && one.st.criticalPathMS() != other.st.criticalPathMS() {
 			return one.st.criticalPathMS() < other.st.criticalPathMS()
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -29,6 +29,7 @@
 	nowMS := ct.ck.Now()
 	ct.expireVMs(nowMS)
 	ct.openDueOccurrences(nowMS)
+	ct.observeShares(nowMS)
 	bt := &Batch{acknowledged: map[*vmState]endMark{}}
 	if mayStart && ct.rules != nil && len(ct.dirtyJobs) < MaxRows {
 		ct.place(bt, nowMS)
--- a/internal/scheduling/jobcontrol/shares_test.go
+++ b/internal/scheduling/jobcontrol/shares_test.go
@@ -84,3 +84,119 @@
 	}
 	qt.Check(t, done[""] >= done["t"], qt.IsTrue, qt.Commentf("%d jobs of no team completed, %d of team t", done[""], done["t"]))
 }
+
+// shareFleet returns a fleet of one VM in each zone. The team "hot" uses two of them and two others share the third one.
+func shareFleet(t *testing.T) (*fleet, *workpb.Rules) {
+	vms := []*workpb.VM{vmOf("a"), vmOf("b"), vmOf("c")}
+	for _, vm := range vms {
+		vm.Zone = "zone-" + vm.GetId()
+		vm.Labels = []string{map[string]string{"a": "x", "b": "x", "c": "y"}[vm.GetId()]}
+	}
+	fl := newFleet(t, vms...)
+	rules := testRules()
+	rules.Teams = nil
+	for _, team := range []string{"hot", "calm-1", "calm-2"} {
+		rules.Teams = append(rules.Teams, &workpb.Team{Name: team, Weight: 1})
+	}
+	fl.setRules(rules)
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	for team, count := range map[string]int32{"hot": 16, "calm-1": 4, "calm-2": 4} {
+		jb := jobOf(team, stepOf(count))
+		jb.Steps[0].Label = "y"
+		if team == "hot" {
+			jb.Steps[0].Label = "x"
+		}
+		jb.Team = team
+		fl.submit(jb)
+	}
+	fl.run(20)
+	return fl, rules
+}
+
+// The shares must be stored at most once a second, and not at all while no team is above its share.
+func TestSharesAreStoredWhileATeamIsAbove(t *testing.T) {
+	fl, _ := shareFleet(t)
+	var stored []*workpb.Shares
+	for range 5000 / stepMS {
+		fl.run(stepMS)
+		if row := fl.ct.SharesToStore(); row != nil {
+			stored = append(stored, row)
+		}
+	}
+	qt.Assert(t, len(stored) >= 4 && len(stored) <= 5, qt.IsTrue, qt.Commentf("%d rows in 5 s", len(stored)))
+	qt.Check(t, fl.ct.ShareLevels(), qt.DeepEquals, map[string]map[string]int32{"s": {"hot": 1}})
+	fl.ct.Cancel("hot")
+	fl.run(3000)
+	for range 20_000 / stepMS {
+		fl.run(stepMS)
+		if row := fl.ct.SharesToStore(); row != nil {
+			stored = append(stored, row)
+		}
+	}
+	last := stored[len(stored)-1]
+	qt.Check(t, last.GetServices(), qt.HasLen, 0)
+	qt.Check(t, fl.ck.Now()-last.GetStoredMs() > 3000, qt.IsTrue, qt.Commentf("the last row is stored when the levels end, and none after it"))
+}
+
+// A new owner must know at once how far a team is above its share, also while it hasn't polled the VMs on which the team's tasks run, and forget it as its predecessor would.
+func TestSuccessorKnowsTheLevels(t *testing.T) {
+	fl, rules := shareFleet(t)
+	fl.run(8000)
+	row := fl.ct.SharesToStore()
+	qt.Assert(t, row, qt.IsNotNil)
+	fl.unresponsive = map[string]bool{"a": true, "b": true}
+	fl.newOwner()
+	fl.setRules(rules)
+	qt.Check(t, fl.ct.ShareLevels(), qt.HasLen, 0)
+	fl.ct.RestoreShares(row)
+	qt.Check(t, fl.ct.ShareLevels(), qt.DeepEquals, map[string]map[string]int32{"s": {"hot": 1}})
+	fl.run(3000)
+	qt.Check(t, fl.ct.ShareLevels(), qt.DeepEquals, map[string]map[string]int32{"s": {"hot": 1}})
+	qt.Check(t, fl.ct.SharesToStore().GetServices(), qt.HasLen, 1)
+}
+
+// A successor without a row begins without levels, and one that restored levels stores their end, so that no later owner takes them over.
+func TestSuccessorStoresTheEndOfRestoredLevels(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	qt.Assert(t, fl.ct.SharesToStore(), qt.IsNil)
+	fl.ct.RestoreShares(&workpb.Shares{})
+	qt.Assert(t, fl.ct.SharesToStore(), qt.IsNil)
+	fl.ct.RestoreShares(&workpb.Shares{StoredMs: fl.ck.Now() - 60_000, Services: []*workpb.ServiceShares{{Service: "s", CoresMilli: map[string]int64{"t": 5000, "u": 1}}}})
+	fl.run(2000)
+	row := fl.ct.SharesToStore()
+	qt.Assert(t, row, qt.IsNotNil)
+	qt.Check(t, row.GetServices(), qt.HasLen, 0)
+	fl.run(2000)
+	qt.Check(t, fl.ct.SharesToStore(), qt.IsNil)
+}
+
+// A team whose tasks are in a zone that is cut off must keep its level: what it uses there is no other team's, and it must not fill the rest of the pool as well.
+func TestTeamInACutOffZoneKeepsItsLevel(t *testing.T) {
+	fl, _ := shareFleet(t)
+	fl.run(6000)
+	qt.Assert(t, fl.ct.ShareLevels()["s"]["hot"], qt.Equals, int32(1))
+	fl.unresponsive["a"], fl.unresponsive["b"] = true, true
+	for range 4000 / stepMS {
+		fl.run(stepMS)
+		qt.Assert(t, fl.ct.ShareLevels()["s"]["hot"], qt.Equals, int32(1))
+	}
+}
+
+// A configuration that changes weights while the pool is full must show in the levels at once, without a restart.
+func TestLevelsFollowAConfigurationUnderLoad(t *testing.T) {
+	fl, rules := shareFleet(t)
+	fl.run(8000)
+	qt.Assert(t, fl.ct.ShareLevels()["s"], qt.DeepEquals, map[string]int32{"hot": 1})
+	rules.Teams[0].Weight = 0.1
+	fl.setRules(rules)
+	fl.run(200)
+	qt.Check(t, fl.ct.ShareLevels()["s"], qt.DeepEquals, map[string]int32{"hot": 4})
+	rules.Teams[0].Weight = 4
+	fl.setRules(rules)
+	fl.run(200)
+	qt.Check(t, fl.ct.ShareLevels(), qt.HasLen, 0)
+	rules.Teams = nil
+	fl.setRules(rules)
+	fl.run(200)
+	qt.Check(t, fl.ct.ShareLevels(), qt.HasLen, 0, qt.Commentf("without weights no team is above its share"))
+}
