Store the teams' recent use with the owner's commits and read it at restore

Cause: after a change of owner a burst's team began at level 0. The restore reads it once, for 1 s at most; without it the owner begins without averages. Gauges of the levels. The simulation takes rules, gauges and a table whose reads hang.

--- a/internal/scheduling/jobrunner/change.go
+++ b/internal/scheduling/jobrunner/change.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
@@ -13,6 +14,13 @@
 
 const wavesTable = "upkeep"
 
+// Location of the row that holds the teams' recent use of the pools.
+const (
+	SharesTable     = "shares"
+	SharesPartition = ownership.Partition
+	SharesKey       = "use"
+)
+
 // change holds the rows of one commit, encoded once so that each retry writes identical bytes.
 type change struct {
 	rows []rowstore.Row
@@ -20,7 +28,7 @@
 	progressIDs []string
 }
 
-func newChange(progress []*workpb.Progress, counts *workpb.Pending, waveRows []*workpb.Upkeep, progressIDs []string) (*change, error) {
+func newChange(progress []*workpb.Progress, counts *workpb.Pending, shares *workpb.Shares, waveRows []*workpb.Upkeep, progressIDs []string) (*change, error) {
 	ch := &change{progressIDs: progressIDs}
 	for _, pg := range progress {
 		if err := ch.add(intake.ProgressTable, pg.GetId(), pg); err != nil {
@@ -37,6 +45,11 @@
 			return nil, err
 		}
 	}
+	if shares != nil {
+		if err := ch.add(SharesTable, SharesKey, shares); err != nil {
+			return nil, err
+		}
+	}
 	return ch, nil
 }
 
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -42,6 +42,8 @@
 	// Rules returns the rules in force, or nil before the first read; Waves returns all waves.
 	Rules func() *rulesindex.Index
 	Waves func() []*workpb.Wave
+	// SetGauge sets a gauge of the entry's metrics; nil if there are none.
+	SetGauge func(val int64, parts ...string)
 	// EvacuatedZones returns the availability zones in which the operators allow no starts.
 	EvacuatedZones func() map[string]bool
 }
@@ -73,6 +75,7 @@
 	waves         *waves
 	pools         *poolResizer
 	cleaner       *rowCleaner
+	levels        *levelGauges
 	lag           *lag.Lag
 	starts        *startwindow.Window
 	startRetry    *startretry.Delay
@@ -125,6 +128,7 @@
 	rn.waves = newWaves(rn)
 	rn.pools = newPoolResizer(rn)
 	rn.cleaner = newRowCleaner(rn, retentionMS)
+	rn.levels = newLevelGauges(rn)
 	return rn
 }
 
@@ -142,6 +146,7 @@
 	rn.scheduleStartMS = rn.ck.Now()
 	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.scheduleStartMS-rn.startMS)
 	defer rn.deps.Relays.Update(nil)
+	defer rn.levels.clear()
 	tick := time.NewTicker(tickIntervalMS * time.Millisecond)
 	defer tick.Stop()
 	for !rn.ownershipLost {
@@ -338,8 +343,10 @@
 	}
 	rn.committing = true
 	rn.lastCommitMS = nowMS
+	shares := rn.ct.SharesToStore()
+	rn.levels.report(rn.ct.ShareLevels)
 	progressIDs := rn.cleaner.nextProgressIDs(jobcontrol.MaxRows - len(bt.Rows()))
-	rn.commits.Go(func() { rn.commit(ctx, bt, counts, waveRows, progressIDs) })
+	rn.commits.Go(func() { rn.commit(ctx, bt, counts, shares, waveRows, progressIDs) })
 }
 
 // pendingCounts returns the counts of waiting jobs when they are due to be stored, or nil.
@@ -352,8 +359,8 @@
 }
 
 // commit retries until the commit is applied, the ownership is lost or the runner stops; once applied, it sends the orders that depend on it.
-func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, counts *workpb.Pending, waveRows []*workpb.Upkeep, progressIDs []string) {
-	ch, err := newChange(bt.Rows(), counts, waveRows, progressIDs)
+func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, counts *workpb.Pending, shares *workpb.Shares, waveRows []*workpb.Upkeep, progressIDs []string) {
+	ch, err := newChange(bt.Rows(), counts, shares, waveRows, progressIDs)
 	for err == nil {
 		err = rn.ow.Commit(ctx, ch.writeTo)
 		if err == nil || code.Of(err) == code.LeaseLapsed || ctx.Err() != nil {
--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -78,6 +78,11 @@
 	// rowsRead counts the rows that entries have read, rowsReadAtStart is their number at the last start.
 	rowsRead        int
 	rowsReadAtStart int
+	// unansweredTable is a table whose reads get no answer.
+	unansweredTable string
+	// rules returns the rules in force; setGauge takes the entries' gauges.
+	rules    func() *rulesindex.Index
+	setGauge func(val int64, parts ...string)
 }
 
 // entry is one scheduling process with its own connection to the store.
@@ -137,6 +142,7 @@
 		si.loses = func(string) bool { return false }
 		si.losePoll = func(*workpb.LookRequest) bool { return false }
 		si.lg = event.Discard()
+		si.rules = rules()
 		si.in = intake.New(si.st.Rowstore())
 		for at := range 4 {
 			si.addVM(fmt.Sprintf("vm-%d", at))
@@ -205,8 +211,8 @@
 		},
 		RegistryTable: registryTable, DecodeVM: decodeVM,
 		Machines: si.list, Maintain: si.maintain, Move: si.move,
-		WaveStatus: si.waveStatus,
-		Rules:      rules(), Waves: si.waveSpecs, EvacuatedZones: func() map[string]bool { return nil },
+		WaveStatus: si.waveStatus, SetGauge: si.setGauge,
+		Rules: si.rules, Waves: si.waveSpecs, EvacuatedZones: func() map[string]bool { return nil },
 	}
 	deps.Relays = relay.New(si.ck, event.Discard(), 0)
 	sc := jobrunner.NewScheduler(deps, si.ck, si.lg, ow, 0, si.retentionMS)
@@ -237,6 +243,10 @@
 			if err := cut(); err != nil {
 				return rowstore.Page{}, err
 			}
+			if si.readHangs(table) {
+				<-ctx.Done()
+				return rowstore.Page{}, code.TableUnavailable.Wrap(ctx.Err())
+			}
 			pg, err := inner.Read(ctx, table, partition, from, to)
 			si.mu.Lock()
 			defer si.mu.Unlock()
@@ -264,6 +274,13 @@
 	}
 }
 
+// readHangs reports whether reads of a table get no answer.
+func (si *simulation) readHangs(table string) bool {
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	return table == si.unansweredTable
+}
+
 func decodeVM(_ string, raw []byte) (*workpb.VM, error) {
 	vm := &workpb.VM{}
 	return vm, proto.Unmarshal(raw, vm)
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -15,10 +15,12 @@
 
 // snapshot holds the rows that an owner starts from and the versions after which it follows their changes.
 type snapshot struct {
-	jobs            []rowstore.Row
-	jobsVersion     int64
-	progress        []rowstore.Row
-	waves           []rowstore.Row
+	jobs        []rowstore.Row
+	jobsVersion int64
+	progress    []rowstore.Row
+	waves       []rowstore.Row
+	// shares is nil if the row is missing or couldn't be read.
+	shares          []byte
 	registry        []rowstore.Row
 	registryVersion int64
 }
@@ -28,6 +30,8 @@
 	maxRestoreMS = 60_000
 	// maxReadTries is how many times each read of a restore is made.
 	maxReadTries = 3
+	// sharesReadMS bounds the read of the teams' recent use, after which an owner schedules without it.
+	sharesReadMS = 1000
 	// endedRetryMS is the pause before a failed read of ended jobs is repeated.
 	endedRetryMS = 1000
 )
@@ -107,9 +111,37 @@
 		sn.registry, sn.registryVersion, err = rn.readRegistry(ctx)
 		return err
 	})
+	gr.Go(func() error {
+		sn.shares = rn.readShares(ctx)
+		return nil
+	})
 	return sn, gr.Wait()
 }
 
+// readShares reads the teams' recent use, and returns nil if there is none. It tries once and briefly: without it only the order of starts differs, for some seconds.
+func (rn *Runner) readShares(ctx context.Context) []byte {
+	ctx, cancel := rn.ck.WithTimeout(ctx, sharesReadMS)
+	defer cancel()
+	rw, ok, err := rn.deps.Store.Get(ctx, SharesTable, SharesPartition, SharesKey)
+	if err != nil {
+		rn.lg.Fail("shares-unread", err)
+	}
+	if err != nil || !ok {
+		return nil
+	}
+	return rw.Value()
+}
+
+// applyShares takes over the teams' recent use; without a readable row this owner begins without any.
+func (rn *Runner) applyShares(raw []byte) {
+	row := &workpb.Shares{}
+	if err := proto.Unmarshal(raw, row); err != nil {
+		rn.lg.Fail("shares-unread", code.Internal.Wrap(err))
+		return
+	}
+	rn.ct.RestoreShares(row)
+}
+
 // tryRead repeats a read that fails.
 func (rn *Runner) tryRead(ctx context.Context, read func(context.Context) error) error {
 	for try := 1; ; try++ {
@@ -141,6 +173,7 @@
 	rn.applyJobs(sn.jobs, progress)
 	rn.cleaner.addOrphans(keySet(sn.jobs), progress)
 	rn.applyRegistry(sn.registry, true)
+	rn.applyShares(sn.shares)
 	rn.startFollowing(ctx, sn)
 	go rn.loadEnded(ctx)
 	return nil
