--- a/cmd/fulmarloft/status.go
+++ b/cmd/fulmarloft/status.go
@@ -26,23 +26,24 @@
 
 // entryStatus is the part of an entry's status that is printed as text.
 type entryStatus struct {
-	Entry        string           `json:"entry"`
-	Zone         string           `json:"zone"`
-	Ready        bool             `json:"ready"`
-	Draining     bool             `json:"draining"`
-	Owner        bool             `json:"owner"`
-	Token        string           `json:"token"`
-	OwnerMS      int64            `json:"owner-for-ms"`
-	SchedulingMS int64            `json:"scheduling-for-ms"`
-	RenewedMS    int64            `json:"renewed-ms-ago"`
-	VMs          map[string]int   `json:"vms"`
-	RunsInDoubt  int64            `json:"runs-in-doubt"`
-	Unanswered   int64            `json:"starts-unanswered"`
-	LostMS       map[string]int64 `json:"changes-lost-ms"`
-	RulesVersion int64            `json:"rules-version"`
-	RulesAgeMS   int64            `json:"rules-age-ms"`
-	Waiting      map[string]int   `json:"waiting"`
-	WaitingError string           `json:"waiting-error"`
+	Entry        string            `json:"entry"`
+	Zone         string            `json:"zone"`
+	Ready        bool              `json:"ready"`
+	Draining     bool              `json:"draining"`
+	Owner        bool              `json:"owner"`
+	Token        string            `json:"token"`
+	OwnerMS      int64             `json:"owner-for-ms"`
+	SchedulingMS int64             `json:"scheduling-for-ms"`
+	RenewedMS    int64             `json:"renewed-ms-ago"`
+	VMs          map[string]int    `json:"vms"`
+	RunsInDoubt  int64             `json:"runs-in-doubt"`
+	Unanswered   int64             `json:"starts-unanswered"`
+	LostMS       map[string]int64  `json:"changes-lost-ms"`
+	RulesVersion int64             `json:"rules-version"`
+	RulesAgeMS   int64             `json:"rules-age-ms"`
+	ShareLevels  map[string]string `json:"share-levels"`
+	Waiting      map[string]int    `json:"waiting"`
+	WaitingError string            `json:"waiting-error"`
 }
 
 func statusCommands(app *kingpin.Application) []command {
@@ -126,6 +127,9 @@
 	}
 	fmt.Fprintf(out, "  owns scheduling for %d ms with token %s, schedules for %d ms, last commit %d ms ago\n", st.OwnerMS, st.Token, st.SchedulingMS, st.RenewedMS)
 	fmt.Fprintf(out, "  VMs: %s\n", counts(st.VMs))
+	for _, service := range slices.Sorted(maps.Keys(st.ShareLevels)) {
+		fmt.Fprintf(out, "  teams above their share of %s, with their levels: %s\n", service, st.ShareLevels[service])
+	}
 	fmt.Fprintf(out, "  in doubt: %d runs on VMs that don't answer; %d starts got no answer since it took over\n", st.RunsInDoubt, st.Unanswered)
 }
 
--- a/internal/observability/entrystatus/entrystatus.go
+++ b/internal/observability/entrystatus/entrystatus.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 
@@ -21,6 +22,8 @@
 	unanswered   int
 	// lostMS holds since when the changes of a table are lost.
 	lostMS map[string]int64
+	// shareLevels holds for each service the teams above their share, with their levels, as text.
+	shareLevels map[string]string
 }
 
 // vm is a VM as the last event about it left it; runs is the number of its runs at that time.
@@ -42,7 +45,7 @@
 
 // New returns a status without events.
 func New(ck *clock.Clock) *Status {
-	return &Status{ck: ck, vms: map[string]vm{}, lostMS: map[string]int64{}}
+	return &Status{ck: ck, vms: map[string]vm{}, lostMS: map[string]int64{}, shareLevels: map[string]string{}}
 }
 
 // Follow takes an event with its alternating names and values; it is meant for event.Log's OnEvent.
@@ -70,6 +73,11 @@
 		st.reset()
 	case "start-in-doubt":
 		st.unanswered++
+	case "share-levels":
+		st.shareLevels[value(pairs, "service")] = value(pairs, "levels")
+		if value(pairs, "levels") == "none" {
+			delete(st.shareLevels, value(pairs, "service"))
+		}
 	}
 }
 
@@ -77,6 +85,7 @@
 func (st *Status) reset() {
 	st.ownerMS, st.schedulingMS, st.token, st.unanswered = 0, 0, "", 0
 	clear(st.vms)
+	clear(st.shareLevels)
 	for table := range st.lostMS {
 		if table != operatorsTable {
 			delete(st.lostMS, table)
@@ -150,6 +159,9 @@
 		inDoubt += each.runs
 	}
 	out["vms"], out["runs-in-doubt"], out["starts-unanswered"] = vms, inDoubt, st.unanswered
+	if len(st.shareLevels) > 0 {
+		out["share-levels"] = maps.Clone(st.shareLevels)
+	}
 	return out
 }
 
--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -98,6 +98,8 @@
 	"start-unadmitted":        "The start of run {run} of task {task} on VM {vm} was stopped, since the VM had changed or listed other runs.",
 	"start-unsent":            "The start of run {run} of task {task} on VM {vm} was not sent, as it had waited too long or the owner's lease had expired.",
 	"start-withdrawn":         "The start of run {run} of task {task} on VM {vm} was withdrawn before it was sent.",
+	"share-levels":            "The teams above their share of service {service}, with their levels, are: {levels}.",
+	"shares-unread":           "The new owner could not read the teams' recent use; the levels of teams above their share begin anew.",
 	"stored-task-unknown":     "The progress of job {job} names task {index} of step {step}, which the job doesn't have.",
 	"vm-answers":              "VM {vm} answers again.",
 	"vm-down":                 "Machine {machine} of VM {vm} is down: {ended-runs} runs have ended, {unanswered-starts} starts remain in doubt.",
