jobcontrol: pool demand counts refused work and leaves out what exceeds a team's cap

A queue whose jobs are refused at admission lost machines, since only accepted jobs counted as arrived. Refused rows that name queue, team and work now count once each, at the time of their first attempt; the job's later acceptance adds nothing. A team's work beyond its CPU cap requested machines that the team couldn't use. Under rules with weights, its demand and arrival rate are limited to the cap less its long-running tasks.

--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -44,6 +44,8 @@
 	outbox    []*workpb.Order
 	advice    []*workpb.AdviceRequest
 	arrivals  []arrival
+	// refusedMS holds when the jobs were first tried whose refused submissions are among the arrivals.
+	refusedMS map[string]int64
 	// startLimit is how many starts may be under way, startsUnderWay how many are.
 	startLimit     int
 	startsUnderWay int
@@ -70,7 +72,7 @@
 		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unplaceable: map[string]*unplaceable{},
-		startLimit: math.MaxInt,
+		startLimit: math.MaxInt, refusedMS: map[string]int64{},
 	}
 }
 
--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -1,6 +1,7 @@
 package jobcontrol
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
@@ -21,6 +22,7 @@
 type arrival struct {
 	atMS       int64
 	service    string
+	team       string
 	workCoreMS int64
 }
 
@@ -44,13 +46,47 @@
 // LastingVMs returns the number of VMs that the service must have before its waiting long-running tasks can start, 0 if they needn't wait for another VM.
 func (dm Demand) LastingVMs() int { return dm.lastingVMs }
 
-// recordArrival records the work of a new job for the arrival rate; scheduled jobs and long-running steps don't count.
+// recordArrival records the work of a new job for the arrival rate; scheduled jobs, long-running steps and jobs that counted when they were refused don't count.
 func (ct *Controller) recordArrival(jb *job) {
 	qu := ct.queueOf(jb)
-	if qu == nil || jb.scheduled() {
+	if qu == nil || jb.scheduled() || ct.refusedMS[jb.row.GetId()] != 0 {
 		return
 	}
-	ct.arrivals = append(ct.arrivals, arrival{atMS: min(jb.row.GetAcceptedMs(), ct.ck.Now()), service: qu.GetService(), workCoreMS: jb.workCoreMS()})
+	ct.addArrival(arrival{atMS: cmp.Or(jb.row.GetFirstTriedMs(), jb.row.GetAcceptedMs()), service: qu.GetService(), team: jb.row.GetTeam(), workCoreMS: jb.workCoreMS()})
+}
+
+func (ct *Controller) addArrival(ar arrival) {
+	ar.atMS = min(ar.atMS, ct.ck.Now())
+	ct.arrivals = append(ct.arrivals, ar)
+}
+
+// RecordRefused records the work of a submission that was refused at admission as arrived, once for each job: a queue whose demand is cut by refusals would otherwise lose machines. Rows that name no work don't count.
+func (ct *Controller) RecordRefused(row *workpb.Job) {
+	if ct.rules == nil || row.GetWorkCoreMs() == 0 || ct.refusedMS[row.GetId()] != 0 || ct.jobs[row.GetId()] != nil {
+		return
+	}
+	qu, ok := ct.rules.Queue(row.GetQueue())
+	if !ok {
+		return
+	}
+	atMS := row.GetFirstTriedMs()
+	if atMS == 0 {
+		atMS = ct.ck.Now()
+	}
+	ct.refusedMS[row.GetId()] = atMS
+	ct.addArrival(arrival{atMS: atMS, service: qu.GetService(), team: row.GetTeam(), workCoreMS: row.GetWorkCoreMs()})
+}
+
+// forgetArrivals drops the arrivals and refusals that are too old to matter.
+func (ct *Controller) forgetArrivals(nowMS int64) {
+	for len(ct.arrivals) > 0 && nowMS-ct.arrivals[0].atMS > arrivalRetentionMS {
+		ct.arrivals = ct.arrivals[1:]
+	}
+	for id, atMS := range ct.refusedMS {
+		if nowMS-atMS > arrivalRetentionMS {
+			delete(ct.refusedMS, id)
+		}
+	}
 }
 
 const milli = 1000
@@ -58,8 +94,8 @@
 // Demands returns the demand on each service's pool.
 func (ct *Controller) Demands() map[string]Demand {
 	nowMS := ct.ck.Now()
-	backlog := map[string]int64{}
-	late := map[string]int64{}
+	caps := ct.endingCaps()
+	backlog, late := newTeamDemand(caps), newTeamDemand(caps)
 	lasting := map[string]int64{}
 	minVMs := map[string]int{}
 	for _, jb := range ct.active {
@@ -69,9 +105,9 @@
 		}
 		for _, oc := range jb.occurrences {
 			if oc.onTime(qu, nowMS) {
-				backlog[qu.GetService()] += ct.demandMilli(oc)
+				backlog.add(qu.GetService(), jb.row.GetTeam(), ct.demandMilli(oc))
 			} else {
-				late[qu.GetService()] += ct.demandMilli(oc)
+				late.add(qu.GetService(), jb.row.GetTeam(), ct.demandMilli(oc))
 			}
 			for _, st := range oc.steps {
 				if st.row.GetLasting() {
@@ -81,15 +117,17 @@
 			}
 		}
 	}
-	rate := ct.arrivalRates()
+	backlogMilli := backlog.withinCaps(nil)
+	lateMilli := late.withinCaps(backlog)
+	rate := ct.arrivalRates(caps)
 	out := map[string]Demand{}
 	for _, sv := range ct.rules.Rules().GetServices() {
 		name := sv.GetName()
-		cores := lasting[name] + max(backlog[name], rate[name])
-		dm := Demand{coresMilli: cores, lateMilli: late[name], minVMs: minVMs[name]}
+		cores := lasting[name] + max(backlogMilli[name], rate[name])
+		dm := Demand{coresMilli: cores, lateMilli: lateMilli[name], minVMs: minVMs[name]}
 		dm.minVMs = max(dm.minVMs, ct.unplaceableMinVMs(name, nowMS))
 		dm.lastingVMs = ct.unplaceableLastingVMs(name)
-		if cores+late[name] > 0 {
+		if cores+lateMilli[name] > 0 {
 			dm.minVMs = max(dm.minVMs, 1)
 		}
 		out[name] = dm
@@ -127,10 +165,15 @@
 
 // remainingCoreMS returns the step's remaining work in milliseconds of a core. Tasks that may still run on an unreachable VM are left out, since they can't use capacity elsewhere yet.
 func (ct *Controller) remainingCoreMS(st *step) int64 {
-	estimate := max(st.row.GetEstimateMs(), minStepEstimateMS)
+	return st.remainingMS(ct.unreachable) * st.row.GetCpuMilli() / milli
+}
+
+// remainingMS returns how long the step's remaining tasks take in sum, without those whose run is on a VM that matches.
+func (st *step) remainingMS(except func(*vmState) bool) int64 {
+	estimate := st.expectedTaskMS()
 	rest := int64(0)
 	for _, tk := range st.tasks {
-		if tk.done || (tk.current != nil && ct.unreachable(tk.current.vm)) {
+		if tk.done || (tk.current != nil && except(tk.current.vm)) {
 			continue
 		}
 		left := int64(fullPercent)
@@ -139,9 +182,12 @@
 		}
 		rest += estimate * left / fullPercent
 	}
-	return rest * st.row.GetCpuMilli() / milli
+	return rest
 }
 
+// expectedTaskMS returns how long a task of the step is expected to take: as declared by its submitter. Learned durations belong here.
+func (st *step) expectedTaskMS() int64 { return max(st.row.GetEstimateMs(), minStepEstimateMS) }
+
 // unreachable reports whether a VM's runs can't be observed or stopped for now.
 func (ct *Controller) unreachable(vm *vmState) bool {
 	return vm.unresponsive || !vm.synced || ct.CutOff(vm.reg.GetZone())
@@ -169,17 +215,20 @@
 	return work, jobs
 }
 
-// arrivalRates returns the recent arrival rate of work per service, in thousandths of a core, the higher of the two windows' rates.
-func (ct *Controller) arrivalRates() map[string]int64 {
+// arrivalRates returns the recent arrival rate of work per service, in thousandths of a core, the higher of the two windows' rates; no team's rate exceeds its cap.
+func (ct *Controller) arrivalRates(caps map[string]int64) map[string]int64 {
 	nowMS := ct.ck.Now()
-	for len(ct.arrivals) > 0 && nowMS-ct.arrivals[0].atMS > arrivalRetentionMS {
-		ct.arrivals = ct.arrivals[1:]
-	}
+	ct.forgetArrivals(nowMS)
 	rates := map[string]int64{}
 	for _, window := range []int64{arrivalWindowMS, shortArrivalWindowMS} {
-		work, _ := ct.Arrivals(nowMS-window, nowMS)
-		for service, sum := range work {
-			rates[service] = max(rates[service], sum*milli/window)
+		rate := newTeamDemand(caps)
+		for _, ar := range ct.arrivals {
+			if ar.atMS > nowMS-window && ar.atMS <= nowMS {
+				rate.add(ar.service, ar.team, ar.workCoreMS*milli/window)
+			}
+		}
+		for service, sum := range rate.withinCaps(nil) {
+			rates[service] = max(rates[service], sum)
 		}
 	}
 	return rates
--- a/internal/scheduling/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -123,6 +123,7 @@
 		}
 		if jb.GetRefused() {
 			rn.cleaner.addRefused(jb.GetId())
+			rn.ct.RecordRefused(jb)
 			continue
 		}
 		if progress != nil {
