jobcontrol: supply capacity, work and teams for the estimate of queueing delays

A trial that counted too little capacity after faults refused jobs beside free VMs. A VM counts unless it leaves, has been silent for a run lease, or is known to be down or out of reach with its zone; so VMs with unanswered orders and those not polled by a new owner do. Work counts only with the capacity that it uses.

--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -7,7 +7,7 @@
 	vm := ct.ensureVM(reg.GetId())
 	if reg.GetBornMs() != vm.reg.GetBornMs() && reg.GetBornMs() != vm.startMS {
 		// Only the VM's own lists show what was already started in its new incarnation.
-		vm.synced = false
+		vm.synced, vm.machineLost = false, false
 		vm.nextPollMS = ct.ck.Now()
 	}
 	if !vm.registered || vm.reg.GetDraining() != reg.GetDraining() {
@@ -42,7 +42,11 @@
 		row := rows[vm.reg.GetMachine()]
 		vm.countUnlisted(row)
 		ct.logUnresolved(vm, row)
-		if vm.firstSeenMS >= readMS || vm.answeredMS >= readMS || len(vm.runs) == 0 {
+		if vm.firstSeenMS >= readMS || vm.answeredMS >= readMS {
+			continue
+		}
+		vm.machineLost = vm.endedBy(row) || row.GetDown()
+		if len(vm.runs) == 0 {
 			continue
 		}
 		switch {
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -149,7 +149,7 @@
 	if vm.unresponsive {
 		ct.lg.Info("vm-answers", "vm", id)
 	}
-	vm.unresponsive = false
+	vm.unresponsive, vm.machineLost = false, false
 	vm.failedPolls = 0
 	ct.zoneAnswered(vm.reg.GetZone())
 	vm.answeredMS = nowMS
@@ -183,6 +183,9 @@
 }
 
 func (ct *Controller) handlePollFailure(vm *vmState, vd workpb.Verdict) {
+	if vm.failedPolls == 0 {
+		vm.silentSinceMS = ct.ck.Now()
+	}
 	vm.failedPolls++
 	if vd == workpb.Verdict_IN_DOUBT {
 		ct.zoneFailed(vm.reg.GetZone())
@@ -199,7 +202,7 @@
 	vm.nextPollMS = ct.ck.Now() + unresponsivePollIntervalMS
 	if vd == workpb.Verdict_OTHER_VM {
 		// Another VM has the address, so the addressed one has ended.
-		vm.synced = false
+		vm.synced, vm.machineLost = false, true
 		ct.expireRuns(vm)
 	}
 }
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -49,7 +49,11 @@
 	// failedPolls counts consecutive polls without an answer; the VM is unresponsive after maxFailedPolls.
 	failedPolls  int
 	unresponsive bool
-	cordoned     bool
+	// silentSinceMS is when the first of the failedPolls failed.
+	silentSinceMS int64
+	// machineLost is set once a list of machines, or another VM at its address, has shown that the VM isn't up; an answer or a new registration resets it.
+	machineLost bool
+	cordoned    bool
 	// cordonedForMove is set for VMs on machines that another pool needs, leaving for those on machines that are being moved.
 	cordonedForMove bool
 	leaving         bool
--- /dev/null
+++ b/internal/scheduling/jobcontrol/waits.go
@@ -0,0 +1,135 @@
+package jobcontrol
+
+import (
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitestimate"
+)
+
+// suspicionHorizonMS is how soon the exclusion of a VM under suspicion must end for its capacity to count.
+const suspicionHorizonMS = 2000
+
+// AddWaits adds to an estimate each service with its VMs, its work and its teams. Capacity is counted generously: in a trial that left out VMs with unanswered orders and those that a new owner hadn't polled yet, jobs were refused after each loss of VMs or of the owner although there was capacity.
+func (ct *Controller) AddWaits(es *waitestimate.Estimator) {
+	if ct.rules == nil {
+		return
+	}
+	eligible := eligibleServices(ct.rules)
+	if len(eligible) == 0 {
+		return
+	}
+	nowMS := ct.ck.Now()
+	counted := map[*vmState]bool{}
+	for _, sv := range ct.rules.Rules().GetServices() {
+		if !sv.GetStandby() {
+			es.AddService(sv.GetName(), eligible[sv.GetName()])
+		}
+	}
+	for _, vm := range ct.vms {
+		if !ct.countsAsCapacity(vm, nowMS) {
+			continue
+		}
+		counted[vm] = true
+		if vm.firstSeenMS < es.SettledMS() && !ct.foundOut(vm, nowMS) {
+			es.Withhold(vm.reg.GetService())
+		}
+		lasting := vm.lastingCoresMilli()
+		es.AddMachine(vm.reg.GetService(), vm.reg.GetMachine(), vm.reg.GetCpuMilli()-lasting, vm.used.CoresMilli()-lasting)
+	}
+	ct.addWork(es, counted, nowMS)
+	ct.addTeams(es, eligible)
+}
+
+// countsAsCapacity reports whether a VM is capacity that its service has or gets back within about the time of a move: it is registered, neither leaves nor has been silent for a run lease, and isn't known to be down or out of reach with its zone.
+func (ct *Controller) countsAsCapacity(vm *vmState, nowMS int64) bool {
+	if !vm.registered || vm.reg.GetDraining() || vm.cordoned || vm.leaving || vm.machineLost || ct.ZoneClosed(vm.reg.GetZone()) {
+		return false
+	}
+	return !ct.silentForLease(vm, nowMS) && vm.suspicion.Usable(nowMS+suspicionHorizonMS)
+}
+
+// silentForLease reports whether a VM has answered no poll for a run lease.
+func (ct *Controller) silentForLease(vm *vmState, nowMS int64) bool {
+	return vm.failedPolls > 0 && nowMS-vm.silentSinceMS >= ct.runLeaseMS
+}
+
+// foundOut reports whether this owner has had an answer from a VM or found it silent for a run lease.
+func (ct *Controller) foundOut(vm *vmState, nowMS int64) bool {
+	return vm.answeredMS != 0 || ct.silentForLease(vm, nowMS)
+}
+
+// lastingCoresMilli returns the CPU capacity that long-running tasks take on the VM.
+func (vm *vmState) lastingCoresMilli() int64 {
+	sum := int64(0)
+	for _, rn := range vm.runs {
+		if rn.st != nil && rn.st.row.GetLasting() {
+			sum += rn.need.CoresMilli()
+		}
+	}
+	return sum
+}
+
+// addWork adds the remaining work of started jobs and that of the others that can still be in time. Best-effort tasks take no capacity, and what runs on VMs that don't count competes for none that does.
+func (ct *Controller) addWork(es *waitestimate.Estimator, counted map[*vmState]bool, nowMS int64) {
+	asked := map[string]map[string]int64{}
+	gone := func(vm *vmState) bool { return !counted[vm] }
+	for _, jb := range ct.active {
+		qu := ct.queueOf(jb)
+		if qu == nil {
+			continue
+		}
+		for _, oc := range jb.occurrences {
+			begun := oc.started()
+			if !begun && !oc.onTime(qu, nowMS) {
+				continue
+			}
+			work, cores := oc.openWork(gone, nowMS)
+			if begun {
+				es.AddBegun(qu.GetService(), work)
+			} else {
+				es.AddWaiting(qu.GetService(), jb.row.GetTeam(), work)
+			}
+			if asked[qu.GetService()] == nil {
+				asked[qu.GetService()] = map[string]int64{}
+			}
+			asked[qu.GetService()][jb.row.GetTeam()] += cores
+		}
+	}
+	for service, teams := range asked {
+		for team, cores := range teams {
+			if limit := ct.caps[team].CoresMilli(); limit > 0 {
+				cores = min(cores, max(limit-ct.used[team].CoresMilli(), 0))
+			}
+			es.AddAsked(service, cores)
+		}
+	}
+}
+
+// openWork returns the occurrence's remaining work in milliseconds of a core, without tasks whose run is on a VM that matches, and the CPU capacity that its tasks which may start now would take.
+func (oc *occurrence) openWork(except func(*vmState) bool, nowMS int64) (workCoreMS, readyMilli int64) {
+	for _, st := range oc.steps {
+		need := st.need().CoresMilli()
+		if st.row.GetLasting() || st.done == len(st.tasks) || need == 0 {
+			continue
+		}
+		workCoreMS += st.remainingMS(except) * need / milli
+		if !st.ready() {
+			continue
+		}
+		for _, tk := range st.tasks {
+			if tk.waiting(nowMS) {
+				readyMilli += need
+			}
+		}
+	}
+	return workCoreMS, readyMilli
+}
+
+// addTeams adds each team's level and cap for the services that can be listed.
+func (ct *Controller) addTeams(es *waitestimate.Estimator, eligible map[string]bool) {
+	for service := range eligible {
+		es.SetTeam(service, noTeam, 0, 0, 0)
+		for _, tm := range ct.rules.Rules().GetTeams() {
+			team := tm.GetName()
+			es.SetTeam(service, team, ct.shareLevel(service, team), ct.caps[team].CoresMilli(), ct.used[team].CoresMilli())
+		}
+	}
+}
