--- a/internal/scheduling/poolsize/host.go
+++ b/internal/scheduling/poolsize/host.go
@@ -15,5 +15,8 @@
 	return Host{machine: machine, pool: pool, vm: vm, coresMilli: coresMilli, runs: runs, pinned: pinned}
 }
 
+// CoresMilli returns the CPU capacity of the machine, in thousandths of a core.
+func (ho Host) CoresMilli() int64 { return ho.coresMilli }
+
 // Machine returns the id of the machine.
 func (ho Host) Machine() string { return ho.machine }
