jobrunner: store the estimate of queueing delays with the owner's commits

Only the first attempt of a commit holds it: entries count its age from their own reading, so a retry after an outage would pass off an old estimate as a recent one.

--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -90,6 +90,8 @@
 	"scheduling-ended":        "The entry ended its scheduling with token {token}.",
 	"scheduling-lost":         "The owner with token {token} lost the ownership.",
 	"scheduling-started":      "The owner with token {token} has read the stored jobs and schedules, {after-ms} ms after it took over.",
+	"service-waits":           "Work of service {service} waits: a job submitted then starts after about {wait-ms} ms. {room-milli} thousandths of a core are there or can be had, {begun-core-ms} core-milliseconds of work have begun and {waiting-core-ms} wait; the teams with most of it, each with its level above its share: {teams}.",
+	"service-waits-ended":     "A job submitted to service {service} no longer waits.",
 	"settings-checked":        "The settings file was checked.",
 	"settings-refused":        "The settings file was refused.",
 	"status-unwritten":        "The entry could not write its status.",
--- a/internal/scheduling/jobrunner/change.go
+++ b/internal/scheduling/jobrunner/change.go
@@ -7,6 +7,7 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitestimate"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -20,26 +21,49 @@
 	progressIDs []string
 }
 
-func newChange(progress []*workpb.Progress, counts *workpb.Pending, waveRows []*workpb.Upkeep, progressIDs []string) (*change, error) {
+// ownerRows holds the rows of a commit that aren't progress of jobs; counts and estimate are nil unless they are due.
+type ownerRows struct {
+	counts   *workpb.Pending
+	waves    []*workpb.Upkeep
+	estimate *workpb.Waits
+}
+
+func newChange(progress []*workpb.Progress, rows *ownerRows, progressIDs []string) (*change, error) {
 	ch := &change{progressIDs: progressIDs}
 	for _, pg := range progress {
 		if err := ch.add(intake.ProgressTable, pg.GetId(), pg); err != nil {
 			return nil, err
 		}
 	}
-	for _, row := range waveRows {
+	for _, row := range rows.waves {
 		if err := ch.add(wavesTable, strconv.FormatInt(row.GetWave(), 10), row); err != nil {
 			return nil, err
 		}
 	}
-	if counts != nil {
-		if err := ch.add(PendingTable, PendingKey, counts); err != nil {
+	if rows.counts != nil {
+		if err := ch.add(PendingTable, PendingKey, rows.counts); err != nil {
+			return nil, err
+		}
+	}
+	if rows.estimate != nil {
+		if err := ch.add(waitestimate.Table, waitestimate.Key, rows.estimate); err != nil {
 			return nil, err
 		}
 	}
 	return ch, nil
 }
 
+// without returns the change without the rows of a table.
+func (ch *change) without(table string) *change {
+	out := &change{progressIDs: ch.progressIDs}
+	for _, rw := range ch.rows {
+		if rw.Table() != table {
+			out.rows = append(out.rows, rw)
+		}
+	}
+	return out
+}
+
 func (ch *change) add(table, key string, msg proto.Message) error {
 	raw, err := proto.Marshal(msg)
 	if err != nil {
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/relay"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startretry"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startwindow"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitestimate"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -44,6 +45,8 @@
 	Waves func() []*workpb.Wave
 	// EvacuatedZones returns the availability zones in which the operators allow no starts.
 	EvacuatedZones func() map[string]bool
+	// OnWaits takes each estimate of queueing delays of this owner, nil for none; it may be nil.
+	OnWaits func(row *workpb.Waits)
 }
 
 // Runner schedules jobs, maintenance and pool moves for the duration of one ownership; its state belongs to the goroutine of Run.
@@ -72,6 +75,7 @@
 	lastCountsMS  int64
 	waves         *waves
 	pools         *poolResizer
+	waits         *waits
 	cleaner       *rowCleaner
 	lag           *lag.Lag
 	starts        *startwindow.Window
@@ -140,6 +144,10 @@
 		return err
 	}
 	rn.scheduleStartMS = rn.ck.Now()
+	rn.waits = newWaits(rn, rn.scheduleStartMS)
+	if rn.deps.OnWaits != nil {
+		defer rn.deps.OnWaits(nil)
+	}
 	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.scheduleStartMS-rn.startMS)
 	defer rn.deps.Relays.Update(nil)
 	tick := time.NewTicker(tickIntervalMS * time.Millisecond)
@@ -331,15 +339,18 @@
 	rn.ct.LimitStarts(rn.starts.Limit())
 	bt := rn.ct.Plan(rn.ow.Held())
 	counts := rn.pendingCounts(nowMS)
+	estimate := rn.waits.dueRow(nowMS)
 	waveRows := rn.waves.changedRows()
-	if len(bt.Rows()) == 0 && !renew && len(waveRows) == 0 && counts == nil {
+	if len(bt.Rows()) == 0 && !renew && len(waveRows) == 0 && counts == nil && estimate == nil {
 		rn.enqueue(ctx, rn.ct.ConfirmStored(bt))
 		return
 	}
 	rn.committing = true
 	rn.lastCommitMS = nowMS
 	progressIDs := rn.cleaner.nextProgressIDs(jobcontrol.MaxRows - len(bt.Rows()))
-	rn.commits.Go(func() { rn.commit(ctx, bt, counts, waveRows, progressIDs) })
+	rn.commits.Go(func() {
+		rn.commit(ctx, bt, &ownerRows{counts: counts, waves: waveRows, estimate: estimate}, progressIDs)
+	})
 }
 
 // pendingCounts returns the counts of waiting jobs when they are due to be stored, or nil.
@@ -351,15 +362,18 @@
 	return rn.ct.Pending()
 }
 
-// commit retries until the commit is applied, the ownership is lost or the runner stops; once applied, it sends the orders that depend on it.
-func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, counts *workpb.Pending, waveRows []*workpb.Upkeep, progressIDs []string) {
-	ch, err := newChange(bt.Rows(), counts, waveRows, progressIDs)
+// commit retries until the commit is applied, the ownership is lost or the runner stops; once applied, it sends the orders that depend on it. Only the first attempt stores the estimate: a later one would pass it to the entries as a recent one.
+func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, rows *ownerRows, progressIDs []string) {
+	ch, err := newChange(bt.Rows(), rows, progressIDs)
 	for err == nil {
 		err = rn.ow.Commit(ctx, ch.writeTo)
 		if err == nil || code.Of(err) == code.LeaseLapsed || ctx.Err() != nil {
 			break
 		}
 		rn.lg.Fail("commit-failed", err, "rows", len(bt.Rows()), "silent-ms", rn.ow.SinceRenewalMS())
+		if rows.estimate != nil {
+			ch, rows.estimate = ch.without(waitestimate.Table), nil
+		}
 		err = rn.ck.Sleep(ctx, commitRetryMS)
 	}
 	rn.post(ctx, func() {
@@ -371,7 +385,10 @@
 			return
 		}
 		rn.cleaner.progressRemoved(progressIDs)
-		rn.waves.rowsStored(ctx, waveRows)
+		rn.waves.rowsStored(ctx, rows.waves)
+		if rows.estimate != nil {
+			rn.waits.es.Stored(rows.estimate)
+		}
 		rn.enqueue(ctx, rn.ct.ConfirmStored(bt))
 	})
 }
--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -68,6 +68,8 @@
 	pollDelayMS int64
 	// lg is the log of the entries.
 	lg *event.Log
+	// rules returns the rules in force.
+	rules func() *rulesindex.Index
 	// movesHang is set while move orders get no answer; lastMoveEndMS is when the last one was given up.
 	movesHang     bool
 	lastMoveEndMS int64
@@ -137,6 +139,7 @@
 		si.loses = func(string) bool { return false }
 		si.losePoll = func(*workpb.LookRequest) bool { return false }
 		si.lg = event.Discard()
+		si.rules = rules()
 		si.in = intake.New(si.st.Rowstore())
 		for at := range 4 {
 			si.addVM(fmt.Sprintf("vm-%d", at))
@@ -206,7 +209,7 @@
 		RegistryTable: registryTable, DecodeVM: decodeVM,
 		Machines: si.list, Maintain: si.maintain, Move: si.move,
 		WaveStatus: si.waveStatus,
-		Rules:      rules(), Waves: si.waveSpecs, EvacuatedZones: func() map[string]bool { return nil },
+		Rules:      si.rules, Waves: si.waveSpecs, EvacuatedZones: func() map[string]bool { return nil },
 	}
 	deps.Relays = relay.New(si.ck, event.Discard(), 0)
 	sc := jobrunner.NewScheduler(deps, si.ck, si.lg, ow, 0, si.retentionMS)
--- a/internal/scheduling/jobrunner/poolresizer.go
+++ b/internal/scheduling/jobrunner/poolresizer.go
@@ -18,6 +18,9 @@
 	firstArrivalMS  int64
 	ordered         map[string]*move
 	nextRunMS       int64
+	// lastDemands and lastHosts are what the last sizes were decided from.
+	lastDemands []poolsize.Demand
+	lastHosts   []poolsize.Host
 }
 
 // move is the ordered move of one machine into another pool.
@@ -58,6 +61,7 @@
 	pr.dropCompleted()
 	pr.observe(nowMS)
 	demands, hosts := pr.demands(), pr.hosts()
+	pr.lastDemands, pr.lastHosts = demands, hosts
 	pl := pr.sz.Plan(nowMS, demands, hosts)
 	if len(pl.Moves()) > 0 || len(pl.Cordoned()) > 0 {
 		rn.lg.Info("pools-sized", "moves", len(pl.Moves()), "shed", len(pl.Cordoned()), "pools", poolsize.Summary(demands, hosts))
