--- a/cmd/fulmarloft/status.go
+++ b/cmd/fulmarloft/status.go
@@ -43,6 +43,22 @@
 	RulesAgeMS   int64            `json:"rules-age-ms"`
 	Waiting      map[string]int   `json:"waiting"`
 	WaitingError string           `json:"waiting-error"`
+	// Waits holds the services whose work waits.
+	Waits map[string]serviceWait `json:"waits"`
+}
+
+// serviceWait is the part of a service's estimate that is printed as text.
+type serviceWait struct {
+	WaitMS    int64               `json:"wait-ms"`
+	RoomMilli int64               `json:"room-milli"`
+	AgeMS     int64               `json:"age-ms"`
+	Teams     map[string]teamWait `json:"teams"`
+}
+
+// teamWait is the part of a team's wait that is printed as text.
+type teamWait struct {
+	WaitingCoreMS int64 `json:"waiting-core-ms"`
+	ShareLevel    int   `json:"share-level"`
 }
 
 func statusCommands(app *kingpin.Application) []command {
@@ -127,6 +143,17 @@
 	fmt.Fprintf(out, "  owns scheduling for %d ms with token %s, schedules for %d ms, last commit %d ms ago\n", st.OwnerMS, st.Token, st.SchedulingMS, st.RenewedMS)
 	fmt.Fprintf(out, "  VMs: %s\n", counts(st.VMs))
 	fmt.Fprintf(out, "  in doubt: %d runs on VMs that don't answer; %d starts got no answer since it took over\n", st.RunsInDoubt, st.Unanswered)
+	for _, name := range slices.Sorted(maps.Keys(st.Waits)) {
+		st.Waits[name].write(out, name)
+	}
+}
+
+// write writes the wait of a service and of its teams.
+func (sw serviceWait) write(out io.Writer, name string) {
+	fmt.Fprintf(out, "  service %s: a new job waits %d ms for %d thousandths of a core, %d ms ago\n", name, sw.WaitMS, sw.RoomMilli, sw.AgeMS)
+	for _, team := range slices.Sorted(maps.Keys(sw.Teams)) {
+		fmt.Fprintf(out, "    team %s: %d core-milliseconds wait, level %d above its share\n", team, sw.Teams[team].WaitingCoreMS, sw.Teams[team].ShareLevel)
+	}
 }
 
 // counts returns counts by name as text.
