--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -68,6 +68,8 @@
 	pollDelayMS int64
 	// lg is the log of the entries.
 	lg *event.Log
+	// rules returns the rules in force.
+	rules func() *rulesindex.Index
 	// movesHang is set while move orders get no answer; lastMoveEndMS is when the last one was given up.
 	movesHang     bool
 	lastMoveEndMS int64
