Objective of a job that comes back counts from its first attempt

A job that was refused and comes back was taken for a new one, and went ahead of jobs that could still be in time.

Its objective counts from first_tried_ms where that is set.

--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 )
 
 const (
@@ -127,7 +128,7 @@
 
 // remainingCoreMS returns the step's remaining work in milliseconds of a core. Tasks that may still run on an unreachable VM are left out, since they can't use capacity elsewhere yet.
 func (ct *Controller) remainingCoreMS(st *step) int64 {
-	estimate := max(st.row.GetEstimateMs(), minStepEstimateMS)
+	estimate := max(st.row.GetEstimateMs(), jobwork.MinStepEstimateMS)
 	rest := int64(0)
 	for _, tk := range st.tasks {
 		if tk.done || (tk.current != nil && ct.unreachable(tk.current.vm)) {
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -1,10 +1,12 @@
 package jobcontrol
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 )
@@ -63,39 +65,24 @@
 	movedOffSlowVM bool
 }
 
-const (
-	minStepEstimateMS = 50
-	singleOccurrence  = 1
-)
+const singleOccurrence = 1
 
 func newJob(row *workpb.Job) *job {
 	jb := &job{row: row, state: workpb.State_QUEUED}
-	jb.criticalPaths = criticalPaths(row.GetSteps())
+	jb.criticalPaths = jobwork.CriticalPaths(row.GetSteps())
 	return jb
 }
 
-// criticalPaths returns for each step the largest sum of estimates along a path of dependent steps that starts with it.
-func criticalPaths(steps []*workpb.Step) []int64 {
-	out := make([]int64, len(steps))
-	for at := len(steps) - 1; at >= 0; at-- {
-		out[at] += max(steps[at].GetEstimateMs(), minStepEstimateMS)
-		for _, before := range steps[at].GetAfter() {
-			out[before] = max(out[before], out[at])
-		}
-	}
-	return out
-}
-
 // totalOccurrences returns the number of occurrences of the job.
 func (jb *job) totalOccurrences() int { return max(int(jb.row.GetOccurrences()), singleOccurrence) }
 
 // scheduled reports whether the job's occurrences have due times.
 func (jb *job) scheduled() bool { return jb.row.GetOccurrences() > 0 }
 
-// dueMS returns when an occurrence may start.
+// dueMS returns when an occurrence may start, for a job that runs once the time from which its objective counts: its first attempt, also if that was refused, so that a job that comes back doesn't go ahead of those that can still be in time.
 func (jb *job) dueMS(number int) int64 {
 	if !jb.scheduled() {
-		return jb.row.GetAcceptedMs()
+		return cmp.Or(jb.row.GetFirstTriedMs(), jb.row.GetAcceptedMs())
 	}
 	return jb.row.GetFirstDueMs() + int64(number)*jb.row.GetPeriodMs()
 }
@@ -175,13 +162,7 @@
 	if jb.row.GetEnded() != workpb.State_QUEUED {
 		return jb.row.GetWorkCoreMs()
 	}
-	work := int64(0)
-	for _, row := range jb.row.GetSteps() {
-		if !row.GetLasting() {
-			work += int64(row.GetCount()) * row.GetCpuMilli() * max(row.GetEstimateMs(), minStepEstimateMS) / milli
-		}
-	}
-	return work
+	return jobwork.CoreMS(jb.row.GetSteps())
 }
 
 // eachTask calls fn for each task of the opened occurrences.
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
@@ -155,7 +156,7 @@
 		return candidate{st: st, tier: tierLasting, latestMS: st.oc.dueMS}
 	}
 	criticalPath := slices.Max(st.oc.jb.criticalPaths)
-	objective := int64(qu.GetStretch()*float64(criticalPath)) + qu.GetTargetMs()
+	objective := jobwork.ObjectiveMS(qu, criticalPath)
 	latest := st.oc.dueMS + objective - st.criticalPathMS()
 	cd := candidate{st: st, latestMS: latest}
 	graceMS := int64(onTimeSlackMS)
--- /dev/null
+++ b/internal/scheduling/jobwork/doc.go
@@ -0,0 +1,2 @@
+// Package jobwork sums up the estimates of a job's steps.
+package jobwork
