Store refusals of submissions

A refusal must be true for good. A copy of the submission that is under way when another entry refuses it would have replaced the refused row, although its caller was told that the job doesn't run.

Intake.Refuse writes the job as refused with queue, team, work and first attempt; SubmitUnless submits or refuses by a decision that also gets the first attempt of a job that comes back.

--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"sync"
@@ -10,13 +11,17 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/store/seenversion"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
 // Intake stores jobs and reads their states; it is safe for concurrent use.
 type Intake struct {
 	st *rowstore.Store
+	// versions tells which rows were written before a call began.
+	versions *seenversion.Tracker
 
 	mu          sync.Mutex
 	finalStates map[string]workpb.State
@@ -40,6 +45,8 @@
 	secondTimeoutMS = 1100
 	// submitTimeoutMS bounds a submission including the resolution of its outcome; callers wait for about three seconds.
 	submitTimeoutMS = 2400
+	// refuseAttempts is how many times the commit of a refusal is tried; with firstTimeoutMS each, they leave time for the submission that follows if none was taken.
+	refuseAttempts = 3
 	// resolvePauseMS is the pause between two attempts to resolve an outcome.
 	resolvePauseMS = 100
 	// maxFinalStates limits the cache of final states, which is cleared when full.
@@ -48,7 +55,14 @@
 
 // New returns an intake that uses the store.
 func New(st *rowstore.Store) *Intake {
-	return &Intake{st: st, finalStates: map[string]workpb.State{}}
+	versions := seenversion.New()
+	return &Intake{st: versions.Store(st), versions: versions, finalStates: map[string]workpb.State{}}
+}
+
+// WithVersions sets a tracker that sees the answers to other calls of the process as well, so that the intake knows of newer versions.
+func (in *Intake) WithVersions(versions *seenversion.Tracker) *Intake {
+	in.st, in.versions = versions.Store(in.st), versions
+	return in
 }
 
 // Partition returns the partition that contains a job's row.
@@ -69,41 +83,141 @@
 // CancelledID returns the id of the job that a key of the jobs table cancels, and whether the key is a CancelKey.
 func CancelledID(key string) (string, bool) { return strings.CutSuffix(key, cancelSuffix) }
 
-// Submit stores a job unless one with the same id is stored already.
+// Submit stores a job unless one with the same id is stored already; a refused one is replaced, and its first attempt kept.
 //
 // An error with code.TableUnavailable means that this submission is not stored and never will be; code.TableInDoubt means that it may be.
 func (in *Intake) Submit(ctx context.Context, jb *workpb.Job) error {
-	raw, err := proto.Marshal(jb)
-	if err != nil {
-		return code.Internal.Wrap(err)
-	}
+	_, err := in.SubmitUnless(ctx, jb, func(int64) bool { return false })
+	return err
+}
+
+// SubmitUnless stores a job as Submit does, or its refusal as Refuse does if hopeless says so, and reports whether the refusal was stored. hopeless is called with the time of the first attempt: that of this one and, if a refused row turns out to hold an earlier one, with that.
+//
+// If the store certainly took nothing of a refusal, the submission goes on as if none had been decided.
+func (in *Intake) SubmitUnless(ctx context.Context, jb *workpb.Job, hopeless func(firstTriedMS int64) bool) (refused bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeoutMS*time.Millisecond)
 	defer cancel()
+	if hopeless(jb.GetAcceptedMs()) {
+		refused, err = in.refuse(ctx, jb, 0)
+		if code.Of(err) != code.TableUnavailable {
+			return refused, err
+		}
+		hopeless = func(int64) bool { return false }
+	}
+	return in.submit(ctx, jb, hopeless)
+}
+
+// submit stores a job. A refused row is replaced only if it was written before the call: a newer one is the refusal of another copy of the submission, whose caller was told that the job doesn't run.
+func (in *Intake) submit(ctx context.Context, jb *workpb.Job, hopeless func(int64) bool) (refused bool, err error) {
+	knownVersion := in.versions.Newest()
 	version := int64(0)
 	inDoubt := false
 	for _, timeoutMS := range []int64{firstTimeoutMS, secondTimeoutMS} {
+		raw, marshalErr := proto.Marshal(jb)
+		if marshalErr != nil {
+			return false, code.Internal.Wrap(marshalErr)
+		}
 		var current []rowstore.Row
 		current, err = in.commitWithTimeout(ctx, in.jobTx(jb, version, raw), timeoutMS)
 		switch code.Of(err) {
 		case code.OK:
-			return nil
+			return false, nil
 		case code.Conflict:
 			stored, storedVersion := storedJob(current)
 			if stored != nil && !stored.GetRefused() {
-				return nil
+				return false, nil
+			}
+			if stored != nil && storedVersion > knownVersion {
+				return false, in.withdrawn(ctx, jb, inDoubt)
 			}
 			version = storedVersion
+			if keepFirstAttempt(jb, stored) && !inDoubt && hopeless(jb.GetFirstTriedMs()) {
+				return in.refuseOrSubmit(ctx, jb, version)
+			}
 		case code.TableInDoubt:
 			inDoubt = true
 		}
 	}
 	if inDoubt {
-		return in.resolveInDoubt(ctx, jb)
+		return false, in.resolveInDoubt(ctx, jb)
 	}
 	if code.Of(err) == code.Conflict {
-		return code.TableInDoubt.Wrap(err)
+		return false, code.TableInDoubt.Wrap(err)
+	}
+	return false, code.TableUnavailable.Wrap(err)
+}
+
+// refuseOrSubmit refuses a job whose refused row has the given version, or submits it if the store certainly took nothing of the refusal.
+func (in *Intake) refuseOrSubmit(ctx context.Context, jb *workpb.Job, version int64) (refused bool, err error) {
+	refused, err = in.refuse(ctx, jb, version)
+	if code.Of(err) != code.TableUnavailable {
+		return refused, err
+	}
+	return in.submit(ctx, jb, func(int64) bool { return false })
+}
+
+// withdrawn returns the error of a submission of which another copy was refused while it was under way.
+func (in *Intake) withdrawn(ctx context.Context, jb *workpb.Job, inDoubt bool) error {
+	if inDoubt {
+		return in.resolveInDoubt(ctx, jb)
+	}
+	return code.TableUnavailable.New("submission withdrawn: another copy of it was refused meanwhile")
+}
+
+// Refuse stores that a submission is refused, so that no copy of it that is under way to the store can be stored any more, and reports whether it did; it doesn't if the job is accepted already. The first attempt of a job that was refused before is kept.
+//
+// An error with code.TableUnavailable means that the store certainly took nothing; code.TableInDoubt means that the row may be stored.
+func (in *Intake) Refuse(ctx context.Context, jb *workpb.Job) (refused bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeoutMS*time.Millisecond)
+	defer cancel()
+	return in.refuse(ctx, jb, 0)
+}
+
+// refuse writes a refused row in place of one with the given version, 0 for none. A refused row that is there already is written anew, since a copy of the submission that is under way may require its version.
+func (in *Intake) refuse(ctx context.Context, jb *workpb.Job, version int64) (refused bool, err error) {
+	inDoubt := false
+	for range refuseAttempts {
+		raw, marshalErr := proto.Marshal(refusedRow(jb))
+		if marshalErr != nil {
+			return false, code.Internal.Wrap(marshalErr)
+		}
+		var current []rowstore.Row
+		current, err = in.commitWithTimeout(ctx, in.jobTx(jb, version, raw), firstTimeoutMS)
+		switch code.Of(err) {
+		case code.OK:
+			return true, nil
+		case code.Conflict:
+			stored, storedVersion := storedJob(current)
+			if stored != nil && !stored.GetRefused() {
+				return false, nil
+			}
+			version = storedVersion
+			keepFirstAttempt(jb, stored)
+		case code.TableInDoubt:
+			inDoubt = true
+		}
+	}
+	if inDoubt || code.Of(err) == code.Conflict {
+		return false, code.TableInDoubt.Wrap(err)
+	}
+	return false, code.TableUnavailable.Wrap(err)
+}
+
+// refusedRow returns the row of a refused job: what the owner needs to count its work as arrived, and the first attempt.
+func refusedRow(jb *workpb.Job) *workpb.Job {
+	return &workpb.Job{
+		Id: jb.GetId(), Refused: true, Queue: jb.GetQueue(), Team: jb.GetTeam(),
+		WorkCoreMs: jobwork.CoreMS(jb.GetSteps()), FirstTriedMs: cmp.Or(jb.GetFirstTriedMs(), jb.GetAcceptedMs()),
 	}
-	return code.TableUnavailable.Wrap(err)
+}
+
+// keepFirstAttempt takes over the first attempt from a refused row, and reports whether the row holds one. Clocks of entries differ, so it may seem to be later than this attempt.
+func keepFirstAttempt(jb, stored *workpb.Job) bool {
+	if stored.GetFirstTriedMs() <= 0 {
+		return false
+	}
+	jb.FirstTriedMs = min(stored.GetFirstTriedMs(), jb.GetAcceptedMs())
+	return true
 }
 
 // commitWithTimeout commits a transaction and returns the current rows on a conflict.
@@ -122,12 +236,8 @@
 
 // resolveInDoubt determines the outcome of a commit that got no answer. It keeps trying until the time for the submission is over, since callers can't safely repeat a submission whose outcome they don't know.
 func (in *Intake) resolveInDoubt(ctx context.Context, jb *workpb.Job) error {
-	refused, err := proto.Marshal(&workpb.Job{Id: jb.GetId(), Refused: true})
-	if err != nil {
-		return code.TableInDoubt.Wrap(err)
-	}
 	for {
-		err := in.resolveOnce(ctx, jb, refused)
+		err := in.resolveOnce(ctx, jb)
 		if code.Of(err) != code.TableInDoubt || ctx.Err() != nil {
 			return err
 		}
@@ -139,8 +249,8 @@
 	}
 }
 
-// resolveOnce reads the job back. If it isn't accepted, it writes the job as refused under the version that it read, so that the version check of a late commit fails; a refused row that is there already may be the very one that the late commit requires.
-func (in *Intake) resolveOnce(ctx context.Context, jb *workpb.Job, refused []byte) error {
+// resolveOnce reads the job back. If it isn't accepted, it writes the job as refused under the version that it read, so that the version check of a late commit fails; a refused row that is there already may be the very one that the late commit requires. The first attempt that such a row holds is kept.
+func (in *Intake) resolveOnce(ctx context.Context, jb *workpb.Job) error {
 	rw, ok, err := in.st.Get(ctx, JobsTable, Partition(jb.GetId()), jb.GetId())
 	if err != nil {
 		return code.TableInDoubt.Wrap(err)
@@ -148,9 +258,14 @@
 	if ok && accepted([]rowstore.Row{rw}) {
 		return nil
 	}
-	if stored, _ := storedJob([]rowstore.Row{rw}); ok && stored == nil {
+	stored, _ := storedJob([]rowstore.Row{rw})
+	if ok && stored == nil {
 		return code.TableInDoubt.New("cannot decode row %s", rw.Key())
 	}
+	refused, err := proto.Marshal(&workpb.Job{Id: jb.GetId(), Refused: true, FirstTriedMs: stored.GetFirstTriedMs()})
+	if err != nil {
+		return code.TableInDoubt.Wrap(err)
+	}
 	current, err := in.commitWithTimeout(ctx, in.jobTx(jb, rw.Version(), refused), firstTimeoutMS)
 	switch {
 	case err == nil:
