Keep refused rows for their callers' retries and delete them on condition that they are unchanged

The owner deleted the row of a refused job a fixed time after it first saw it, without a condition: a job that was accepted in its place meanwhile could lose its row, or its state be forgotten early.

A refused row is kept for 60 s at least after it was last written, more than the 10 s that a caller waits at most between two attempts, and deleted only under the version last seen.

--- a/internal/scheduling/jobrunner/cleaner.go
+++ b/internal/scheduling/jobrunner/cleaner.go
@@ -20,19 +20,32 @@
 	// whole holds the ended jobs whose rows are still whole.
 	whole     *retention.Retention
 	nextRunMS int64
-	// shortenNext is set when it is the turn of rows to be shortened.
-	shortenNext bool
 	// shown holds the moved jobs whose progress is still stored, in one partition.
 	shown *retention.Retention
 	// moved holds the jobs moved to the table of ended jobs until that table has been loaded.
 	moved map[string]bool
+	// refused holds the refused jobs whose rows are still stored, with the newest version of each; refusedRows tells when they are due.
+	refused     map[string]refusedRow
+	refusedRows *retention.Retention
+	// turn counts the runs, so that the kinds of rows take turns.
+	turn int
 	// removing is set while the rows of a partition are being deleted or shortened.
 	removing bool
 	// progressIDs lists the jobs whose own rows are deleted and whose progress is deleted with the next commit.
 	progressIDs []string
 }
 
+// refusedRow is the row of a refused job as last seen.
+type refusedRow struct {
+	version int64
+	seenMS  int64
+}
+
 const (
+	// minRefusedRetentionMS is how long the row of a refused job is kept at least after its last refusal: callers that come back find the time of their first attempt there, at most 10 s later, or some seconds more if the store or their zone is away.
+	minRefusedRetentionMS = 60_000
+	// refusedTurns is the number of runs of which one removes rows of refused jobs first.
+	refusedTurns = 4
 	// cleanupIntervalMS is how often rows are deleted, cleanupBatch the maximum number of jobs at once, with three rows each; both limit the store calls that compete with those made for callers.
 	cleanupIntervalMS = 500
 	cleanupBatch      = 33
@@ -46,14 +59,23 @@
 )
 
 func newRowCleaner(rn *Runner, retentionMS int64) *rowCleaner {
-	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), whole: retention.New(shortenAfterMS), shown: retention.New(showAfterMS), moved: map[string]bool{}}
+	refusedRetentionMS := retentionMS
+	if retentionMS > 0 {
+		refusedRetentionMS = max(retentionMS, minRefusedRetentionMS)
+	}
+	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), refused: map[string]refusedRow{}, refusedRows: retention.New(refusedRetentionMS), whole: retention.New(shortenAfterMS), shown: retention.New(showAfterMS), moved: map[string]bool{}}
 }
 
-// addRefused schedules the deletion of a refused job, whose row exists only to keep a late submission from taking effect.
-func (rc *rowCleaner) addRefused(id string) {
-	rc.rt.RecordEnded(intake.Partition(id), id, rc.rn.ck.Now())
+// addRefused schedules the deletion of a refused job's row, which keeps a late submission from taking effect and holds the time of the first attempt. A row that is written anew is kept for the whole time again.
+func (rc *rowCleaner) addRefused(id string, version int64) {
+	nowMS := rc.rn.ck.Now()
+	rc.refused[id] = refusedRow{version, nowMS}
+	rc.refusedRows.RecordEnded(intake.Partition(id), id, nowMS)
 }
 
+// dropRefused forgets the refusal of a job that has been accepted since, so that its row isn't deleted before its time.
+func (rc *rowCleaner) dropRefused(id string) { delete(rc.refused, id) }
+
 // addOrphans schedules the deletion of progress without a job, left by an owner that was lost between the two deletions.
 func (rc *rowCleaner) addOrphans(known map[string]bool, progress map[string]*workpb.Progress) {
 	for id := range progress {
@@ -76,16 +98,69 @@
 		return
 	}
 	rc.nextRunMS = nowMS + cleanupIntervalMS
-	rc.shortenNext = !rc.shortenNext
-	if rc.shortenNext {
-		rc.shortenRows(ctx, nowMS)
+	rc.turn++
+	for _, clean := range rc.kinds() {
+		if !rc.removing {
+			clean(ctx, nowMS)
+		}
 	}
-	if !rc.removing {
-		rc.removeRows(ctx, nowMS)
+}
+
+// kinds returns the functions that clean up one kind of rows each, in the order of this run: the first one with rows that are due is the only one that acts.
+func (rc *rowCleaner) kinds() []func(context.Context, int64) {
+	switch {
+	case rc.turn%refusedTurns == 0:
+		return []func(context.Context, int64){rc.removeRefused, rc.removeRows, rc.shortenRows}
+	case rc.turn%2 == 1:
+		return []func(context.Context, int64){rc.shortenRows, rc.removeRows, rc.removeRefused}
+	default:
+		return []func(context.Context, int64){rc.removeRows, rc.shortenRows, rc.removeRefused}
 	}
-	if !rc.removing && !rc.shortenNext {
-		rc.shortenRows(ctx, nowMS)
+}
+
+// removeRefused deletes the rows of refused jobs that are due in one partition, on condition that they are unchanged: a job may have been accepted in place of its refusal without this owner having heard of it.
+func (rc *rowCleaner) removeRefused(ctx context.Context, nowMS int64) {
+	partition, due := rc.refusedRows.TakeDue(nowMS, cleanupBatch)
+	tx := rowstore.NewTx(partition)
+	var ids []string
+	for _, id := range due {
+		// An id is recorded once for each time its row was written; only the last one counts.
+		row, ok := rc.refused[id]
+		if !ok || !rc.refusedRows.Due(row.seenMS, nowMS) {
+			continue
+		}
+		tx.Require(intake.JobsTable, id, row.version).Remove(intake.JobsTable, id)
+		ids = append(ids, id)
 	}
+	if len(ids) > 0 {
+		rc.removing = true
+		rc.hurry(due, nowMS)
+		go rc.commitRefused(ctx, tx, ids)
+	}
+}
+
+// commitRefused deletes rows of refused jobs; if some have changed, the others are tried again.
+func (rc *rowCleaner) commitRefused(ctx context.Context, tx *rowstore.Tx, ids []string) {
+	_, current, err := rc.rn.deps.Store.Commit(ctx, tx)
+	rc.rn.post(ctx, func() {
+		rc.removing = false
+		if err == nil {
+			for _, rw := range tx.Requires() {
+				if rc.refused[rw.Key()].version == rw.Version() {
+					delete(rc.refused, rw.Key())
+				}
+			}
+			rc.rn.lg.Info("refusals-removed", "part", tx.Partition(), "jobs", len(ids))
+			return
+		}
+		for _, rw := range current {
+			if rc.refused[rw.Key()].version != rw.Version() {
+				delete(rc.refused, rw.Key())
+			}
+		}
+		rc.refusedRows.Requeue(tx.Partition(), ids, rc.rn.ck.Now())
+		rc.rn.lg.Fail("refusals-unremoved", err, "part", tx.Partition(), "jobs", len(ids))
+	})
 }
 
 // removeRows deletes the rows that are due in one partition.
--- a/internal/scheduling/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -122,9 +122,10 @@
 			continue
 		}
 		if jb.GetRefused() {
-			rn.cleaner.addRefused(jb.GetId())
+			rn.cleaner.addRefused(jb.GetId(), rw.Version())
 			continue
 		}
+		rn.cleaner.dropRefused(jb.GetId())
 		if progress != nil {
 			rn.ct.Restore(jb, progress[jb.GetId()])
 			continue
--- a/internal/scheduling/retention/retention.go
+++ b/internal/scheduling/retention/retention.go
@@ -53,10 +53,13 @@
 	return partition, ids
 }
 
+// Due reports whether a job that was recorded at a time is due.
+func (rt *Retention) Due(recordedMS, nowMS int64) bool { return nowMS-recordedMS >= rt.retentionMS }
+
 // countDue returns the number of due jobs at the head of the list.
 func (rt *Retention) countDue(list []endedJob, nowMS int64) int {
 	for at, ej := range list {
-		if nowMS-ej.recordedMS < rt.retentionMS {
+		if !rt.Due(ej.recordedMS, nowMS) {
 			return at
 		}
 	}
