--- a/internal/observability/entrystatus/entrystatus.go
+++ b/internal/observability/entrystatus/entrystatus.go
@@ -37,8 +37,11 @@
 	stateUnregistered = "unregistered"
 )
 
-// operatorsTable stands for the operators' changes, which each entry follows.
-const operatorsTable = "operators"
+// operatorsTable stands for the operators' changes and waitsTable for the estimate of the queueing delay, which each entry follows.
+const (
+	operatorsTable = "operators"
+	waitsTable     = "waits"
+)
 
 // New returns a status without events.
 func New(ck *clock.Clock) *Status {
@@ -78,7 +81,7 @@
 	st.ownerMS, st.schedulingMS, st.token, st.unanswered = 0, 0, "", 0
 	clear(st.vms)
 	for table := range st.lostMS {
-		if table != operatorsTable {
+		if table != operatorsTable && table != waitsTable {
 			delete(st.lostMS, table)
 		}
 	}
--- a/internal/observability/explain/subject.go
+++ b/internal/observability/explain/subject.go
@@ -17,7 +17,7 @@
 var ends = map[string]bool{"job-completed": true, "job-failed": true, "job-cancelled": true, "job-ended": true}
 
 // refusals are the events of calls that didn't take effect.
-var refusals = map[string]bool{"call-refused": true, "request-refused": true, "request-failed": true, "job-request-refused": true}
+var refusals = map[string]bool{"call-refused": true, "submission-refused": true, "request-refused": true, "request-failed": true, "job-request-refused": true}
 
 // ownerEvents concern every job that is scheduled at the time.
 var ownerEvents = map[string]bool{
--- a/internal/observability/explain/why.go
+++ b/internal/observability/explain/why.go
@@ -34,6 +34,7 @@
 var refusalCauses = map[code.Code]string{
 	code.KeyUnknown:       "the key is in no team of the rules that the entry had in force",
 	code.ServiceUnknown:   "the rules that the entry had in force name no such queue or service",
+	code.DeadlineHopeless: "the job could not have ended in time, and its caller was told when to come back",
 	code.KeyedWorkPaused:  "the entry could not prove that its rules, and so its keys, were the newest",
 	code.TableUnavailable: "the store took nothing of the call and never will, so it may be repeated",
 	code.TableInDoubt:     "the store gave no certain answer, so the call may have taken effect",
--- /dev/null
+++ b/internal/scheduling/waitview/doc.go
@@ -0,0 +1,2 @@
+// Package waitview follows the owner's estimate of the queueing delay.
+package waitview
--- a/internal/store/rowfeed/rowfeed.go
+++ b/internal/store/rowfeed/rowfeed.go
@@ -63,12 +63,23 @@
 func New(st *rowstore.Store, ck *clock.Clock, table string, waitMS int64, readTable func(context.Context) ([]rowstore.Row, int64, error)) *Feed {
 	return &Feed{
 		st: st, ck: ck, table: table, waitMS: waitMS, readTable: readTable,
-		longPollPolicy: hedge.New(ck, waitMS+answerAllowanceMS, probeIntervalMS, isHistoryLost),
+		longPollPolicy: longPollPolicy(ck, waitMS),
 		probePolicy:    hedge.New(ck, probeIntervalMS, probeIntervalMS, isHistoryLost),
 		OnOutage:       func(error) {}, OnRecovery: func(int64) {}, OnHistoryLost: func(int64) {},
 	}
 }
 
+func longPollPolicy(ck *clock.Clock, waitMS int64) *hedge.Policy {
+	return hedge.New(ck, waitMS+answerAllowanceMS, probeIntervalMS, isHistoryLost)
+}
+
+// SetWait changes how long the store waits for a change, from the next call on; only the function that handles the answers may call it.
+func (fd *Feed) SetWait(waitMS int64) {
+	if waitMS != fd.waitMS {
+		fd.waitMS, fd.longPollPolicy = waitMS, longPollPolicy(fd.ck, waitMS)
+	}
+}
+
 func isHistoryLost(err error) bool { return code.Of(err) == code.HistoryLost }
 
 // StartAfter makes the feed start after a version instead of reading the whole table first.
