--- a/internal/observability/entrystatus/entrystatus.go
+++ b/internal/observability/entrystatus/entrystatus.go
@@ -40,8 +40,11 @@
 	stateUnregistered = "unregistered"
 )
 
-// operatorsTable stands for the operators' changes, which each entry follows.
-const operatorsTable = "operators"
+// operatorsTable stands for the operators' changes and waitsTable for the estimate of the queueing delay, which each entry follows.
+const (
+	operatorsTable = "operators"
+	waitsTable     = "waits"
+)
 
 // New returns a status without events.
 func New(ck *clock.Clock) *Status {
@@ -87,7 +90,7 @@
 	clear(st.vms)
 	clear(st.shareLevels)
 	for table := range st.lostMS {
-		if table != operatorsTable {
+		if table != operatorsTable && table != waitsTable {
 			delete(st.lostMS, table)
 		}
 	}
--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 )
 
 const (
@@ -186,7 +187,7 @@
 }
 
 // expectedTaskMS returns how long a task of the step is expected to take: as declared by its submitter. Learned durations belong here.
-func (st *step) expectedTaskMS() int64 { return max(st.row.GetEstimateMs(), minStepEstimateMS) }
+func (st *step) expectedTaskMS() int64 { return max(st.row.GetEstimateMs(), jobwork.MinStepEstimateMS) }
 
 // unreachable reports whether a VM's runs can't be observed or stopped for now.
 func (ct *Controller) unreachable(vm *vmState) bool {
--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -82,8 +82,7 @@
 	rowsReadAtStart int
 	// unansweredTable is a table whose reads get no answer.
 	unansweredTable string
-	// rules returns the rules in force; setGauge takes the entries' gauges.
-	rules    func() *rulesindex.Index
+	// setGauge takes the entries' gauges.
 	setGauge func(val int64, parts ...string)
 }
 
