--- a/internal/scheduling/jobcontrol/waits.go
+++ b/internal/scheduling/jobcontrol/waits.go
@@ -69,7 +69,7 @@
 
 // addWork adds the remaining work of started jobs and that of the others that can still be in time. Best-effort tasks take no capacity, and what runs on VMs that don't count competes for none that does.
 func (ct *Controller) addWork(es *waitestimate.Estimator, counted map[*vmState]bool, nowMS int64) {
-	asked := map[string]map[string]int64{}
+	asked := newTeamDemand(nil)
 	gone := func(vm *vmState) bool { return !counted[vm] }
 	for _, jb := range ct.active {
 		qu := ct.queueOf(jb)
@@ -77,24 +77,22 @@
 			continue
 		}
 		for _, oc := range jb.occurrences {
-			begun := oc.started()
-			if !begun && !oc.onTime(qu, nowMS) {
-				continue
-			}
-			work, cores := oc.openWork(gone, nowMS)
-			if begun {
+			var ready int64
+			switch {
+			case oc.started():
+				var work int64
+				work, ready = oc.openWork(gone, nowMS)
 				es.AddBegun(qu.GetService(), work)
-			} else {
+			case oc.onTime(qu, nowMS):
+				var work int64
+				work, ready = oc.wholeWork()
 				es.AddWaiting(qu.GetService(), jb.row.GetTeam(), work)
 			}
-			if asked[qu.GetService()] == nil {
-				asked[qu.GetService()] = map[string]int64{}
-			}
-			asked[qu.GetService()][jb.row.GetTeam()] += cores
+			asked.add(qu.GetService(), jb.row.GetTeam(), ready)
 		}
 	}
-	for service, teams := range asked {
-		for team, cores := range teams {
+	for team, services := range asked.milli {
+		for service, cores := range services {
 			if limit := ct.caps[team].CoresMilli(); limit > 0 {
 				cores = min(cores, max(limit-ct.used[team].CoresMilli(), 0))
 			}
@@ -123,6 +121,21 @@
 	return workCoreMS, readyMilli
 }
 
+// wholeWork returns the same as openWork for an occurrence of which no task has started, without a look at each task.
+func (oc *occurrence) wholeWork() (workCoreMS, readyMilli int64) {
+	for _, st := range oc.steps {
+		need := st.need().CoresMilli()
+		if st.row.GetLasting() || need == 0 {
+			continue
+		}
+		workCoreMS += st.expectedTaskMS() * int64(len(st.tasks)) * need / milli
+		if st.ready() {
+			readyMilli += int64(len(st.tasks)) * need
+		}
+	}
+	return workCoreMS, readyMilli
+}
+
 // addTeams adds each team's level and cap for the services that can be listed.
 func (ct *Controller) addTeams(es *waitestimate.Estimator, eligible map[string]bool) {
 	for service := range eligible {
