Restores on slow links: paged reads, progress in the row, waits after failures

Change: a restore reads by bulkread and stores restored_bytes with each renewal; a failed page is read again, so that neither an outage of the store nor lost responses end a restore (it ends after 20 s without any page; the bound of 60 s in all is gone). An entry whose takeover ended before it scheduled waits (takeover). Before it schedules, an owner on a slow link opens the links to relays, and its starts and first polls under way are limited to what the link carries in 100 ms. /status, restore-progress, takeover-unfinished, counters ownership.takeovers and ownership.unfinished-takeovers.

--- a/cmd/fulmarloft/status.go
+++ b/cmd/fulmarloft/status.go
@@ -39,6 +39,11 @@
 	RunsInDoubt  int64            `json:"runs-in-doubt"`
 	Unanswered   int64            `json:"starts-unanswered"`
 	LostMS       map[string]int64 `json:"changes-lost-ms"`
+	Restoring    string           `json:"restoring"`
+	RestoringMS  int64            `json:"restoring-for-ms"`
+	RestoredB    int64            `json:"restored-bytes"`
+	Takeovers    int64            `json:"takeovers"`
+	Unfinished   int64            `json:"unfinished-takeovers"`
 	RulesVersion int64            `json:"rules-version"`
 	RulesAgeMS   int64            `json:"rules-age-ms"`
 	Waiting      map[string]int   `json:"waiting"`
@@ -121,6 +126,12 @@
 	} else {
 		fmt.Fprintf(out, "  waiting jobs: %s\n", counts(st.Waiting))
 	}
+	if st.Restoring != "" {
+		fmt.Fprintf(out, "  %s restores for %d ms and has read %d bytes\n", st.Restoring, st.RestoringMS, st.RestoredB)
+	}
+	if st.Takeovers > 0 {
+		fmt.Fprintf(out, "  took over %d times since it started, %d of them without scheduling\n", st.Takeovers, st.Unfinished)
+	}
 	if !st.Owner {
 		return
 	}
--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -3,18 +3,20 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/membership/takeover"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/request/hedge"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
-// Ownership is one entry's view of the ownership row; only Held, RemainingMS, SinceRenewalMS and Token are safe to call concurrently with other methods.
+// Ownership is one entry's view of the ownership row; only Committing, Held, RemainingMS, Restoring, SinceRenewalMS and Token are safe to call concurrently with other methods.
 type Ownership struct {
 	st          *rowstore.Store
 	ck          *clock.Clock
@@ -28,6 +30,9 @@
 	version          int64
 	strength         int64
 	unchangedSinceMS int64
+	ru               *takeover.Rule
+	// strongerExists is set if a candidate had more strength when the candidates were last read.
+	strongerExists bool
 	// freeSinceMS is since when the row can be taken over, 0 while it cannot; deferForMS is how long this entry then defers to stronger ones.
 	freeSinceMS int64
 	deferForMS  int64
@@ -43,6 +48,13 @@
 	renewedMS    atomic.Int64
 	held         atomic.Bool
 	token        atomic.Int64
+	// restoring and restoredBytes are stored with the next commits.
+	restoring     bool
+	restoredBytes int64
+	// restore is the restore under way as far as this entry knows, nil if there is none.
+	restore atomic.Pointer[restore]
+	// committing is set while a commit is under way.
+	committing atomic.Bool
 	// hedgeDelayMS is how long the next commit waits for an answer before it is sent again.
 	hedgeDelayMS int64
 	// firstTryMS is the start of the first attempt of a commit whose outcome is unknown, else 0.
@@ -64,8 +76,6 @@
 const (
 	// LeaseMS is how long after the start of its last applied commit an owner may order starts.
 	LeaseMS = 1000
-	// takeoverWaitMS is how long the row must be seen unchanged before another entry takes over; it exceeds LeaseMS by a margin for clock drift.
-	takeoverWaitMS = 1200
 	// A commit takes about 16 ms on an unloaded store: minHedgeDelayMS is far above that, maxHedgeDelayMS above a commit slowed down by a factor of 60.
 	minHedgeDelayMS = 250
 	maxHedgeDelayMS = 1500
@@ -73,12 +83,6 @@
 	commitTimeoutMS = 1500
 	// hedgeDelayFactor is the ratio of the hedge delay to the duration of the last commit's answered attempt.
 	hedgeDelayFactor = 6
-	// deferPerClassMS is how long an entry defers to each class of stronger ones; it exceeds the interval between their polls.
-	deferPerClassMS = 300
-	// maxDeferClasses limits the number of classes that an entry defers to.
-	maxDeferClasses = 3
-	// readTimeFactor is how many times the duration of its own read an entry adds to takeoverWaitMS, since a slow store delays the commits of the owner as well.
-	readTimeFactor = 4
 	// closeWatchers is the number of entries that poll at short intervals: enough that some remain after the loss of a zone.
 	closeWatchers = 4
 	// closePollIntervalMS is the poll interval of close watchers, relaxedPollIntervalMS that of the others, whose reads must be less than maxReadGapMS apart.
@@ -94,7 +98,14 @@
 
 // New returns the view of an entry. The incarnation differs at each start of its process; entries with a higher strength, which reflects their machine, are preferred as owners.
 func New(st *rowstore.Store, ck *clock.Clock, entry, incarnation string, strength int64) *Ownership {
-	return &Ownership{st: st, ck: ck, entry: entry, incarnation: incarnation, strength: strength, hedgeDelayMS: minHedgeDelayMS}
+	return (&Ownership{st: st, ck: ck, entry: entry, incarnation: incarnation, strength: strength, hedgeDelayMS: minHedgeDelayMS}).WithLink(0)
+}
+
+// WithLink sets the rate of this entry's link in bytes a second, 0 if it is unknown, so that entries with faster links go first where a restore takes long.
+func (ow *Ownership) WithLink(bytesPerS int64) *Ownership {
+	seed := nameHash(ow.incarnation)
+	ow.ru = takeover.New(bytesPerS, rand.New(rand.NewPCG(seed, seed)).Float64)
+	return ow
 }
 
 // WithRelay sets the address and the availability zone at which this entry makes calls to VMs for the owner.
@@ -170,6 +181,7 @@
 		}
 	}
 	rk.strongerClasses = len(stronger)
+	ow.strongerExists = len(stronger) > 0
 	return rk, nil
 }
 
@@ -180,13 +192,13 @@
 	return sum.Sum64()
 }
 
-// deferral returns how long this entry leaves a free row to stronger ones.
+// deferral returns how long this entry leaves a free row to others.
 func (ow *Ownership) deferral(ctx context.Context) (int64, error) {
 	rk, err := ow.readRank(ctx)
 	if err != nil {
 		return 0, err
 	}
-	return deferPerClassMS * int64(min(rk.strongerClasses, maxDeferClasses)), nil
+	return ow.ru.DeferMS(rk.strongerClasses), nil
 }
 
 // PollIntervalMS returns the time until the next poll: close watchers always poll at short intervals, other entries only while the row seems unchanged.
@@ -229,7 +241,9 @@
 		ow.tokenSinceMS = nowMS
 	}
 	ow.row, ow.version, ow.lastReadMS = row, rw.Version(), nowMS
-	if !ow.isFree(startMS, takeoverWaitMS+readTimeFactor*(nowMS-startMS)) {
+	ow.ru.Observe(row)
+	ow.noteRestore(row)
+	if !ow.isFree(startMS, ow.ru.ExpiryMS(nowMS-startMS)) || !ow.ru.MayTry(nowMS) {
 		ow.freeSinceMS = 0
 		return false, nil
 	}
@@ -260,7 +274,7 @@
 
 // takeOver writes this entry into the row with a new fencing token.
 func (ow *Ownership) takeOver(ctx context.Context) (bool, error) {
-	next := &workpb.Ownership{Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.version + 1, Sequence: 1}
+	next := &workpb.Ownership{Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.version + 1, Sequence: 1, Restoring: true}
 	startMS := ow.ck.Now()
 	tx := rowstore.NewTx(Partition)
 	if err := ow.addRenewal(tx, next); err != nil {
@@ -276,6 +290,8 @@
 	ow.renewedMS.Store(startMS)
 	ow.token.Store(next.GetToken())
 	ow.held.Store(true)
+	ow.restoring, ow.restoredBytes = true, 0
+	ow.noteRestore(next)
 	return true, nil
 }
 
@@ -295,6 +311,7 @@
 func (ow *Ownership) Commit(ctx context.Context, fill func(*rowstore.Tx)) error {
 	next := &workpb.Ownership{
 		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.row.GetToken(), Sequence: ow.row.GetSequence() + 1,
+		Restoring: ow.restoring, RestoredBytes: ow.restoredBytes,
 	}
 	return ow.commit(ctx, fill, next)
 }
@@ -305,11 +322,14 @@
 		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.row.GetToken(), Sequence: ow.row.GetSequence() + 1, Released: true,
 	}
 	ow.held.Store(false)
+	ow.restore.Store(nil)
 	return ow.commit(ctx, func(*rowstore.Tx) {}, next)
 }
 
 // commit sends the same transaction again while it is unanswered; its condition on the row lets only one attempt apply.
 func (ow *Ownership) commit(ctx context.Context, fill func(*rowstore.Tx), next *workpb.Ownership) error {
+	ow.committing.Store(true)
+	defer ow.committing.Store(false)
 	startMS := ow.ck.Now()
 	if ow.firstTryMS == 0 {
 		ow.firstTryMS = startMS
@@ -392,6 +412,7 @@
 		}
 	}
 	ow.held.Store(false)
+	ow.restore.Store(nil)
 	return code.LeaseLapsed.New("another entry owns scheduling now")
 }
 
@@ -409,8 +430,5 @@
 	return max(ow.renewedMS.Load()+LeaseMS-ow.ck.Now(), 0)
 }
 
-// PredecessorMS returns for how long this entry saw its predecessor as the owner.
-func (ow *Ownership) PredecessorMS() int64 { return ow.predecessorMS }
-
 // SinceRenewalMS returns the time since the start of the last applied commit.
 func (ow *Ownership) SinceRenewalMS() int64 { return ow.ck.Now() - ow.renewedMS.Load() }
--- a/internal/membership/ownership/ownership_test.go
+++ b/internal/membership/ownership/ownership_test.go
@@ -241,3 +241,47 @@
 		}
 	})
 }
+
+// A restoring owner must keep the row for longer than others while it reads, every entry must see how far it is, and it must be replaced once it is lost.
+func TestRestoringOwnerKeepsTheRowWhileItProgresses(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+	for at := range int64(5) {
+		pr.one.ReportRestore(1000 * at)
+		qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNil)
+		qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+		pr.ck.Advance(pollMS)
+	}
+	entry, forMS, bytes := pr.two.Restoring()
+	qt.Check(t, entry, qt.Equals, "one")
+	qt.Check(t, forMS, qt.Equals, int64(5*pollMS))
+	qt.Check(t, bytes, qt.Equals, int64(4000))
+	qt.Check(t, pr.watch(t, pr.two, 1800), qt.IsFalse)
+	qt.Check(t, pr.watch(t, pr.two, 900), qt.IsTrue)
+	entry, _, bytes = pr.one.Restoring()
+	qt.Check(t, entry, qt.Equals, "one")
+	qt.Check(t, bytes, qt.Equals, int64(4000))
+	qt.Check(t, code.Of(pr.one.Commit(context.Background(), put("b"))), qt.Equals, code.LeaseLapsed)
+	entry, _, _ = pr.one.Restoring()
+	qt.Check(t, entry, qt.Equals, "")
+	pr.two.EndRestore()
+	qt.Assert(t, pr.two.Commit(context.Background(), put("b")), qt.IsNil)
+	qt.Assert(t, poll(t, pr.one), qt.IsFalse)
+	entry, _, _ = pr.one.Restoring()
+	qt.Check(t, entry, qt.Equals, "")
+}
+
+// An entry whose takeover ended without scheduling must leave the row to another one, even a free row, and take it again when its wait is over.
+func TestFailedEntryLeavesTheRowToOthers(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	qt.Assert(t, pr.one.Release(context.Background()), qt.IsNil)
+	failures, waitMS := pr.one.RecordLostTerm(0)
+	qt.Check(t, failures, qt.Equals, 1)
+	qt.Check(t, waitMS >= 1500 && waitMS <= 2000, qt.IsTrue, qt.Commentf("waits %d ms", waitMS))
+	qt.Check(t, pr.watch(t, pr.one, 1500), qt.IsFalse)
+	qt.Check(t, poll(t, pr.two), qt.IsTrue)
+	qt.Assert(t, pr.two.Release(context.Background()), qt.IsNil)
+	qt.Check(t, pr.watch(t, pr.one, 750), qt.IsTrue)
+}
--- a/internal/observability/explain/subject.go
+++ b/internal/observability/explain/subject.go
@@ -23,7 +23,7 @@
 var ownerEvents = map[string]bool{
 	"ownership-taken": true, "ownership-released": true, "ownership-unreleased": true, "ownership-yielded": true,
 	"scheduling-started": true, "scheduling-ended": true, "scheduling-lost": true, "first-start-accepted": true,
-	"commit-failed": true, "renewal-failed": true, "restore-read-failed": true, "jobs-rebuilt": true, "jobs-table-outage": true,
+	"commit-failed": true, "renewal-failed": true, "restore-read-failed": true, "restore-progress": true, "takeover-unfinished": true, "jobs-rebuilt": true, "jobs-table-outage": true,
 }
 
 // lifeEvents concern a job if the entry owns scheduling at some time.
--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -63,6 +63,9 @@
 	return out
 }
 
+// KeyPrefix returns what the keys of a partition that Partition distinguishes begin with.
+func KeyPrefix(partition string) string { return strings.TrimPrefix(partition, "j") }
+
 // CancelKey returns the key of the row that marks a job as cancelled.
 func CancelKey(id string) string { return id + cancelSuffix }
 
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -50,6 +50,9 @@
 	// idlePolls is the number of polls under way of VMs without runs that answer or are new, unresponsivePolls that of those that don't answer.
 	idlePolls         int
 	unresponsivePolls int
+	// firstPolls is the number of polls under way of VMs with runs whose lists this owner hasn't seen yet, firstPollLimit how many may be.
+	firstPolls     int
+	firstPollLimit int
 }
 
 const (
@@ -70,7 +73,7 @@
 		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unplaceable: map[string]*unplaceable{},
-		startLimit: math.MaxInt,
+		startLimit: math.MaxInt, firstPollLimit: math.MaxInt,
 	}
 }
 
@@ -88,6 +91,9 @@
 // LimitStarts sets how many starts may be under way at once: planned or ordered, but not answered yet.
 func (ct *Controller) LimitStarts(limit int) { ct.startLimit = limit }
 
+// LimitFirstPolls sets how many VMs whose lists this owner hasn't seen yet may be polled at once.
+func (ct *Controller) LimitFirstPolls(limit int) { ct.firstPollLimit = limit }
+
 // mayStartMore reports whether another start may be planned.
 func (ct *Controller) mayStartMore() bool { return ct.startsUnderWay < ct.startLimit }
 
--- a/internal/scheduling/jobcontrol/faults_test.go
+++ b/internal/scheduling/jobcontrol/faults_test.go
@@ -487,6 +487,33 @@
 	qt.Check(t, slices.ContainsFunc(due, func(lr *workpb.LookRequest) bool { return lr.GetVm() == "busy" }), qt.IsTrue)
 }
 
+// On a slow link a new owner must not poll all VMs with runs at once, but poll each of them in turn and then renew its leases without a limit.
+func TestFirstPollsOfVMsWithRunsAreLimited(t *testing.T) {
+	const count, limit = 20, 5
+	var vms []*workpb.VM
+	for at := range count {
+		vms = append(vms, vmOf(fmt.Sprintf("busy-%02d", at)))
+	}
+	fl := newFleet(t, vms...)
+	fl.submit(&workpb.Job{Id: "00000000000000aa", Steps: []*workpb.Step{{Count: count, CpuMilli: 5000, MemoryMb: 100, EstimateMs: 60_000}}})
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	fl.run(500)
+	fl.newOwner()
+	fl.ct.LimitFirstPolls(limit)
+	for polled := 0; polled < count; {
+		due := fl.ct.DuePolls()
+		qt.Assert(t, len(due), qt.Equals, limit)
+		qt.Assert(t, fl.ct.DuePolls(), qt.HasLen, 0)
+		for _, lr := range due {
+			look, vd := fl.workers[lr.GetVm()].Poll(lr)
+			fl.ct.HandlePoll(lr.GetVm(), fl.ck.Now(), look, vd)
+		}
+		polled += len(due)
+	}
+	fl.ck.Advance(300)
+	qt.Check(t, fl.ct.DuePolls(), qt.HasLen, count)
+}
+
 // A start may wait long for its answer, so the age of its run counts from when a poll first lists it. Otherwise a run that has just begun would be taken for a slow one and restarted elsewhere.
 func TestRunConfirmedByAPollIsNotTakenForSlow(t *testing.T) {
 	fl := newFleet(t, vmOf("a"), vmOf("b"))
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -46,7 +46,7 @@
 		if (!vm.registered || vm.departing()) && len(vm.runs) == 0 {
 			continue
 		}
-		if len(vm.runs) == 0 && !ct.countIdlePoll(vm) {
+		if !ct.countPoll(vm) {
 			continue
 		}
 		out = append(out, ct.newPoll(vm))
@@ -54,13 +54,18 @@
 	return out
 }
 
-// countIdlePoll counts a poll of a VM without runs and reports whether it may be sent now. Unresponsive VMs are counted apart, since their polls last until they time out.
-func (ct *Controller) countIdlePoll(vm *vmState) bool {
-	count := &ct.idlePolls
-	if vm.unresponsive {
-		count = &ct.unresponsivePolls
+// countPoll counts a poll of a VM without runs, or the first ones of a VM with runs, and reports whether it may be sent now. Unresponsive VMs are counted apart, since their polls last until they time out.
+func (ct *Controller) countPoll(vm *vmState) bool {
+	count, limit := &ct.idlePolls, min(maxIdlePolls, ct.firstPollLimit)
+	switch {
+	case len(vm.runs) > 0 && (vm.synced || vm.unresponsive):
+		return true
+	case len(vm.runs) > 0:
+		count, limit = &ct.firstPolls, ct.firstPollLimit
+	case vm.unresponsive:
+		count, limit = &ct.unresponsivePolls, maxIdlePolls
 	}
-	if *count >= maxIdlePolls {
+	if *count >= limit {
 		return false
 	}
 	*count++
--- a/internal/scheduling/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -34,7 +34,7 @@
 }
 
 func (rn *Runner) readRegistry(ctx context.Context) ([]rowstore.Row, int64, error) {
-	return rn.deps.Store.ReadAll(ctx, rn.deps.RegistryTable, registryPartition)
+	return rn.bulk.ReadAll(ctx, rn.deps.RegistryTable, registryPartition, rn.deps.RegistryPrefix)
 }
 
 // readJobs reads the jobs of all partitions and returns the version to follow from, which is the earliest of the reads: a later one would miss changes.
@@ -63,7 +63,7 @@
 	gr.SetLimit(atOnce)
 	for _, partition := range partitions {
 		gr.Go(func() error {
-			list, version, err := rn.deps.Store.ReadAll(ctx, intake.JobsTable, partition)
+			list, version, err := rn.bulk.ReadAll(ctx, intake.JobsTable, partition, intake.KeyPrefix(partition))
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, list...)
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/relay"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startretry"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startwindow"
+	"github.com/fulmarloft/fulmarloft/internal/store/bulkread"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -27,9 +28,12 @@
 	Poll  func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict)
 	// Relays carries orders and polls through other entries where this entry's link doesn't suffice.
 	Relays *relay.Relay
-	// DecodeVM decodes a row of the table RegistryTable.
-	RegistryTable string
-	DecodeVM      func(id string, raw []byte) (*workpb.VM, error)
+	// LinkBytesPerS is the rate of this entry's link, 0 if it is unknown.
+	LinkBytesPerS int64
+	// DecodeVM decodes a row of the table RegistryTable, whose keys mostly consist of RegistryPrefix and hexadecimal digits.
+	RegistryTable  string
+	RegistryPrefix string
+	DecodeVM       func(id string, raw []byte) (*workpb.VM, error)
 	// Machines lists the machines; Maintain orders the maintenance of one under a fencing token.
 	Machines func(ctx context.Context) ([]*workpb.Machine, error)
 	Maintain func(ctx context.Context, machine string, wave, token int64) error
@@ -54,6 +58,7 @@
 	ow   *ownership.Ownership
 
 	ct          *jobcontrol.Controller
+	bulk        *bulkread.Reader
 	events      chan func()
 	orderQueues map[string]*orderQueue
 	// openStarts holds the starts whose outcome isn't known.
@@ -99,10 +104,6 @@
 	countsIntervalMS = 600
 	// finishTimeoutMS bounds the wait for the last commit.
 	finishTimeoutMS = 1500
-	// minTermMS is the minimum time that an owner schedules before it yields.
-	minTermMS = 3000
-	// stableTermMS is the term of an owner from which the load seems to be one that an entry can carry.
-	stableTermMS = 30_000
 	// commitRetryMS is the pause before a failed commit is retried.
 	commitRetryMS = 50
 )
@@ -122,6 +123,8 @@
 		events: make(chan func(), eventBuffer), orderQueues: map[string]*orderQueue{}, openStarts: map[startKey]*queuedOrder{},
 		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), starts: startwindow.New(), startRetry: startretry.New(), pollRetry: startretry.New(),
 	}
+	rn.bulk = rn.newBulkReader(deps.LinkBytesPerS)
+	rn.bulk.OnFailure = func(err error) { rn.lg.Fail("restore-read-failed", err) }
 	rn.waves = newWaves(rn)
 	rn.pools = newPoolResizer(rn)
 	rn.cleaner = newRowCleaner(rn, retentionMS)
@@ -135,13 +138,13 @@
 	// The ownership isn't safe for concurrent use, so a commit in flight must end before it is released or polled.
 	defer rn.commits.Wait()
 	defer cancel()
+	defer rn.deps.Relays.Update(nil)
 	rn.applyRules()
 	if err := rn.restore(ctx, stop); err != nil {
 		return err
 	}
 	rn.scheduleStartMS = rn.ck.Now()
-	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.scheduleStartMS-rn.startMS)
-	defer rn.deps.Relays.Update(nil)
+	rn.lg.Info("scheduling-started", "token", rn.ow.Token(), "after-ms", rn.scheduleStartMS-rn.startMS, "restored-bytes", rn.bulk.Bytes())
 	tick := time.NewTicker(tickIntervalMS * time.Millisecond)
 	defer tick.Stop()
 	for !rn.ownershipLost {
@@ -183,17 +186,10 @@
 	}
 }
 
-// overloaded reports whether this entry falls behind and another one may do better. An owner whose predecessor held the ownership briefly keeps it for longer, so that a load too high for every entry does not pass the ownership around.
+// overloaded reports whether this entry falls behind and another one may do better.
 func (rn *Runner) overloaded() bool {
 	nowMS := rn.ck.Now()
-	if !rn.lag.Sustained(nowMS) {
-		return false
-	}
-	termMS := int64(minTermMS)
-	if rn.ow.PredecessorMS() < stableTermMS {
-		termMS = stableTermMS
-	}
-	return nowMS-rn.scheduleStartMS >= termMS
+	return rn.lag.Sustained(nowMS) && rn.ow.MayYield(nowMS-rn.scheduleStartMS, rn.linkLimited())
 }
 
 // finish waits for the commit in flight, since the ownership cannot be released before its outcome is known.
@@ -285,6 +281,7 @@
 		return
 	}
 	rn.nextScanMS = nowMS + pollScanIntervalMS
+	rn.ct.LimitFirstPolls(rn.firstPollLimit())
 	for _, req := range rn.ct.DuePolls() {
 		maxCopies := maxPollCopies
 		if !rn.ct.Responsive(req.GetVm()) {
@@ -328,7 +325,7 @@
 	}
 	rn.planDue = false
 	rn.lastPlanMS = nowMS
-	rn.ct.LimitStarts(rn.starts.Limit())
+	rn.ct.LimitStarts(rn.startLimit())
 	bt := rn.ct.Plan(rn.ow.Held())
 	counts := rn.pendingCounts(nowMS)
 	waveRows := rn.waves.changedRows()
--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -89,6 +89,8 @@
 	// slowMS is the added latency of each of its calls to VMs; stuck is set while none of them is answered before its timeout.
 	slowMS int64
 	stuck  bool
+	// link carries all of its calls, nil if they take no time.
+	link *pacedLink
 }
 
 func (en *entry) setStuck(stuck bool) {
@@ -181,15 +183,19 @@
 	si.live[task] = true
 }
 
-func (si *simulation) start(name string) {
+func (si *simulation) start(name string) { si.startOn(name, nil, 1) }
+
+// startOn starts an entry of some strength whose calls take a link.
+func (si *simulation) startOn(name string, link *pacedLink, strength int64) {
 	ctx, cancel := context.WithCancel(si.t.Context())
-	en := &entry{cancel: cancel, ended: make(chan struct{})}
+	en := &entry{cancel: cancel, ended: make(chan struct{}), link: link}
 	si.entries[name] = en
-	st := si.storeOf(en)
-	ow := ownership.New(st, si.ck, name, fmt.Sprintf("%s.%d", name, si.ck.Now()), 1)
+	st := link.store(si.storeOf(en))
+	ow := ownership.New(st, si.ck, name, fmt.Sprintf("%s.%d", name, si.ck.Now()), strength).WithLink(link.rate())
 	deps := &jobrunner.Dependencies{
 		Store: st,
 		Order: func(ctx context.Context, od *workpb.Order) workpb.Verdict {
+			link.transfer(ctx, callBytes+int64(len(od.GetPayload())))
 			if en.delay() || si.answerLost(od.GetVm()) {
 				si.wait(orderTimeoutMS)
 				return workpb.Verdict_IN_DOUBT
@@ -197,18 +203,20 @@
 			return si.order(ctx, od)
 		},
 		Poll: func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
+			link.transfer(ctx, callBytes)
 			if en.delay() || si.answerLost(lr.GetVm()) {
 				si.wait(lr.GetWaitMs() + pollMarginMS)
 				return nil, workpb.Verdict_IN_DOUBT
 			}
 			return si.poll(ctx, lr)
 		},
-		RegistryTable: registryTable, DecodeVM: decodeVM,
+		LinkBytesPerS: link.rate(),
+		RegistryTable: registryTable, RegistryPrefix: "vm-", DecodeVM: decodeVM,
 		Machines: si.list, Maintain: si.maintain, Move: si.move,
 		WaveStatus: si.waveStatus,
 		Rules:      rules(), Waves: si.waveSpecs, EvacuatedZones: func() map[string]bool { return nil },
 	}
-	deps.Relays = relay.New(si.ck, event.Discard(), 0)
+	deps.Relays = relay.New(si.ck, event.Discard(), link.rate())
 	sc := jobrunner.NewScheduler(deps, si.ck, si.lg, ow, 0, si.retentionMS)
 	go func() {
 		sc.Run(ctx)
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/store/bulkread"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -24,17 +25,17 @@
 }
 
 const (
-	// maxRestoreMS bounds a restore. An owner that can't finish it leaves the ownership to others.
-	maxRestoreMS = 60_000
-	// maxReadTries is how many times each read of a restore is made.
-	maxReadTries = 3
+	// progressLogMS is the interval between log lines on the progress of a restore.
+	progressLogMS = 2000
+	// endedLinkDivisor divides the rate of the link for the reads of ended jobs.
+	endedLinkDivisor = 2
 	// endedRetryMS is the pause before a failed read of ended jobs is repeated.
 	endedRetryMS = 1000
 )
 
 // restore loads the stored rows and starts to follow their changes, unless stop is closed before. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
 func (rn *Runner) restore(ctx context.Context, stop <-chan struct{}) error {
-	limited, cancel := rn.ck.WithTimeout(ctx, maxRestoreMS)
+	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		select {
@@ -48,6 +49,7 @@
 		err error
 	}
 	done := make(chan result, 1)
+	loggedMS := rn.ck.Now()
 	go func() {
 		sn, err := rn.readSnapshot(limited)
 		done <- result{sn, err}
@@ -61,8 +63,14 @@
 			if rs.err != nil {
 				return rs.err
 			}
+			rn.ow.EndRestore()
 			return rn.apply(ctx, rs.sn)
 		case <-renewal:
+			rn.ow.ReportRestore(rn.bulk.Bytes())
+			if nowMS := rn.ck.Now(); nowMS-loggedMS >= progressLogMS {
+				loggedMS = nowMS
+				rn.lg.Info("restore-progress", "token", rn.ow.Token(), "restored-bytes", rn.bulk.Bytes(), "after-ms", nowMS-rn.startMS)
+			}
 			if err := rn.renew(limited); err != nil {
 				return err
 			}
@@ -70,6 +78,13 @@
 	}
 }
 
+// newBulkReader returns a reader for a link of the given rate, whose pages wait for commits.
+func (rn *Runner) newBulkReader(bytesPerS int64) *bulkread.Reader {
+	rd := bulkread.New(rn.deps.Store, rn.ck, bytesPerS)
+	rd.Busy = rn.ow.Committing
+	return rd
+}
+
 // renew renews the ownership lease without other changes, until the outcome is certain.
 func (rn *Runner) renew(ctx context.Context) error {
 	for {
@@ -84,46 +99,35 @@
 	}
 }
 
-// readSnapshot reads all tables at once. Progress and waves are written by the owner alone, so they don't change meanwhile.
+// readSnapshot reads all tables at once, as far as the link allows. Progress and waves are written by the owner alone, so they don't change meanwhile.
 func (rn *Runner) readSnapshot(ctx context.Context) (*snapshot, error) {
 	sn := &snapshot{}
 	gr, ctx := errgroup.WithContext(ctx)
 	read := func(fn func(context.Context) error) {
-		gr.Go(func() error { return rn.tryRead(ctx, fn) })
+		gr.Go(func() error { return fn(ctx) })
 	}
 	read(func(ctx context.Context) (err error) {
 		sn.jobs, sn.jobsVersion, err = rn.readJobs(ctx)
 		return err
 	})
 	read(func(ctx context.Context) (err error) {
-		sn.progress, _, err = rn.deps.Store.ReadAll(ctx, intake.ProgressTable, ownership.Partition)
+		sn.progress, _, err = rn.bulk.ReadAll(ctx, intake.ProgressTable, ownership.Partition, "")
 		return err
 	})
 	read(func(ctx context.Context) (err error) {
-		sn.waves, _, err = rn.deps.Store.ReadAll(ctx, wavesTable, ownership.Partition)
+		sn.waves, _, err = rn.bulk.ReadAll(ctx, wavesTable, ownership.Partition, "")
 		return err
 	})
 	read(func(ctx context.Context) (err error) {
 		sn.registry, sn.registryVersion, err = rn.readRegistry(ctx)
+		if err == nil && rn.deps.Relays.Needed(len(sn.registry)) {
+			rn.openRelays(ctx)
+		}
 		return err
 	})
 	return sn, gr.Wait()
 }
 
-// tryRead repeats a read that fails.
-func (rn *Runner) tryRead(ctx context.Context, read func(context.Context) error) error {
-	for try := 1; ; try++ {
-		err := read(ctx)
-		if err == nil || try == maxReadTries || ctx.Err() != nil {
-			return err
-		}
-		rn.lg.Fail("restore-read-failed", err, "try", try)
-		if err := rn.ck.Sleep(ctx, commitRetryMS); err != nil {
-			return err
-		}
-	}
-}
-
 // apply builds the owner's state from a snapshot and starts to follow the changes since.
 func (rn *Runner) apply(ctx context.Context, sn *snapshot) error {
 	progress := map[string]*workpb.Progress{}
@@ -153,16 +157,21 @@
 		partitions, err = rn.deps.Store.Partitions(ctx, intake.EndedTable)
 		return err
 	})
+	// The calls of scheduling need more of the link than those of a restore.
+	bulk := rn.newBulkReader(rn.deps.LinkBytesPerS / endedLinkDivisor)
+	bulk.OnFailure = func(err error) { rn.lg.Fail("ended-jobs-unread", err) }
 	for _, partition := range partitions {
 		var list []rowstore.Row
 		startMS := rn.ck.Now()
 		rn.readUntilAnswered(ctx, func() (err error) {
-			list, _, err = rn.deps.Store.ReadAll(ctx, intake.EndedTable, partition)
+			list, _, err = bulk.ReadAll(ctx, intake.EndedTable, partition, intake.KeyPrefix(partition))
 			return err
 		})
 		rn.post(ctx, func() { rn.applyEnded(list) })
-		// The pause leaves half of a slow link to other calls.
-		_ = rn.ck.Sleep(ctx, rn.ck.Now()-startMS)
+		if rn.deps.LinkBytesPerS == 0 {
+			// The pause leaves half of a slow link to other calls.
+			_ = rn.ck.Sleep(ctx, rn.ck.Now()-startMS)
+		}
 	}
 	rn.post(ctx, func() {
 		rn.cleaner.moved = nil
--- a/internal/scheduling/jobrunner/scheduler.go
+++ b/internal/scheduling/jobrunner/scheduler.go
@@ -19,6 +19,9 @@
 	retentionMS int64
 	// backoffUntilMS is until when this entry leaves the ownership to others after having yielded it.
 	backoffUntilMS int64
+	// OnTakeover is called after each takeover, OnUnfinishedTakeover after each one that ended before it scheduled.
+	OnTakeover           func()
+	OnUnfinishedTakeover func()
 }
 
 const (
@@ -42,7 +45,7 @@
 	if maxLeaseMS > 0 {
 		lease = min(lease, maxLeaseMS)
 	}
-	return &Scheduler{deps: deps, ck: ck, lg: lg, ow: ow, runLeaseMS: lease, retentionMS: retentionMS}
+	return &Scheduler{deps: deps, ck: ck, lg: lg, ow: ow, runLeaseMS: lease, retentionMS: retentionMS, OnTakeover: func() {}, OnUnfinishedTakeover: func() {}}
 }
 
 // Run polls the ownership row and schedules while this entry is the owner; it releases the ownership when the context ends.
@@ -74,13 +77,34 @@
 	}
 }
 
+// recordTerm records a term that the entry lost before it scheduled, or on a link that is slow for the fleet, since the next one may end the same way.
+func (sc *Scheduler) recordTerm(rn *Runner, err error) {
+	unfinished := rn.scheduleStartMS == 0
+	if err == nil || !(unfinished || rn.linkLimited()) {
+		return
+	}
+	scheduledMS := int64(0)
+	if !unfinished {
+		scheduledMS = sc.ck.Now() - rn.scheduleStartMS
+	}
+	failures, waitMS := sc.ow.RecordLostTerm(scheduledMS)
+	if unfinished {
+		sc.OnUnfinishedTakeover()
+		sc.lg.Info("takeover-unfinished", "token", sc.ow.Token(), "restored-bytes", rn.bulk.Bytes(), "failures", failures, "wait-ms", waitMS)
+	}
+}
+
 func (sc *Scheduler) runAsOwner(ctx context.Context) {
 	rn := New(sc.deps, sc.ck, sc.lg, sc.ow, sc.runLeaseMS, sc.retentionMS)
 	sc.lg.Info("ownership-taken", "token", sc.ow.Token())
+	sc.OnTakeover()
 	err := rn.Run(ctx)
 	if err != nil {
 		sc.lg.Fail("scheduling-ended", err, "token", sc.ow.Token())
 	}
+	if ctx.Err() == nil {
+		sc.recordTerm(rn, err)
+	}
 	if code.Of(err) == code.LeaseLapsed {
 		return
 	}
--- a/internal/scheduling/relay/relay.go
+++ b/internal/scheduling/relay/relay.go
@@ -81,6 +81,23 @@
 	re.links = chosen
 }
 
+// Ready reports whether an entry of each zone that Update named carries calls, and begins to open the links that aren't open; without such zones it returns false.
+func (re *Relay) Ready() bool {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	all := len(re.zones) > 0
+	for _, links := range re.zones {
+		open := 0
+		for _, lk := range links {
+			if lk.ready() {
+				open++
+			}
+		}
+		all = all && open > 0
+	}
+	return all
+}
+
 // linkTo returns the link that carries the calls to a VM, or nil if they must be made directly. A VM's calls take the same link as long as it is up, so that few connections to VMs are needed.
 func (re *Relay) linkTo(vm, zone string) *link {
 	re.mu.Lock()
--- a/internal/store/bulkread/bulkread.go
+++ b/internal/store/bulkread/bulkread.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// freeMS is when the link has carried all pages so far, at the rate that they may use.
 	freeMS float64
+	// inFlight is the probable size of the pages that were asked for and haven't arrived.
+	inFlight float64
 	// bytesPerSpan holds, by table, how many bytes a whole partition seems to hold.
 	bytesPerSpan map[string]float64
 }
@@ -46,6 +48,8 @@
 	rowOverheadBytes = 90
 	// maxGrowth is the maximum ratio of the parts of a partition that two pages in succession ask for.
 	maxGrowth = 8
+	// unknownDivisor divides a full page for the probable size of the first one of a table, so that those of several tables may be read at once from a slow store.
+	unknownDivisor = 4
 	// minSpan is the least part of a partition that a page asks for, so that keys which lie close together don't lead to endless pages.
 	minSpan = 1e-6
 	// retryMS is the pause before a failed page is read again.
@@ -123,7 +127,7 @@
 	if known, ok := rd.bytesPerSpan[table]; ok {
 		return known * min(span, 1)
 	}
-	return float64(rd.pageBytes())
+	return float64(rd.pageBytes()) / unknownDivisor
 }
 
 // key returns the first key of the part of a partition that begins at a fraction of it, empty at both ends.
@@ -163,14 +167,13 @@
 			return rowstore.Page{}, code.TableUnavailable.Wrap(err)
 		}
 		pg, err := rd.st.Read(ctx, table, partition, from, to)
+		actual := sizeOf(pg.Rows())
+		rd.finish(bytes, float64(actual))
 		if err == nil {
-			actual := sizeOf(pg.Rows())
 			rd.bytes.Add(actual)
 			rd.progressMS.Store(rd.ck.Now())
-			rd.charge(float64(actual) - bytes)
 			return pg, nil
 		}
-		rd.charge(-bytes)
 		if ctx.Err() != nil || rd.ck.Now()-max(beginMS, rd.progressMS.Load()) >= stallMS {
 			return rowstore.Page{}, err
 		}
@@ -195,24 +198,34 @@
 	return ctx.Err()
 }
 
-// reserve charges a page if the pages before leave the link free within pageMS.
+// reserve charges a page if the pages before leave the link free within pageMS. On a slow link those under way hold no more than one page does, so that they can't pile up where it is slower than it should be.
 func (rd *Reader) reserve(bytes float64) bool {
 	rd.mu.Lock()
-	free := rd.freeMS <= float64(rd.ck.Now()+pageMS)
-	rd.mu.Unlock()
-	if free {
-		rd.charge(bytes)
+	defer rd.mu.Unlock()
+	if rd.freeMS > float64(rd.ck.Now()+pageMS) {
+		return false
+	}
+	if limit := rd.pageBytes(); limit < storePageBytes && rd.inFlight > 0 && rd.inFlight+bytes > float64(limit) {
+		return false
 	}
-	return free
+	rd.inFlight += bytes
+	rd.charge(bytes)
+	return true
 }
 
-// charge adds bytes to those that the link has to carry; a page that turned out smaller than expected takes them back.
-func (rd *Reader) charge(bytes float64) {
+// finish corrects the charge of a page that has arrived, or failed, by its actual size.
+func (rd *Reader) finish(expected, actual float64) {
 	if rd.bytesPerS == 0 {
 		return
 	}
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
+	rd.inFlight -= expected
+	rd.charge(actual - expected)
+}
+
+// charge adds bytes to those that the link has to carry; the caller holds the lock.
+func (rd *Reader) charge(bytes float64) {
 	rd.freeMS = math.Max(rd.freeMS, float64(rd.ck.Now())) + bytes*linkDivisor*msPerS/float64(rd.bytesPerS)
 }
 
--- a/internal/store/bulkread/bulkread_test.go
+++ b/internal/store/bulkread/bulkread_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -195,3 +196,30 @@
 		qt.Assert(t, err, qt.IsNil)
 	})
 }
+
+// On a link that is slower than its settings say, pages must not pile up: together they may hold one page.
+func TestPagesDoNotPileUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, hexKeys("", 400))
+		inner := fx.st.Read
+		var inFlight, most atomic.Int64
+		fx.st.Read = func(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
+			pg, err := inner(ctx, table, partition, from, to)
+			bytes := int64(len(pg.Rows()) * valueBytes)
+			most.Store(max(most.Load(), inFlight.Add(bytes)))
+			_ = fx.ck.Sleep(ctx, 1000)
+			inFlight.Add(-bytes)
+			return pg, err
+		}
+		rd := bulkread.New(fx.st, fx.ck, linkBytesPerS)
+		var wg sync.WaitGroup
+		for range 5 {
+			wg.Go(func() {
+				_, _, err := rd.ReadAll(t.Context(), table, partition, "")
+				qt.Check(t, err, qt.IsNil)
+			})
+		}
+		wg.Wait()
+		qt.Check(t, most.Load() < 2*pageBytes, qt.IsTrue, qt.Commentf("%d bytes under way", most.Load()))
+	})
+}
