Test of an owner that schedules on a slow link

Cause: the test with 10,000 ended jobs passed on the code before as well. Change: 40,000 ended jobs, answers to polls take the link too.

--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -208,7 +208,9 @@
 				si.wait(lr.GetWaitMs() + pollMarginMS)
 				return nil, workpb.Verdict_IN_DOUBT
 			}
-			return si.poll(ctx, lr)
+			lk, vd := si.poll(ctx, lr)
+			link.transfer(ctx, callBytes+int64(proto.Size(lk))*lookFactor)
+			return lk, vd
 		},
 		LinkBytesPerS: link.rate(),
 		RegistryTable: registryTable, RegistryPrefix: "vm-", DecodeVM: decodeVM,
--- a/internal/scheduling/jobrunner/slowlink_test.go
+++ b/internal/scheduling/jobrunner/slowlink_test.go
@@ -22,7 +22,9 @@
 
 const (
 	// callBytes is what a call holds beside payloads and rows.
-	callBytes    = 300
+	callBytes = 300
+	// lookFactor is how much longer the answer to a poll is as JSON.
+	lookFactor   = 3
 	bytesPerMbit = 125_000
 	// lostReadMS is how long a read waits for an answer that is lost.
 	lostReadMS = 1200
@@ -385,7 +387,7 @@
 		for at := range 120 {
 			si.addVM(fmt.Sprintf("vm-%x", 0x100+at))
 		}
-		for at := range 10_000 {
+		for at := range 40_000 {
 			id := fmt.Sprintf("%016x", uint64(at+1)*0xd1342543de82ef95)
 			si.put(intake.EndedTable, intake.Partition(id), id, &workpb.Job{Id: id, Queue: "q", AcceptedMs: si.ck.Now(), Ended: workpb.State_COMPLETED, WorkCoreMs: 17_280})
 		}
