--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -53,6 +53,8 @@
 	// firstPolls is the number of polls under way of VMs with runs whose lists this owner hasn't seen yet, firstPollLimit how many may be.
 	firstPolls     int
 	firstPollLimit int
+	// busyPollMS is the interval between polls of a VM with runs.
+	busyPollMS int64
 }
 
 const (
@@ -73,7 +75,7 @@
 		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unplaceable: map[string]*unplaceable{},
-		startLimit: math.MaxInt, firstPollLimit: math.MaxInt,
+		startLimit: math.MaxInt, firstPollLimit: math.MaxInt, busyPollMS: busyPollIntervalMS,
 	}
 }
 
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -92,7 +92,7 @@
 	ticketText, _ := ct.ticketOf(rn, nowMS)
 	ct.setPhase(rn, phaseOrdered)
 	rn.startedMS, rn.mayStartUntilMS = nowMS, nowMS+inDoubtMS
-	rn.vm.nextPollMS = min(rn.vm.nextPollMS, nowMS+busyPollIntervalMS)
+	rn.vm.nextPollMS = min(rn.vm.nextPollMS, nowMS+ct.busyPollMS)
 	od := ct.newOrder(workpb.Verb_START, rn)
 	od.Payload = rn.task.job().row.GetPayload()
 	od.Checkpoint = rn.task.checkpoint
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// busyPollIntervalMS is the interval between polls of a VM with runs; ends that are close together are then reported together.
+	// busyPollIntervalMS is the interval between polls of a VM with runs unless SetBusyPollInterval sets another; ends that are close together are then reported together.
 	busyPollIntervalMS = 120
 	// longPollWaitMS is how long a VM may hold a poll open until a run ends.
 	longPollWaitMS = 600
@@ -104,6 +104,20 @@
 	return len(vm.runs) > 0 && vm.stored == vm.processed && !vm.mixed() && !vm.hasUnresolvedRun()
 }
 
+// SetBusyPollInterval sets the interval between polls of a VM with runs.
+func (ct *Controller) SetBusyPollInterval(ms int64) { ct.busyPollMS = ms }
+
+// BusyVMs returns the number of VMs with runs.
+func (ct *Controller) BusyVMs() int {
+	count := 0
+	for _, vm := range ct.vms {
+		if len(vm.runs) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // Responsive reports whether a VM answers its polls, as far as is known.
 func (ct *Controller) Responsive(id string) bool {
 	vm, ok := ct.vms[id]
@@ -181,7 +195,7 @@
 	case vm.mixed():
 		return mixedPollIntervalMS
 	case len(vm.runs) > 0 || vm.processed > vm.stored:
-		return busyPollIntervalMS
+		return ct.busyPollMS
 	default:
 		return idlePollIntervalMS
 	}
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/pollpace"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/relay"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startretry"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startwindow"
@@ -82,6 +83,8 @@
 	starts        *startwindow.Window
 	startRetry    *startretry.Delay
 	pollRetry     *startretry.Delay
+	pollPace      *pollpace.Pace
+	nextPaceMS    int64
 	nextScanMS    int64
 	nextRelaysMS  int64
 	// startAccepted is set once a VM has accepted a start of this ownership.
@@ -123,6 +126,7 @@
 		events: make(chan func(), eventBuffer), orderQueues: map[string]*orderQueue{}, openStarts: map[startKey]*queuedOrder{},
 		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), starts: startwindow.New(), startRetry: startretry.New(), pollRetry: startretry.New(),
 	}
+	rn.pollPace = pollpace.New(deps.LinkBytesPerS)
 	rn.bulk = rn.newBulkReader(deps.LinkBytesPerS)
 	rn.bulk.OnFailure = func(err error) { rn.lg.Fail("restore-read-failed", err) }
 	rn.waves = newWaves(rn)
@@ -281,7 +285,7 @@
 		return
 	}
 	rn.nextScanMS = nowMS + pollScanIntervalMS
-	rn.ct.LimitFirstPolls(rn.firstPollLimit())
+	rn.paceCalls(nowMS)
 	for _, req := range rn.ct.DuePolls() {
 		maxCopies := maxPollCopies
 		if !rn.ct.Responsive(req.GetVm()) {
@@ -296,6 +300,7 @@
 	an := rn.sendPoll(ctx, req, maxCopies)
 	rn.post(ctx, func() {
 		rn.recordPoll(req, an.verdict, an.tookMS)
+		rn.recordPollSize(an.look)
 		if an.verdict == workpb.Verdict_FENCED {
 			rn.handleFenced(req.GetVm(), req.GetToken())
 			return
--- a/internal/scheduling/jobrunner/linklimits.go
+++ b/internal/scheduling/jobrunner/linklimits.go
@@ -1,8 +1,20 @@
 package jobrunner
 
-import "math"
+import (
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+)
 
 const (
+	// paceIntervalMS is how often the limits on polls are adapted.
+	paceIntervalMS = 250
+	// A poll takes pollOverheadBytes beside its answer, whose size by relay is that of the message, and directFactor times as much as JSON; a direct poll takes directOverheadBytes.
+	pollOverheadBytes   = 100
+	directOverheadBytes = 500
+	directFactor        = 3
 	// maxBurstMS is how long the link may take to carry the orders, or the first polls, that are under way at once: a commit that begins meanwhile waits for them.
 	maxBurstMS = 100
 	msPerS     = 1000
@@ -22,6 +34,29 @@
 	return min(rn.starts.Limit(), rn.underWayLimit(directOrderBytes))
 }
 
+// paceCalls adapts the limits on polls to the link.
+func (rn *Runner) paceCalls(nowMS int64) {
+	if rn.deps.LinkBytesPerS == 0 || nowMS < rn.nextPaceMS {
+		return
+	}
+	rn.nextPaceMS = nowMS + paceIntervalMS
+	rn.ct.LimitFirstPolls(rn.firstPollLimit())
+	rn.ct.SetBusyPollInterval(rn.pollPace.IntervalMS(rn.ct.BusyVMs()))
+}
+
+// recordPollSize records the size of a poll by its answer, nil if there was none.
+func (rn *Runner) recordPollSize(lk *workpb.Look) {
+	if lk == nil || rn.deps.LinkBytesPerS == 0 {
+		return
+	}
+	bytes := int64(proto.Size(lk))
+	if rn.deps.Relays.Ready() {
+		rn.pollPace.Record(bytes + pollOverheadBytes)
+		return
+	}
+	rn.pollPace.Record(bytes*directFactor + directOverheadBytes)
+}
+
 // firstPollLimit returns how many VMs may be polled at once for the first time: a new owner has to poll all of them.
 func (rn *Runner) firstPollLimit() int { return rn.underWayLimit(directPollBytes) }
 
--- a/internal/scheduling/jobrunner/restore_bench_test.go
+++ b/internal/scheduling/jobrunner/restore_bench_test.go
@@ -157,7 +157,7 @@
 func (ls *linkStore) restoreUntilFirstStart(b *testing.B) int64 {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ow := ownership.New(ls.rowstore(), ls.ck, "one", "one.1", 1)
+	ow := ownership.New(ls.rowstore(), ls.ck, "one", "one.1", 1).WithLink(ls.bitsPerMS * 1000 / bitsPerByte)
 	owned, err := ow.Poll(ctx)
 	qt.Assert(b, err, qt.IsNil)
 	qt.Assert(b, owned, qt.IsTrue)
@@ -177,9 +177,10 @@
 			return &workpb.Look{ClockMs: ls.ck.Now()}, workpb.Verdict_ACCEPTED
 		},
 		Relays:        relay.New(ls.ck, event.Discard(), 0),
-		RegistryTable: registryTable, DecodeVM: decodeVM,
+		LinkBytesPerS: ls.bitsPerMS * 1000 / bitsPerByte,
+		RegistryTable: registryTable, RegistryPrefix: "vm-", DecodeVM: decodeVM,
 		Machines: func(context.Context) ([]*workpb.Machine, error) { return nil, nil },
-		Rules:    rules(), Waves: func() []*workpb.Wave { return nil },
+		Rules:    rules(), Waves: func() []*workpb.Wave { return nil }, EvacuatedZones: func() map[string]bool { return nil },
 	}
 	ended := make(chan struct{})
 	go func() {
@@ -194,7 +195,7 @@
 
 // BenchmarkRestore measures a restore up to the first start, by jobs stored and rate of the link to the store.
 func BenchmarkRestore(b *testing.B) {
-	for _, mbitPerS := range []int64{20, 2} {
+	for _, mbitPerS := range []int64{200, 20, 2} {
 		for _, jobs := range []int{100, 1000, 10_000} {
 			b.Run(fmt.Sprintf("%d-mbit/%d-jobs", mbitPerS, jobs), func(b *testing.B) {
 				ls := newLinkStore(clock.New(), mbitPerS)
--- a/internal/scheduling/jobrunner/slowlink_test.go
+++ b/internal/scheduling/jobrunner/slowlink_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -226,17 +228,18 @@
 // A change of owner must end where a restore takes three times the ownership lease and more: within two restores, and the new owner must keep the ownership.
 func TestChangeOfOwnerOnSlowLinksEnds(t *testing.T) {
 	for _, tc := range []struct {
+		entries  int
 		mbitPerS int64
 		jobs     int
 		maxMS    int64
 	}{
-		{56, 10_000, 12_000},
-		{20, 10_000, 30_000},
-		{2, 1000, 30_000},
-		{2, 4000, 90_000},
+		{5, 56, 10_000, 12_000},
+		{5, 20, 10_000, 30_000},
+		{21, 2, 1000, 30_000},
+		{5, 2, 4000, 90_000},
 	} {
 		simulate(t, func(si *simulation) {
-			ch := si.startOnLinks(5, tc.mbitPerS)
+			ch := si.startOnLinks(tc.entries, tc.mbitPerS)
 			si.fillOpen(tc.jobs)
 			ch.reset()
 			si.kill(si.owner())
@@ -295,6 +298,15 @@
 			si.wait(6000)
 			former.setCut(false)
 		}, 1},
+		{"all entries are killed", func(si *simulation) {
+			names := slices.Sorted(maps.Keys(si.entries))
+			for _, name := range names {
+				si.kill(name)
+			}
+			for _, name := range names {
+				si.startOn(name, newPacedLink(si.ck, mbitPerS), 1)
+			}
+		}, 1},
 	} {
 		simulate(t, func(si *simulation) {
 			ch := si.startOnLinks(4, mbitPerS)
@@ -405,3 +417,30 @@
 		qt.Check(t, ch.scheduling, qt.Equals, 1)
 	})
 }
+
+// The polls of many busy VMs must leave a slow link to the commits, and still renew the leases of all runs.
+func TestPollsOfBusyVMsLeaveRoomForCommits(t *testing.T) {
+	const vms, tasksPerVM = 250, 8
+	simulate(t, func(si *simulation) {
+		for at := range vms {
+			si.addVM(fmt.Sprintf("vm-%x", 0x100+at))
+		}
+		for _, wk := range si.workers {
+			wk.Behave = func(string, int64) (int64, workpb.End) { return 120_000, workpb.End_END_DONE }
+		}
+		ch := si.startOnLinks(5, 2)
+		for at := range vms {
+			jb := &workpb.Job{Id: fmt.Sprintf("%x%015d", at%16, at), Queue: "q", AcceptedMs: si.ck.Now(), Steps: []*workpb.Step{{Count: tasksPerVM, CpuMilli: 1000, MemoryMb: 10, EstimateMs: 120_000}}}
+			qt.Assert(t, si.in.Submit(context.Background(), jb), qt.IsNil)
+			si.wait(80)
+		}
+		ch.reset()
+		si.wait(20_000)
+		qt.Check(t, ch.taken, qt.Equals, 0)
+		si.mu.Lock()
+		defer si.mu.Unlock()
+		for task, starts := range si.starts {
+			qt.Check(t, starts, qt.Equals, 1, qt.Commentf(task))
+		}
+	})
+}
--- a/internal/scheduling/relay/relay_test.go
+++ b/internal/scheduling/relay/relay_test.go
@@ -353,3 +353,26 @@
 		qt.Check(t, fl.callers["vm-b"], qt.DeepEquals, []string{directCaller})
 	})
 }
+
+// Asking whether the links are ready must open them, so that not even the first calls take the owner's own link; a zone without an entry that can be reached is told.
+func TestLinksOpenBeforeTheFirstCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(clock.New(), map[string]string{"a1": "a", "a2": "a", "b1": "b"})
+		fl.down["a1"], fl.down["b1"] = true, true
+		qt.Check(t, fl.re.Ready(), qt.IsFalse)
+		time.Sleep(time.Second)
+		qt.Check(t, fl.re.Ready(), qt.IsFalse)
+		fl.down["b1"] = false
+		time.Sleep(2 * time.Second)
+		qt.Check(t, fl.re.Ready(), qt.IsFalse)
+		time.Sleep(time.Second)
+		qt.Check(t, fl.re.Ready(), qt.IsTrue)
+		for _, zone := range []string{"a", "b"} {
+			qt.Check(t, fl.start("vm-"+zone, zone), qt.Equals, workpb.Verdict_ACCEPTED)
+		}
+		qt.Check(t, fl.callers, qt.DeepEquals, map[string][]string{"vm-a": {"a2"}, "vm-b": {"b1"}})
+		fl.re.Update(nil)
+		qt.Check(t, fl.re.Ready(), qt.IsFalse)
+		time.Sleep(time.Second)
+	})
+}
