A long commit isn't sent again while a slow link still carries it

Cause: a commit of 90 KB takes 0.5 s on 2 Mbit/s and was sent again after 0.25 s, which doubled what the link had to carry. Change: the hedge delay is at least twice the time that the link needs for the transaction. Conclusion: one copy on 2 Mbit/s; short commits and fast links as before (test).

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"hash/fnv"
 	"math/rand/v2"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	strength         int64
 	unchangedSinceMS int64
 	ru               *takeover.Rule
+	// linkBytesPerS is the rate of this entry's link, 0 if it is unknown.
+	linkBytesPerS int64
 	// strongerExists is set if a candidate had more strength when the candidates were last read.
 	strongerExists bool
 	// freeSinceMS is since when the row can be taken over, 0 while it cannot; deferForMS is how long this entry then defers to stronger ones.
@@ -83,6 +86,10 @@
 	commitTimeoutMS = 1500
 	// hedgeDelayFactor is the ratio of the hedge delay to the duration of the last commit's answered attempt.
 	hedgeDelayFactor = 6
+	// putOverheadBytes is what a transaction holds for each row beside the value; linkTimes is how many times the link could carry a transaction before it is sent again.
+	putOverheadBytes = 90
+	linkTimes        = 2
+	msPerS           = 1000
 	// closeWatchers is the number of entries that poll at short intervals: enough that some remain after the loss of a zone.
 	closeWatchers = 4
 	// closePollIntervalMS is the poll interval of close watchers, relaxedPollIntervalMS that of the others, whose reads must be less than maxReadGapMS apart.
@@ -104,6 +111,7 @@
 // WithLink sets the rate of this entry's link in bytes a second, 0 if it is unknown, so that entries with faster links go first where a restore takes long.
 func (ow *Ownership) WithLink(bytesPerS int64) *Ownership {
 	seed := nameHash(ow.incarnation)
+	ow.linkBytesPerS = bytesPerS
 	ow.ru = takeover.New(bytesPerS, rand.New(rand.NewPCG(seed, seed)).Float64)
 	return ow
 }
@@ -341,7 +349,8 @@
 	}
 	limited, cancel := ow.ck.WithTimeout(ctx, commitTimeoutMS)
 	defer cancel()
-	policy := hedge.New(ow.ck, ow.hedgeDelayMS, ow.hedgeDelayMS, isConflict)
+	delayMS := ow.hedgeDelayOf(tx)
+	policy := hedge.New(ow.ck, delayMS, delayMS, isConflict)
 	rs, err := hedge.Do(limited, policy, func(ctx context.Context, _ int) (commitResult, error) {
 		sentMS := ow.ck.Now()
 		version, current, err := ow.st.Commit(ctx, tx)
@@ -396,6 +405,18 @@
 	}
 }
 
+// hedgeDelayOf returns how long a transaction waits for an answer before it is sent again: no less than the link takes to carry it twice, since copies of a long transaction would fill a slow link.
+func (ow *Ownership) hedgeDelayOf(tx *rowstore.Tx) int64 {
+	if ow.linkBytesPerS == 0 {
+		return ow.hedgeDelayMS
+	}
+	bytes := 0
+	for _, rw := range tx.Puts() {
+		bytes += base64.StdEncoding.EncodedLen(len(rw.Value())) + putOverheadBytes
+	}
+	return max(ow.hedgeDelayMS, min(linkTimes*msPerS*int64(bytes)/ow.linkBytesPerS, maxHedgeDelayMS))
+}
+
 // resolveConflict distinguishes an earlier attempt of the same commit whose answer was lost from a takeover by another entry.
 func (ow *Ownership) resolveConflict(current []rowstore.Row, next *workpb.Ownership) error {
 	for _, rw := range current {
--- a/internal/membership/ownership/ownership_test.go
+++ b/internal/membership/ownership/ownership_test.go
@@ -285,3 +285,35 @@
 	qt.Assert(t, pr.two.Release(context.Background()), qt.IsNil)
 	qt.Check(t, pr.watch(t, pr.one, 750), qt.IsTrue)
 }
+
+// A long commit on a slow link must not be sent again while the link still carries its first copy; a short one must be repeated as soon as on any link.
+func TestLongCommitsAreNotRepeatedOnASlowLink(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		bytesPerS int64
+		bytes     int
+		want      int32
+	}{
+		{"long, 2 Mbit/s", 250_000, 90_000, 1},
+		{"short, 2 Mbit/s", 250_000, 500, 2},
+		{"long, 200 Mbit/s", 25_000_000, 90_000, 2},
+		{"long, unknown link", 0, 90_000, 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ck := clock.New()
+			st := rowstoretest.New(ck).Rowstore()
+			slow := *st
+			var copies atomic.Int32
+			slow.Commit = func(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+				copies.Add(1)
+				_ = ck.Sleep(ctx, 490)
+				return st.Commit(ctx, tx)
+			}
+			ow := ownership.New(&slow, ck, "one", "one.1", 2).WithLink(tc.bytesPerS)
+			qt.Assert(t, poll(t, ow), qt.IsTrue)
+			copies.Store(0)
+			qt.Assert(t, ow.Commit(t.Context(), func(tx *rowstore.Tx) { tx.Put("t", "a", make([]byte, tc.bytes)) }), qt.IsNil)
+			qt.Check(t, copies.Load(), qt.Equals, tc.want, qt.Commentf(tc.name))
+		})
+	}
+}
