--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// busyPollIntervalMS is the interval between polls of a VM with runs; ends that are close together are then reported together.
+	// busyPollIntervalMS is the interval between polls of a VM with runs unless SetBusyPollInterval sets another; ends that are close together are then reported together.
 	busyPollIntervalMS = 120
 	// longPollWaitMS is how long a VM may hold a poll open until a run ends.
 	longPollWaitMS = 600
@@ -46,7 +46,7 @@
 		if (!vm.registered || vm.departing()) && len(vm.runs) == 0 {
 			continue
 		}
-		if len(vm.runs) == 0 && !ct.countIdlePoll(vm) {
+		if !ct.countPoll(vm) {
 			continue
 		}
 		out = append(out, ct.newPoll(vm))
@@ -54,13 +54,18 @@
 	return out
 }
 
-// countIdlePoll counts a poll of a VM without runs and reports whether it may be sent now. Unresponsive VMs are counted apart, since their polls last until they time out.
-func (ct *Controller) countIdlePoll(vm *vmState) bool {
-	count := &ct.idlePolls
-	if vm.unresponsive {
-		count = &ct.unresponsivePolls
+// countPoll counts a poll of a VM without runs, or the first ones of a VM with runs, and reports whether it may be sent now. Unresponsive VMs are counted apart, since their polls last until they time out.
+func (ct *Controller) countPoll(vm *vmState) bool {
+	count, limit := &ct.idlePolls, min(maxIdlePolls, ct.firstPollLimit)
+	switch {
+	case len(vm.runs) > 0 && (vm.synced || vm.unresponsive):
+		return true
+	case len(vm.runs) > 0:
+		count, limit = &ct.firstPolls, ct.firstPollLimit
+	case vm.unresponsive:
+		count, limit = &ct.unresponsivePolls, maxIdlePolls
 	}
-	if *count >= maxIdlePolls {
+	if *count >= limit {
 		return false
 	}
 	*count++
@@ -99,6 +104,20 @@
 	return len(vm.runs) > 0 && vm.stored == vm.processed && !vm.mixed() && !vm.hasUnresolvedRun()
 }
 
+// SetBusyPollInterval sets the interval between polls of a VM with runs.
+func (ct *Controller) SetBusyPollInterval(ms int64) { ct.busyPollMS = ms }
+
+// BusyVMs returns the number of VMs with runs.
+func (ct *Controller) BusyVMs() int {
+	count := 0
+	for _, vm := range ct.vms {
+		if len(vm.runs) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // Responsive reports whether a VM answers its polls, as far as is known.
 func (ct *Controller) Responsive(id string) bool {
 	vm, ok := ct.vms[id]
@@ -176,7 +195,7 @@
 	case vm.mixed():
 		return mixedPollIntervalMS
 	case len(vm.runs) > 0 || vm.processed > vm.stored:
-		return busyPollIntervalMS
+		return ct.busyPollMS
 	default:
 		return idlePollIntervalMS
 	}
