Only a predecessor that gave the ownership up lengthens the term on a slow link

Cause: an entry on a slow link that follows a lost owner with a fast one, as after a cut-off zone, would have had to keep the ownership for twice that owner's term, even when the fast one is back. Change: the predecessor's term counts twice only if its row was released; whether a stronger entry exists is known anew with each read of the candidates.

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -35,7 +35,7 @@
 	// linkBytesPerS is the rate of this entry's link, 0 if it is unknown.
 	linkBytesPerS int64
 	// strongerExists is set if a candidate had more strength when the candidates were last read.
-	strongerExists bool
+	strongerExists atomic.Bool
 	// freeSinceMS is since when the row can be taken over, 0 while it cannot; deferForMS is how long this entry then defers to stronger ones.
 	freeSinceMS int64
 	deferForMS  int64
@@ -43,6 +43,8 @@
 	// tokenSinceMS is when this entry first saw the current token; predecessorMS is for how long it had seen the token of the owner before it.
 	tokenSinceMS  int64
 	predecessorMS int64
+	// releasedMS is the same for a predecessor that gave the ownership up, 0 for one that was lost.
+	releasedMS int64
 	// rowChanged is set when the last poll found a new version of the row.
 	rowChanged bool
 	// closeWatcher is set for an entry that polls the row at short intervals, as decided at rankedMS.
@@ -144,13 +146,16 @@
 		return nil, err
 	}
 	out := make(map[string]*workpb.Candidate, len(list))
+	stronger := false
 	for _, rw := range list {
 		cd := &workpb.Candidate{}
 		if err := proto.Unmarshal(rw.Value(), cd); err != nil {
 			return nil, code.Internal.New("cannot decode row %s: %w", rw.Key(), err)
 		}
 		out[rw.Key()] = cd
+		stronger = stronger || cd.GetStrength() > ow.strength
 	}
+	ow.strongerExists.Store(stronger)
 	return out, nil
 }
 
@@ -189,7 +194,6 @@
 		}
 	}
 	rk.strongerClasses = len(stronger)
-	ow.strongerExists = len(stronger) > 0
 	return rk, nil
 }
 
@@ -292,8 +296,11 @@
 	if err != nil {
 		return false, err
 	}
+	ow.predecessorMS, ow.releasedMS = startMS-ow.tokenSinceMS, 0
+	if ow.row.GetReleased() {
+		ow.releasedMS = ow.predecessorMS
+	}
 	ow.row, ow.version = next, version
-	ow.predecessorMS = startMS - ow.tokenSinceMS
 	ow.tokenSinceMS = startMS
 	ow.renewedMS.Store(startMS)
 	ow.token.Store(next.GetToken())
--- a/internal/membership/ownership/term.go
+++ b/internal/membership/ownership/term.go
@@ -49,7 +49,7 @@
 
 // MayYield reports whether this owner, which is overloaded and has scheduled for termMS, gives up the ownership; linkLimited is set if its link doesn't carry the fleet's calls.
 func (ow *Ownership) MayYield(termMS int64, linkLimited bool) bool {
-	return ow.ru.MayYield(termMS, ow.predecessorMS, linkLimited, ow.strongerExists)
+	return ow.ru.MayYield(termMS, ow.predecessorMS, ow.releasedMS, linkLimited, ow.strongerExists.Load())
 }
 
 // RecordLostTerm records that this entry lost the ownership, or failed, after it had scheduled for scheduledMS, 0 if its restore didn't end. It returns how many terms in a row ended so and for how long this entry now leaves the ownership to others.
--- a/internal/membership/takeover/takeover.go
+++ b/internal/membership/takeover/takeover.go
@@ -45,7 +45,7 @@
 	// minTermMS is the minimum time that an owner schedules before it yields; stableTermMS is the term of a predecessor from which the load seems to be one that an entry can carry.
 	minTermMS    = 3000
 	stableTermMS = 30_000
-	// On a link that doesn't carry the fleet's calls an owner schedules for termFactor times its predecessor's term before it yields, unless that one lasted for longTermMS.
+	// On a link that doesn't carry the fleet's calls an owner schedules for termFactor times the term of a predecessor that gave it up before it yields, unless that one lasted for longTermMS.
 	termFactor = 2
 	longTermMS = 600_000
 )
@@ -105,8 +105,8 @@
 	ru.untilMS = nowMS + int64(float64(backoffMS)*(1-jitterPart*ru.random()))
 }
 
-// MayYield reports whether an overloaded owner gives up the ownership after it has scheduled for termMS, as another entry may do better. One whose predecessor's term was short keeps it for longer, so that a load too high for every entry doesn't pass the ownership around. If its link doesn't carry the fleet's calls, only a stronger entry is likely to do better, and each term lasts longer than the one before.
-func (ru *Rule) MayYield(termMS, predecessorMS int64, linkLimited, strongerExists bool) bool {
+// MayYield reports whether an overloaded owner gives up the ownership after it has scheduled for termMS, as another entry may do better. One whose predecessor's term was short keeps it for longer, so that a load too high for every entry doesn't pass the ownership around. If its link doesn't carry the fleet's calls, only a stronger entry is likely to do better, and it keeps the ownership for longer than a predecessor that gave it up after releasedMS, 0 if it was lost.
+func (ru *Rule) MayYield(termMS, predecessorMS, releasedMS int64, linkLimited, strongerExists bool) bool {
 	leastMS := int64(minTermMS)
 	if predecessorMS < stableTermMS {
 		leastMS = stableTermMS
@@ -114,8 +114,8 @@
 	if !linkLimited {
 		return termMS >= leastMS
 	}
-	if predecessorMS < longTermMS {
-		leastMS = max(leastMS, predecessorMS*termFactor)
+	if releasedMS < longTermMS {
+		leastMS = max(leastMS, releasedMS*termFactor)
 	}
 	return strongerExists && termMS >= leastMS
 }
