A stopped owner schedules on while the store fails

It hands over at once, but a successor needs all partitions for its restore, so nothing is scheduled until the store is whole again, 6 s later; on 15 entries took over in vain meanwhile, with paged restores one restores all the time.

Change: an owner that is requested to stop schedules on while one of its calls to the store failed within the last 0.5 s, for half of the grace period at most. Without failures it hands over at once as before.

TestStoppedOwnerSchedulesWhileTheStoreFails fails if the owner hands over at once.

--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -82,6 +82,8 @@
 	rowsReadAtStart int
 	// unansweredTable is a table whose reads get no answer.
 	unansweredTable string
+	// unavailable is a partition of the store that can't be read.
+	unavailable string
 	// setGauge takes the entries' gauges.
 	setGauge func(val int64, parts ...string)
 }
@@ -225,6 +227,7 @@
 		WaveStatus: si.waveStatus, SetGauge: si.setGauge,
 		Rules: si.rules, Waves: si.waveSpecs, EvacuatedZones: func() map[string]bool { return nil },
 	}
+	deps.SinceStoreFailureMS, deps.MaxHandoverDelayMS = si.sinceStoreFailureMS, maxHandoverDelayMS
 	deps.Relays = relay.New(si.ck, event.Discard(), link.rate())
 	sc := jobrunner.NewScheduler(deps, si.ck, si.lg, ow, 0, si.retentionMS)
 	go func() {
@@ -258,6 +261,9 @@
 				<-ctx.Done()
 				return rowstore.Page{}, code.TableUnavailable.Wrap(ctx.Err())
 			}
+			if si.isUnavailable(partition) {
+				return rowstore.Page{}, code.TableUnavailable.New("partition %s is unavailable", partition)
+			}
 			pg, err := inner.Read(ctx, table, partition, from, to)
 			si.mu.Lock()
 			defer si.mu.Unlock()
