Refuse submissions that can't end in time, with a Retry-After

Beyond full load everything was accepted, and half of it was late.

loadshed decides by the estimate and by what the entry has accepted since. A job is refused if it would wait longer than 0.65 of the mean slack of the jobs (0.5 for teams above their share), and one that is late already if it wouldn't start at once. Callers come back one after the other, as fast as the entry's part of the capacity allows.

--- /dev/null
+++ b/internal/request/loadshed/loadshed.go
@@ -0,0 +1,262 @@
+package loadshed
+
+import (
+	"math"
+	"slices"
+	"sync"
+
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+)
+
+// Shedder decides by the owner's last estimate of the queueing delay and by what its entry has accepted since; it is safe for concurrent use.
+type Shedder struct {
+	mu       sync.Mutex
+	services map[string]*service
+	readMS   int64
+	// entry holds what the entry itself has taken and promised, by service; it outlives estimates.
+	entry map[string]*ledger
+}
+
+// service is the estimate of one service.
+type service struct {
+	roomMilli   int64
+	begunCoreMS int64
+	teams       map[string]*workpb.TeamWait
+}
+
+// ledger is what one entry has accepted for a service since about the last estimate, how fast it accepts, and the last time for which it told a caller to come back.
+type ledger struct {
+	accepted []acceptance
+	// rateMilli is a moving average of the accepted work in thousandths of a core, as of rateMS.
+	rateMilli float64
+	rateMS    int64
+	// averages is over the last jobs that callers submitted, of which jobs is the number up to meanJobs.
+	averages means
+	jobs     int
+	// nextReturnMS is the time before which callers were told to come back.
+	nextReturnMS int64
+}
+
+// means are of the time that a job may wait and still be in time, of its longest step and of its critical path.
+type means struct {
+	slackMS, stepMS, pathMS float64
+}
+
+type acceptance struct {
+	atMS       int64
+	team       string
+	level      int32
+	workCoreMS int64
+}
+
+const (
+	milli = 1000
+	// maxAgeMS is the age from which an estimate isn't used: the owner writes one every 300 ms while work waits, and data 0.6 s old that isn't corrected was found to mislead.
+	maxAgeMS = 1500
+	// overlapMS is how long before an estimate was read a job must have been accepted to be part of it: the feeds from the entry to the owner and back and the owner's commit take about as long.
+	overlapMS = 150
+	// atOnceMS is the wait up to which a job counts as starting at once; the owner writes no estimate below 500 ms.
+	atOnceMS = 300
+	// maxWaitPart and maxWaitPartAboveShare are the parts of the mean slack that a job of a team within or above its share may wait. The owner starts the job with the least slack first, so a longer queue makes the longer jobs late that were accepted before: of the jobs accepted at their first attempt at twice what fits, 73 % were in time with a limit of 1.5 objectives, 94 % with three quarters of the slack and 98 % with this part.
+	maxWaitPart           = 0.65
+	maxWaitPartAboveShare = 0.5
+	// meanJobs is the number of jobs over which slack and step length are averaged.
+	meanJobs = 30
+	// minRetryAfterS and maxRetryAfterS bound the times that callers are told.
+	minRetryAfterS = 1
+	maxRetryAfterS = 10
+	// rateMeanMS is the time constant of the average of the entry's accepted work, about the length of a burst.
+	rateMeanMS = 3000
+	// minShare is the least part of a service's capacity that an entry takes its returning callers to have, about that of one of fifty entries.
+	minShare = 0.02
+)
+
+// New returns a shedder without an estimate, which refuses nothing.
+func New() *Shedder { return &Shedder{entry: map[string]*ledger{}} }
+
+// SetEstimate takes the owner's estimate as of readMS on the entry's clock.
+func (sh *Shedder) SetEstimate(ws *workpb.Waits, readMS int64) {
+	services := map[string]*service{}
+	for _, row := range ws.GetServices() {
+		sv := &service{roomMilli: row.GetRoomMilli(), begunCoreMS: row.GetBegunCoreMs(), teams: map[string]*workpb.TeamWait{}}
+		for _, tm := range row.GetTeams() {
+			sv.teams[tm.GetTeam()] = tm
+		}
+		services[row.GetService()] = sv
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.services, sh.readMS = services, readMS
+	for _, lg := range sh.entry {
+		lg.accepted = slices.DeleteFunc(lg.accepted, func(ac acceptance) bool { return ac.atMS < readMS-overlapMS })
+	}
+}
+
+// Applies reports whether jobs of the queue may be refused at all: it must have an objective and not be public, in rules whose teams have weights, and the job must run once, at once, and end by itself.
+func Applies(rules *workpb.Rules, qu *workpb.Queue, jb *workpb.Job) bool {
+	if qu.GetPublic() || qu.GetStretch() <= 0 || qu.GetTargetMs() <= 0 || jb.GetOccurrences() > 0 {
+		return false
+	}
+	weighted := slices.ContainsFunc(rules.GetTeams(), func(tm *workpb.Team) bool { return tm.GetWeight() > 0 })
+	return weighted && !slices.ContainsFunc(jb.GetSteps(), (*workpb.Step).GetLasting)
+}
+
+// Decide returns the decision on a job whose caller first tried at firstTriedMS.
+func (sh *Shedder) Decide(rules *workpb.Rules, qu *workpb.Queue, jb *workpb.Job, firstTriedMS, nowMS int64) Decision {
+	if !Applies(rules, qu, jb) {
+		return Decision{}
+	}
+	dc := newDecision(qu, jb)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sv := sh.services[dc.service]
+	dc.ageMS = nowMS - sh.readMS
+	// Without any capacity the estimate can't tell when there will be some.
+	if sv == nil || dc.ageMS > maxAgeMS || sv.roomMilli <= 0 {
+		return dc
+	}
+	dc.roomMilli = sv.roomMilli
+	dc.level = sv.teams[dc.team].GetShareLevel()
+	late := nowMS+dc.criticalPathMS > firstTriedMS+dc.objectiveMS
+	dc.waitMS = max(sh.poolWaitMS(sv, &dc, late), sh.capWaitMS(sv, &dc))
+	dc.hopeless = dc.waitMS > sh.maxWaitMS(&dc, late)
+	return dc
+}
+
+// maxWaitMS returns the wait up to which a job is accepted. One that can't be in time any more is accepted if it starts at once: its caller was told to come back when there is capacity.
+func (sh *Shedder) maxWaitMS(dc *Decision, late bool) int64 {
+	if late {
+		return atOnceMS
+	}
+	part := maxWaitPart
+	if dc.level > 0 {
+		part = maxWaitPartAboveShare
+	}
+	return max(int64(part*sh.ledgerOf(dc.service).means(dc).slackMS), atOnceMS)
+}
+
+// timeFor returns how long the work takes with the capacity, in milliseconds.
+func timeFor(workCoreMS, roomMilli int64) int64 {
+	return int64(math.Ceil(float64(max(workCoreMS, 0)) * milli / float64(roomMilli)))
+}
+
+// poolWaitMS returns how long the job waits for the work that the owner does before it: what waits of teams that aren't further above their share and later steps of jobs that have begun, less what has been done since the estimate, plus what this entry has accepted since. The work of all teams goes ahead of a job that can't be in time any more.
+//
+// If nothing waits ahead, the job is the next to start, however long the begun work takes.
+func (sh *Shedder) poolWaitMS(sv *service, dc *Decision, late bool) int64 {
+	waiting := int64(0)
+	for _, tm := range sv.teams {
+		if late || tm.GetShareLevel() <= dc.level {
+			waiting += usableWork(tm, dc.objectiveMS)
+		}
+	}
+	if waiting == 0 {
+		return 0
+	}
+	lg := sh.ledgerOf(dc.service)
+	accepted := int64(0)
+	for _, ac := range lg.accepted {
+		if late || ac.level <= dc.level {
+			accepted += ac.workCoreMS
+		}
+	}
+	sinceMS := max(timeFor(waiting, sv.roomMilli)+lg.laterStepsMS(sv, dc)-dc.ageMS, 0)
+	return sinceMS + timeFor(accepted, sv.roomMilli)
+}
+
+// laterStepsMS returns how long the steps of begun jobs take that haven't started. The tasks that run have half a step left; the rest of the begun work is taken to be later steps as far as jobs have such steps, since estimates of work may be far too high.
+func (lg *ledger) laterStepsMS(sv *service, dc *Decision) int64 {
+	means := lg.means(dc)
+	begunMS := timeFor(sv.begunCoreMS, sv.roomMilli)
+	return min(max(begunMS-int64(means.stepMS/2), 0), int64(max(means.pathMS-means.stepMS, 0)))
+}
+
+// usableWork returns a team's waiting work as far as it competes with other teams' within a time: a team can't use more than its cap.
+func usableWork(tm *workpb.TeamWait, withinMS int64) int64 {
+	if tm.GetCapMilli() <= 0 {
+		return tm.GetWaitingCoreMs()
+	}
+	return min(tm.GetWaitingCoreMs(), tm.GetCapMilli()*withinMS/milli)
+}
+
+// capWaitMS returns how long the job waits for its team's other work under the team's CPU cap. The part of the begun work that is the team's is taken to be its part of the used capacity.
+func (sh *Shedder) capWaitMS(sv *service, dc *Decision) int64 {
+	tm := sv.teams[dc.team]
+	if tm.GetCapMilli() <= 0 {
+		return 0
+	}
+	work := tm.GetWaitingCoreMs()
+	for _, ac := range sh.ledgerOf(dc.service).accepted {
+		if ac.team == dc.team {
+			work += ac.workCoreMS
+		}
+	}
+	used := min(tm.GetUsedMilli(), tm.GetCapMilli())
+	if work == 0 && used < tm.GetCapMilli() {
+		return 0
+	}
+	work += sv.begunCoreMS * min(used, sv.roomMilli) / sv.roomMilli
+	return timeFor(work-tm.GetCapMilli()*dc.ageMS/milli, tm.GetCapMilli())
+}
+
+// Accepted counts a job that was accepted after the decision.
+func (sh *Shedder) Accepted(dc Decision, nowMS int64) {
+	if dc.service == "" {
+		return
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	lg := sh.ledgerOf(dc.service)
+	lg.observe(dc)
+	lg.accepted = slices.DeleteFunc(lg.accepted, func(ac acceptance) bool { return ac.atMS < nowMS-maxAgeMS-overlapMS })
+	lg.accepted = append(lg.accepted, acceptance{nowMS, dc.team, dc.level, dc.workCoreMS})
+	lg.decay(nowMS)
+	lg.rateMilli += float64(dc.workCoreMS) * milli / rateMeanMS
+}
+
+func (sh *Shedder) ledgerOf(service string) *ledger {
+	lg, ok := sh.entry[service]
+	if !ok {
+		lg = &ledger{}
+		sh.entry[service] = lg
+	}
+	return lg
+}
+
+// means returns the averages, or the figures of the job at hand if it is the first one.
+func (lg *ledger) means(dc *Decision) means {
+	if lg.jobs == 0 {
+		return dc.means()
+	}
+	return lg.averages
+}
+
+// observe takes a job into the averages.
+func (lg *ledger) observe(dc Decision) {
+	lg.jobs = min(lg.jobs+1, meanJobs)
+	add := func(mean *float64, value float64) { *mean += (value - *mean) / float64(lg.jobs) }
+	own := dc.means()
+	add(&lg.averages.slackMS, own.slackMS)
+	add(&lg.averages.stepMS, own.stepMS)
+	add(&lg.averages.pathMS, own.pathMS)
+}
+
+// decay brings the average of the accepted work to nowMS.
+func (lg *ledger) decay(nowMS int64) {
+	lg.rateMilli *= math.Exp(-float64(max(nowMS-lg.rateMS, 0)) / rateMeanMS)
+	lg.rateMS = nowMS
+}
+
+// Refused returns after how many seconds the caller of a refused job should come back. The callers of one entry come back one after the other, as fast as the entry's part of the capacity allows; that part is taken to be what the entry had accepted lately.
+func (sh *Shedder) Refused(dc Decision, nowMS int64) int64 {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	lg := sh.ledgerOf(dc.service)
+	lg.observe(dc)
+	lg.decay(nowMS)
+	share := min(max(lg.rateMilli/float64(dc.roomMilli), minShare), 1)
+	returnMS := max(nowMS+dc.waitMS, lg.nextReturnMS)
+	lg.nextReturnMS = min(returnMS+timeFor(dc.workCoreMS, int64(math.Ceil(share*float64(dc.roomMilli)))), nowMS+maxRetryAfterS*milli)
+	seconds := (returnMS - nowMS + milli - 1) / milli
+	return min(max(seconds, minRetryAfterS), maxRetryAfterS)
+}
