--- a/cmd/fulmarloft/status.go
+++ b/cmd/fulmarloft/status.go
@@ -43,6 +43,17 @@
 	RulesAgeMS   int64            `json:"rules-age-ms"`
 	Waiting      map[string]int   `json:"waiting"`
 	WaitingError string           `json:"waiting-error"`
+	Waits        map[string]struct {
+		WaitMS int64               `json:"wait-ms"`
+		Teams  map[string]teamWait `json:"teams"`
+	} `json:"waits"`
+	Refused map[string]map[string]int `json:"refused"`
+}
+
+// teamWait is the part of a service's wait that is a team's work, and how far the team is above its share.
+type teamWait struct {
+	WaitMS int64 `json:"wait-ms"`
+	Level  int   `json:"share-level"`
 }
 
 func statusCommands(app *kingpin.Application) []command {
@@ -121,6 +132,12 @@
 	} else {
 		fmt.Fprintf(out, "  waiting jobs: %s\n", counts(st.Waiting))
 	}
+	for _, service := range slices.Sorted(maps.Keys(st.Waits)) {
+		fmt.Fprintf(out, "  work of service %s takes %d ms with its capacity; %s\n", service, st.Waits[service].WaitMS, teamWaits(st.Waits[service].Teams))
+	}
+	for _, queue := range slices.Sorted(maps.Keys(st.Refused)) {
+		fmt.Fprintf(out, "  submissions to queue %s refused as hopeless: %s\n", queue, counts(st.Refused[queue]))
+	}
 	if !st.Owner {
 		return
 	}
@@ -129,6 +146,18 @@
 	fmt.Fprintf(out, "  in doubt: %d runs on VMs that don't answer; %d starts got no answer since it took over\n", st.RunsInDoubt, st.Unanswered)
 }
 
+// teamWaits returns how long each team's waiting work takes as text.
+func teamWaits(by map[string]teamWait) string {
+	if len(by) == 0 {
+		return "no team's jobs wait"
+	}
+	var out []string
+	for _, team := range slices.Sorted(maps.Keys(by)) {
+		out = append(out, fmt.Sprintf("team %s %d ms (share level %d)", team, by[team].WaitMS, by[team].Level))
+	}
+	return strings.Join(out, ", ")
+}
+
 // counts returns counts by name as text.
 func counts(by map[string]int) string {
 	if len(by) == 0 {
--- a/cmd/fulmarloft/status_test.go
+++ b/cmd/fulmarloft/status_test.go
@@ -24,7 +24,8 @@
 		return strings.TrimPrefix(sv.URL, "http://")
 	}
 	owner := serve(`{"entry":"e-1","zone":"a","ready":true,"owner":true,"token":"7","owner-for-ms":50,"scheduling-for-ms":10,"renewed-ms-ago":3,
-		"vms":{"silent":1,"registered":20},"runs-in-doubt":9,"starts-unanswered":2,"changes-lost-ms":{"jobs":10},"rules-version":4,"rules-age-ms":120,"waiting":{"q-2":5,"q-1":3}}`)
+		"vms":{"silent":1,"registered":20},"runs-in-doubt":9,"starts-unanswered":2,"changes-lost-ms":{"jobs":10},"rules-version":4,"rules-age-ms":120,"waiting":{"q-2":5,"q-1":3},
+		"waits":{"s-1":{"wait-ms":1500,"teams":{"t-2":{"wait-ms":200,"share-level":1},"t-1":{"wait-ms":900,"share-level":0}}},"s-2":{"wait-ms":600,"teams":{}}},"refused":{"q-1":{"t-2":7}}}`)
 	other := serve(`{"entry":"e-2","zone":"b","draining":true,"owner":false,"changes-lost-ms":{},"rules-version":3,"rules-age-ms":900,"waiting-error":"store away"}`)
 	missing := serve("")
 	for _, tc := range []struct {
@@ -36,6 +37,9 @@
 		{"all", []string{owner, other}, code.OK, `e-1 (a): ready; rules 4, confirmed 120 ms ago
   changes of jobs lost for 10 ms
   waiting jobs: q-1 3, q-2 5
+  work of service s-1 takes 1500 ms with its capacity; team t-1 900 ms (share level 0), team t-2 200 ms (share level 1)
+  work of service s-2 takes 600 ms with its capacity; no team's jobs wait
+  submissions to queue q-1 refused as hopeless: t-2 7
   owns scheduling for 50 ms with token 7, schedules for 10 ms, last commit 3 ms ago
   VMs: registered 20, silent 1
   in doubt: 9 runs on VMs that don't answer; 2 starts got no answer since it took over
--- a/internal/observability/explain/explain_test.go
+++ b/internal/observability/explain/explain_test.go
@@ -133,6 +133,20 @@
 	qt.Assert(t, textOf(ex, ""), qt.Contains, "Run 1 of task 00cc.0.0.0 on VM i-4 failed; its task has failed 1 times.")
 }
 
+// A submission that was refused as hopeless and accepted when it came back must be explained by the wait and the time that its caller was told.
+func TestWhyRefusedAsHopeless(t *testing.T) {
+	ex := explain.New("00dd")
+	qt.Assert(t, ex.Read("a", strings.NewReader(`time=2026-12-04T09:00:01.000Z level=error event="submission-refused" code=106 error="deadline-hopeless" job="00dd" queue="q1" team="t1" wait-ms=2100 estimate-age-ms=120 share-level=1 retry-after-s=3
+time=2026-12-04T09:00:04.100Z level=info event="job-accepted" job="00dd" queue="q1" team="t1" rules=3 took-ms=20
+`)), qt.IsNil)
+	qt.Assert(t, ex.Gather(), qt.IsTrue)
+	qt.Check(t, ex.Why(explain.WhyRefused), qt.DeepEquals, []string{
+		"Refused once with code 106 (deadline-hopeless) by a: the job could not have ended in time, and its caller was told when to come back.",
+		"Entry a accepted the job 3.1 s after the last refusal.",
+	})
+	qt.Check(t, textOf(ex, ""), qt.Contains, "The submission to queue q1 for team t1 was refused, as the job would have waited 2100 ms and ended too late (share level 1, estimate 120 ms old); the caller was told to come back after 3 s.")
+}
+
 // events returns the events of an explanation in order, by its JSON.
 func events(t *testing.T, ex *explain.Explanation) []string {
 	buf := &bytes.Buffer{}
