A submission replaces a refusal only if its caller is still there and the row is older than the call

A submission whose own refusal the store didn't take compared the row with versions that it had seen meanwhile, and could replace the refusal of another copy. An entry that was frozen may find calls of callers that have sent another copy since.

The version is taken when the call begins, and callers that have disconnected replace no refused row.

--- a/internal/request/loadshed/loadshed.go
+++ b/internal/request/loadshed/loadshed.go
@@ -179,7 +179,7 @@
 	return min(tm.GetWaitingCoreMs(), tm.GetCapMilli()*withinMS/milli)
 }
 
-// capWaitMS returns how long the job waits for its team's other work under the team's CPU cap. The part of the begun work that is the team's is taken to be its part of the used capacity.
+// capWaitMS returns how long the job waits for its team's other work under the team's CPU cap. The part of the begun work that is the team's is taken to be its part of the used capacity; the tasks that run have half a step left.
 func (sh *Shedder) capWaitMS(sv *service, dc *Decision) int64 {
 	tm := sv.teams[dc.team]
 	if tm.GetCapMilli() <= 0 {
@@ -196,7 +196,8 @@
 		return 0
 	}
 	work += sv.begunCoreMS * min(used, sv.roomMilli) / sv.roomMilli
-	return timeFor(work-tm.GetCapMilli()*dc.ageMS/milli, tm.GetCapMilli())
+	waitMS := timeFor(work-tm.GetCapMilli()*dc.ageMS/milli, tm.GetCapMilli())
+	return max(waitMS-int64(sh.ledgerOf(dc.service).means(dc).stepMS/2), 0)
 }
 
 // Accepted counts a job that was accepted after the decision.
--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -59,9 +59,9 @@
 	return &Intake{st: versions.Store(st), versions: versions, finalStates: map[string]workpb.State{}}
 }
 
-// WithVersions sets a tracker that sees the answers to other calls of the process as well, so that the intake knows of newer versions.
+// WithVersions sets the tracker of a store that the intake uses like the rest of the process, so that it knows of the versions in answers to all calls.
 func (in *Intake) WithVersions(versions *seenversion.Tracker) *Intake {
-	in.st, in.versions = versions.Store(in.st), versions
+	in.versions = versions
 	return in
 }
 
@@ -93,32 +93,42 @@
 
 // SubmitUnless stores a job as Submit does, or its refusal as Refuse does if hopeless says so, and reports whether the refusal was stored. hopeless is called with the time of the first attempt: that of this one and, if a refused row turns out to hold an earlier one, with that.
 //
-// If the store certainly took nothing of a refusal, the submission goes on as if none had been decided.
-func (in *Intake) SubmitUnless(ctx context.Context, jb *workpb.Job, hopeless func(firstTriedMS int64) bool) (refused bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeoutMS*time.Millisecond)
+// If the store certainly took nothing of a refusal, the submission goes on as if none had been decided. It is carried through even if the caller's context ends, so that its outcome is known.
+func (in *Intake) SubmitUnless(caller context.Context, jb *workpb.Job, hopeless func(firstTriedMS int64) bool) (refused bool, err error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), submitTimeoutMS*time.Millisecond)
 	defer cancel()
+	sb := &submission{jb: jb, knownVersion: in.versions.Newest(), callerGone: func() bool { return caller.Err() != nil }, hopeless: hopeless}
 	if hopeless(jb.GetAcceptedMs()) {
-		refused, err = in.refuse(ctx, jb, 0)
-		if code.Of(err) != code.TableUnavailable {
-			return refused, err
-		}
-		hopeless = func(int64) bool { return false }
+		return in.refuseOrSubmit(ctx, sb, 0)
 	}
-	return in.submit(ctx, jb, hopeless)
+	return in.submit(ctx, sb)
+}
+
+// submission is one call that submits a job.
+type submission struct {
+	jb *workpb.Job
+	// knownVersion is the newest version of the store that the process knew of when the call began.
+	knownVersion int64
+	// callerGone reports whether the caller has disconnected.
+	callerGone func() bool
+	hopeless   func(firstTriedMS int64) bool
+}
+
+// mayReplace reports whether the submission may replace a refused row of a version. The row must have been written before the call: a newer one is the refusal of another copy of the submission, whose caller was told that the job doesn't run. Nor is it replaced for a caller that has disconnected, which may have sent the other copy since: an entry that was frozen finds such calls waiting.
+func (sb *submission) mayReplace(version int64) bool {
+	return version <= sb.knownVersion && !sb.callerGone()
 }
 
-// submit stores a job. A refused row is replaced only if it was written before the call: a newer one is the refusal of another copy of the submission, whose caller was told that the job doesn't run.
-func (in *Intake) submit(ctx context.Context, jb *workpb.Job, hopeless func(int64) bool) (refused bool, err error) {
-	knownVersion := in.versions.Newest()
+func (in *Intake) submit(ctx context.Context, sb *submission) (refused bool, err error) {
 	version := int64(0)
 	inDoubt := false
 	for _, timeoutMS := range []int64{firstTimeoutMS, secondTimeoutMS} {
-		raw, marshalErr := proto.Marshal(jb)
+		raw, marshalErr := proto.Marshal(sb.jb)
 		if marshalErr != nil {
 			return false, code.Internal.Wrap(marshalErr)
 		}
 		var current []rowstore.Row
-		current, err = in.commitWithTimeout(ctx, in.jobTx(jb, version, raw), timeoutMS)
+		current, err = in.commitWithTimeout(ctx, in.jobTx(sb.jb, version, raw), timeoutMS)
 		switch code.Of(err) {
 		case code.OK:
 			return false, nil
@@ -127,19 +137,19 @@
 			if stored != nil && !stored.GetRefused() {
 				return false, nil
 			}
-			if stored != nil && storedVersion > knownVersion {
-				return false, in.withdrawn(ctx, jb, inDoubt)
+			if stored != nil && !sb.mayReplace(storedVersion) {
+				return false, in.withdrawn(ctx, sb.jb, inDoubt)
 			}
 			version = storedVersion
-			if keepFirstAttempt(jb, stored) && !inDoubt && hopeless(jb.GetFirstTriedMs()) {
-				return in.refuseOrSubmit(ctx, jb, version)
+			if keepFirstAttempt(sb.jb, stored) && !inDoubt && sb.hopeless(sb.jb.GetFirstTriedMs()) {
+				return in.refuseOrSubmit(ctx, sb, version)
 			}
 		case code.TableInDoubt:
 			inDoubt = true
 		}
 	}
 	if inDoubt {
-		return false, in.resolveInDoubt(ctx, jb)
+		return false, in.resolveInDoubt(ctx, sb.jb)
 	}
 	if code.Of(err) == code.Conflict {
 		return false, code.TableInDoubt.Wrap(err)
@@ -147,13 +157,14 @@
 	return false, code.TableUnavailable.Wrap(err)
 }
 
-// refuseOrSubmit refuses a job whose refused row has the given version, or submits it if the store certainly took nothing of the refusal.
-func (in *Intake) refuseOrSubmit(ctx context.Context, jb *workpb.Job, version int64) (refused bool, err error) {
-	refused, err = in.refuse(ctx, jb, version)
+// refuseOrSubmit refuses a job whose refused row has the given version, 0 for none, or submits it if the store certainly took nothing of the refusal.
+func (in *Intake) refuseOrSubmit(ctx context.Context, sb *submission, version int64) (refused bool, err error) {
+	refused, err = in.refuse(ctx, sb.jb, version)
 	if code.Of(err) != code.TableUnavailable {
 		return refused, err
 	}
-	return in.submit(ctx, jb, func(int64) bool { return false })
+	sb.hopeless = func(int64) bool { return false }
+	return in.submit(ctx, sb)
 }
 
 // withdrawn returns the error of a submission of which another copy was refused while it was under way.
--- a/internal/scheduling/intake/refuse_test.go
+++ b/internal/scheduling/intake/refuse_test.go
@@ -256,3 +256,42 @@
 		}
 	})
 }
+
+// An entry that was frozen may find a call whose caller has long sent another copy, which was refused. As that caller has disconnected, its call must not replace the refusal, but a job without any row must still be stored.
+func TestCallerThatHasGoneReplacesNoRefusal(t *testing.T) {
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	st := rowstoretest.New(clock.NewFake(0))
+	in := intake.New(st.Rowstore())
+	_, err := in.Refuse(context.Background(), triedAt(7000))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, code.Of(in.Submit(gone, triedAt(6000))), qt.Equals, code.TableUnavailable)
+	qt.Check(t, storedRow(t, st).GetRefused(), qt.IsTrue)
+	qt.Check(t, in.Submit(context.Background(), triedAt(9000)), qt.IsNil)
+	st = rowstoretest.New(clock.NewFake(0))
+	qt.Check(t, intake.New(st.Rowstore()).Submit(gone, triedAt(6000)), qt.IsNil)
+	qt.Check(t, storedRow(t, st).GetRefused(), qt.IsFalse)
+}
+
+// A submission whose own refusal the store doesn't take goes on as usual, but must not replace the refusal of another copy that it found meanwhile.
+func TestFailedRefusalReplacesNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := rowstoretest.New(clock.NewFake(0))
+		rs := st.Rowstore()
+		commit, commits := rs.Commit, 0
+		rs.Commit = func(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+			commits++
+			if commits == 1 {
+				_, err := intake.New(st.Rowstore()).Refuse(context.Background(), triedAt(7000))
+				qt.Assert(t, err, qt.IsNil)
+				st.SetCommitOutcome(outcomes(rowstoretest.Served, rowstoretest.Refused, rowstoretest.Refused))
+			}
+			return commit(ctx, tx)
+		}
+		refused, err := intake.New(rs).SubmitUnless(context.Background(), triedAt(6990), func(int64) bool { return true })
+		qt.Check(t, code.Of(err), qt.Equals, code.TableUnavailable)
+		qt.Check(t, refused, qt.IsFalse)
+		qt.Check(t, commits, qt.Equals, 4)
+		qt.Check(t, storedRow(t, st).GetRefused(), qt.IsTrue)
+	})
+}
