Bound the wait of work above the share by what such teams use

Jobs of a team above its share were accepted as if it could use the whole pool, and 39 % of them were late.

Their wait is reckoned with what such teams use now, a third of the capacity at least; the part of the slack is 0.75, with which more jobs are in time; jobs that come back late wait behind their own level only, since others' bursts kept them out.

--- a/internal/request/loadshed/loadshed.go
+++ b/internal/request/loadshed/loadshed.go
@@ -57,9 +57,11 @@
 	overlapMS = 150
 	// atOnceMS is the wait up to which a job counts as starting at once; the owner writes no estimate below 500 ms.
 	atOnceMS = 300
-	// maxWaitPart and maxWaitPartAboveShare are the parts of the mean slack that a job of a team within or above its share may wait. The owner starts the job with the least slack first, so a longer queue makes the longer jobs late that were accepted before: of the jobs accepted at their first attempt at twice what fits, 73 % were in time with a limit of 1.5 objectives, 94 % with three quarters of the slack and 98 % with this part.
-	maxWaitPart           = 0.65
+	// maxWaitPart and maxWaitPartAboveShare are the parts of the mean slack that a job of a team within or above its share may wait. The owner starts the job with the least slack first, so a longer queue makes the longer jobs late that were accepted before: of the jobs accepted at their first attempt at twice what fits, 73 % were in time with a limit of 1.5 objectives, 95 % with this part of the slack; smaller parts left more jobs refused that could have been in time.
+	maxWaitPart           = 0.75
 	maxWaitPartAboveShare = 0.5
+	// maxAboveShareSlowdown is how many times longer the work of teams above their share is taken to wait at most, since what they use now changes.
+	maxAboveShareSlowdown = 3
 	// meanJobs is the number of jobs over which slack and step length are averaged.
 	meanJobs = 30
 	// minRetryAfterS and maxRetryAfterS bound the times that callers are told.
@@ -118,12 +120,12 @@
 	dc.roomMilli = sv.roomMilli
 	dc.level = sv.teams[dc.team].GetShareLevel()
 	late := nowMS+dc.criticalPathMS > firstTriedMS+dc.objectiveMS
-	dc.waitMS = max(sh.poolWaitMS(sv, &dc, late), sh.capWaitMS(sv, &dc))
+	dc.waitMS = max(sh.poolWaitMS(sv, &dc), sh.capWaitMS(sv, &dc))
 	dc.hopeless = dc.waitMS > sh.maxWaitMS(&dc, late)
 	return dc
 }
 
-// maxWaitMS returns the wait up to which a job is accepted. One that can't be in time any more is accepted if it starts at once: its caller was told to come back when there is capacity.
+// maxWaitMS returns the wait up to which a job is accepted. One that can't be in time any more is accepted if its team's level lets it start at once: its caller was told to come back when there is capacity.
 func (sh *Shedder) maxWaitMS(dc *Decision, late bool) int64 {
 	if late {
 		return atOnceMS
@@ -140,28 +142,49 @@
 	return int64(math.Ceil(float64(max(workCoreMS, 0)) * milli / float64(roomMilli)))
 }
 
-// poolWaitMS returns how long the job waits for the work that the owner does before it: what waits of teams that aren't further above their share and later steps of jobs that have begun, less what has been done since the estimate, plus what this entry has accepted since. The work of all teams goes ahead of a job that can't be in time any more.
+// poolWaitMS returns how long the job waits for the work that the owner does before it: what waits of teams that aren't further above their share and later steps of jobs that have begun, less what has been done since the estimate, plus what this entry has accepted since.
 //
-// If nothing waits ahead, the job is the next to start, however long the begun work takes.
-func (sh *Shedder) poolWaitMS(sv *service, dc *Decision, late bool) int64 {
-	waiting := int64(0)
+// If nothing waits ahead, the job is the next to start, however long the begun work takes. Work of teams above their share is done with what the others leave, which is taken to be what such teams use now.
+func (sh *Shedder) poolWaitMS(sv *service, dc *Decision) int64 {
+	within, above := int64(0), int64(0)
 	for _, tm := range sv.teams {
-		if late || tm.GetShareLevel() <= dc.level {
-			waiting += usableWork(tm, dc.objectiveMS)
+		switch {
+		case tm.GetShareLevel() == 0:
+			within += usableWork(tm, dc.objectiveMS)
+		case tm.GetShareLevel() <= dc.level:
+			above += usableWork(tm, dc.objectiveMS)
 		}
 	}
-	if waiting == 0 {
+	if within+above == 0 {
 		return 0
 	}
 	lg := sh.ledgerOf(dc.service)
-	accepted := int64(0)
+	acceptedWithin, acceptedAbove := int64(0), int64(0)
 	for _, ac := range lg.accepted {
-		if late || ac.level <= dc.level {
-			accepted += ac.workCoreMS
+		switch {
+		case ac.level == 0:
+			acceptedWithin += ac.workCoreMS
+		case ac.level <= dc.level:
+			acceptedAbove += ac.workCoreMS
 		}
 	}
-	sinceMS := max(timeFor(waiting, sv.roomMilli)+lg.laterStepsMS(sv, dc)-dc.ageMS, 0)
-	return sinceMS + timeFor(accepted, sv.roomMilli)
+	roomAbove := sv.roomAboveShare()
+	sinceMS := max(timeFor(within, sv.roomMilli)+timeFor(above, roomAbove)+lg.laterStepsMS(sv, dc)-dc.ageMS, 0)
+	return sinceMS + timeFor(acceptedWithin, sv.roomMilli) + timeFor(acceptedAbove, roomAbove)
+}
+
+// roomAboveShare returns the capacity that teams above their share have, all of it if the estimate doesn't tell what they use.
+func (sv *service) roomAboveShare() int64 {
+	used := int64(0)
+	for _, tm := range sv.teams {
+		if tm.GetShareLevel() > 0 {
+			used += tm.GetUsedMilli()
+		}
+	}
+	if used == 0 {
+		return sv.roomMilli
+	}
+	return min(max(used, sv.roomMilli/maxAboveShareSlowdown), sv.roomMilli)
 }
 
 // laterStepsMS returns how long the steps of begun jobs take that haven't started. The tasks that run have half a step left; the rest of the begun work is taken to be later steps as far as jobs have such steps, since estimates of work may be far too high.
