--- a/cmd/fulmarloft/status.go
+++ b/cmd/fulmarloft/status.go
@@ -49,6 +49,8 @@
 	ShareLevels  map[string]string `json:"share-levels"`
 	Waiting      map[string]int    `json:"waiting"`
 	WaitingError string            `json:"waiting-error"`
+	// Refused counts the submissions refused as hopeless, by queue and team.
+	Refused map[string]map[string]int `json:"refused"`
 	// Waits holds the services whose work waits.
 	Waits map[string]serviceWait `json:"waits"`
 }
@@ -149,6 +151,9 @@
 	if st.Takeovers > 0 {
 		fmt.Fprintf(out, "  took over %d times since it started, %d of them without scheduling\n", st.Takeovers, st.Unfinished)
 	}
+	for _, queue := range slices.Sorted(maps.Keys(st.Refused)) {
+		fmt.Fprintf(out, "  submissions to queue %s refused as hopeless: %s\n", queue, counts(st.Refused[queue]))
+	}
 	if !st.Owner {
 		return
 	}
