intake: keep a refusal that was stored while an own refusal failed

An entry that decided to refuse a submission, and whose store took nothing of the refusal, submitted the job after all. It compared the version of a refused row with the newest version seen at that time, which the answers to its failed refusal had raised. So it replaced the refusal of another copy of the submission that was stored meanwhile, and ran a job that had been reported as not run.

The newest version is now taken before the first call of a submission and holds for all of its commits.

--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -97,6 +97,8 @@
 func (in *Intake) SubmitUnless(ctx context.Context, jb *workpb.Job, hopeless func(firstTriedMS int64) bool) (refused bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeoutMS*time.Millisecond)
 	defer cancel()
+	// Taken before any call: the answers to an attempted refusal show rows that other copies of this submission wrote meanwhile.
+	knownVersion := in.versions.Newest()
 	if hopeless(jb.GetAcceptedMs()) {
 		refused, err = in.refuse(ctx, jb, 0)
 		if code.Of(err) != code.TableUnavailable {
@@ -104,12 +106,11 @@
 		}
 		hopeless = func(int64) bool { return false }
 	}
-	return in.submit(ctx, jb, hopeless)
+	return in.submit(ctx, jb, knownVersion, hopeless)
 }
 
-// submit stores a job. A refused row is replaced only if it was written before the call: a newer one is the refusal of another copy of the submission, whose caller was told that the job doesn't run.
-func (in *Intake) submit(ctx context.Context, jb *workpb.Job, hopeless func(int64) bool) (refused bool, err error) {
-	knownVersion := in.versions.Newest()
+// submit stores a job. A refused row is replaced only if it is no newer than knownVersion, the newest version seen before the submission began: a newer one is the refusal of another copy of the submission, whose caller was told that the job doesn't run.
+func (in *Intake) submit(ctx context.Context, jb *workpb.Job, knownVersion int64, hopeless func(int64) bool) (refused bool, err error) {
 	version := int64(0)
 	inDoubt := false
 	for _, timeoutMS := range []int64{firstTimeoutMS, secondTimeoutMS} {
@@ -132,7 +133,7 @@
 			}
 			version = storedVersion
 			if keepFirstAttempt(jb, stored) && !inDoubt && hopeless(jb.GetFirstTriedMs()) {
-				return in.refuseOrSubmit(ctx, jb, version)
+				return in.refuseOrSubmit(ctx, jb, version, knownVersion)
 			}
 		case code.TableInDoubt:
 			inDoubt = true
@@ -148,12 +149,12 @@
 }
 
 // refuseOrSubmit refuses a job whose refused row has the given version, or submits it if the store certainly took nothing of the refusal.
-func (in *Intake) refuseOrSubmit(ctx context.Context, jb *workpb.Job, version int64) (refused bool, err error) {
+func (in *Intake) refuseOrSubmit(ctx context.Context, jb *workpb.Job, version, knownVersion int64) (refused bool, err error) {
 	refused, err = in.refuse(ctx, jb, version)
 	if code.Of(err) != code.TableUnavailable {
 		return refused, err
 	}
-	return in.submit(ctx, jb, func(int64) bool { return false })
+	return in.submit(ctx, jb, knownVersion, func(int64) bool { return false })
 }
 
 // withdrawn returns the error of a submission of which another copy was refused while it was under way.
--- a/internal/scheduling/intake/refuse_test.go
+++ b/internal/scheduling/intake/refuse_test.go
@@ -198,6 +198,56 @@
 	}
 }
 
+// A first copy of a submission is to be refused, but the store takes nothing of its refusal, so that it is submitted after all, while a second copy is refused through another entry. The job was reported as not run, so the first copy must not replace that refusal, although it has seen the row by the time it is submitted.
+func TestRefusalHoldsAgainstACopyWhoseOwnRefusalFails(t *testing.T) {
+	const served, down = rowstoretest.Served, rowstoretest.Refused
+	for _, tc := range []struct {
+		name string
+		// earlier is set if the job was refused once before both copies; a job that comes back is then decided by its first attempt.
+		earlier bool
+		limitMS int64
+		// before is the commit of the first copy during which the refusal of the second one is stored, from 0.
+		before   int
+		outcomes []rowstoretest.Outcome
+	}{
+		{"refusal before the first commit", false, 9000, 0, []rowstoretest.Outcome{served, down, down}},
+		{"refusal between the commits", false, 9000, 1, []rowstoretest.Outcome{down, served, down}},
+		{"refused before, refusal between the commits", true, 5000, 1, []rowstoretest.Outcome{served, served, down, down}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			st := rowstoretest.New(clock.NewFake(0))
+			rs := st.Rowstore()
+			first, second := intake.New(rs), intake.New(st.Rowstore())
+			if tc.earlier {
+				_, err := second.Refuse(context.Background(), triedAt(1000))
+				qt.Assert(t, err, qt.IsNil)
+				// An answer to any other call shows the first entry that the row is older than its submission.
+				_, err = first.State(context.Background(), jobID)
+				qt.Assert(t, code.Of(err), qt.Equals, code.JobUnknown)
+			}
+			commits, own := 0, outcomes(tc.outcomes...)
+			commit := rs.Commit
+			rs.Commit = func(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+				if commits == tc.before {
+					st.SetCommitOutcome(outcomes())
+					done, err := second.Refuse(context.Background(), triedAt(7000))
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, done, qt.IsTrue, qt.Commentf(tc.name))
+				}
+				commits++
+				st.SetCommitOutcome(own)
+				return commit(ctx, tx)
+			}
+			refused, err := first.SubmitUnless(context.Background(), triedAt(6990), func(firstMS int64) bool { return firstMS < tc.limitMS })
+			qt.Check(t, refused, qt.IsFalse, qt.Commentf(tc.name))
+			qt.Check(t, code.Of(err), qt.Equals, code.TableUnavailable, qt.Commentf(tc.name))
+			qt.Check(t, storedRow(t, st).GetRefused(), qt.IsTrue, qt.Commentf(tc.name))
+			st.SetCommitOutcome(outcomes())
+			qt.Check(t, first.Submit(context.Background(), triedAt(9000)), qt.IsNil, qt.Commentf(tc.name))
+		})
+	}
+}
+
 // A submission that was decided to be hopeless must be refused, or stored if the store took nothing of the refusal; one that proves to be hopeless by the first attempt in a refused row must be refused as well.
 func TestSubmitUnless(t *testing.T) {
 	const late, down = rowstoretest.Late, rowstoretest.Refused
