loadshed: judge a job's wait by the mean slack of its queue

The mean slack, which bounds the wait up to which a job is accepted, was taken over all queues of a service. Beside a queue with short objectives, a job of a team within its share with 30 s to spare was refused for a wait of 3 s; beside a queue with long ones, a job that can't be in time was accepted.

The mean is now kept for each queue; the mean step and critical path, which tell what begun work holds back, stay with the service.

--- a/internal/request/loadshed/decision.go
+++ b/internal/request/loadshed/decision.go
@@ -8,6 +8,7 @@
 // Decision is what was decided on one submission, and why.
 type Decision struct {
 	service        string
+	queue          string
 	team           string
 	workCoreMS     int64
 	criticalPathMS int64
@@ -23,7 +24,7 @@
 // newDecision returns the decision to accept a job, with what it needs.
 func newDecision(qu *workpb.Queue, jb *workpb.Job) Decision {
 	dc := Decision{
-		service: qu.GetService(), team: jb.GetTeam(),
+		service: qu.GetService(), queue: qu.GetName(), team: jb.GetTeam(),
 		workCoreMS: jobwork.CoreMS(jb.GetSteps()), criticalPathMS: jobwork.CriticalPathMS(jb.GetSteps()),
 	}
 	dc.objectiveMS = jobwork.ObjectiveMS(qu, dc.criticalPathMS)
@@ -47,6 +48,8 @@
 
 // means returns the job's own figures.
 func (dc Decision) means() means {
-	slackMS := max(dc.objectiveMS-dc.criticalPathMS, 1)
-	return means{slackMS: float64(slackMS), stepMS: float64(dc.longestStepMS), pathMS: float64(dc.criticalPathMS)}
+	return means{stepMS: float64(dc.longestStepMS), pathMS: float64(dc.criticalPathMS)}
 }
+
+// slackMS returns how long the job may wait and still be in time if it is tried for the first time.
+func (dc Decision) slackMS() float64 { return float64(max(dc.objectiveMS-dc.criticalPathMS, 1)) }
--- a/internal/request/loadshed/loadshed.go
+++ b/internal/request/loadshed/loadshed.go
@@ -33,13 +33,21 @@
 	// averages is over the last jobs that callers submitted, of which jobs is the number up to meanJobs.
 	averages means
 	jobs     int
+	// slacks holds the mean slack of each queue's jobs, since queues of one service may have very different objectives.
+	slacks map[string]*slack
 	// nextReturnMS is the time before which callers were told to come back.
 	nextReturnMS int64
 }
 
-// means are of the time that a job may wait and still be in time, of its longest step and of its critical path.
+// means are of the longest step and of the critical path.
 type means struct {
-	slackMS, stepMS, pathMS float64
+	stepMS, pathMS float64
+}
+
+// slack is the mean time that jobs may wait and still be in time, over the last jobs, up to meanJobs.
+type slack struct {
+	meanMS float64
+	jobs   int
 }
 
 type acceptance struct {
@@ -57,7 +65,7 @@
 	overlapMS = 150
 	// atOnceMS is the wait up to which a job counts as starting at once; the owner writes no estimate below 500 ms.
 	atOnceMS = 300
-	// maxWaitPart and maxWaitPartAboveShare are the parts of the mean slack that a job of a team within or above its share may wait. The owner starts the job with the least slack first, so a longer queue makes the longer jobs late that were accepted before: of the jobs accepted at their first attempt at twice what fits, 73 % were in time with a limit of 1.5 objectives and 97 % with this one.
+	// maxWaitPart and maxWaitPartAboveShare are the parts of the mean slack of the queue's jobs that a job of a team within or above its share may wait. The owner starts the job with the least slack first, so a longer queue makes the longer jobs late that were accepted before: of the jobs accepted at their first attempt at twice what fits, 73 % were in time with a limit of 1.5 objectives and 97 % with this one.
 	maxWaitPart           = 0.75
 	maxWaitPartAboveShare = 0.5
 	// meanJobs is the number of jobs over which slack and step length are averaged.
@@ -132,7 +140,7 @@
 	if dc.level > 0 {
 		part = maxWaitPartAboveShare
 	}
-	return max(int64(part*sh.ledgerOf(dc.service).means(dc).slackMS), atOnceMS)
+	return max(int64(part*sh.ledgerOf(dc.service).slackMS(dc)), atOnceMS)
 }
 
 // timeFor returns how long the work takes with the capacity, in milliseconds.
@@ -217,7 +225,7 @@
 func (sh *Shedder) ledgerOf(service string) *ledger {
 	lg, ok := sh.entry[service]
 	if !ok {
-		lg = &ledger{}
+		lg = &ledger{slacks: map[string]*slack{}}
 		sh.entry[service] = lg
 	}
 	return lg
@@ -231,14 +239,28 @@
 	return lg.averages
 }
 
+// slackMS returns the mean slack of the jobs of the job's queue, or its own if it is the first one.
+func (lg *ledger) slackMS(dc *Decision) float64 {
+	if sl, ok := lg.slacks[dc.queue]; ok {
+		return sl.meanMS
+	}
+	return dc.slackMS()
+}
+
 // observe takes a job into the averages.
 func (lg *ledger) observe(dc Decision) {
 	lg.jobs = min(lg.jobs+1, meanJobs)
-	add := func(mean *float64, value float64) { *mean += (value - *mean) / float64(lg.jobs) }
+	add := func(mean *float64, value float64, jobs int) { *mean += (value - *mean) / float64(jobs) }
 	own := dc.means()
-	add(&lg.averages.slackMS, own.slackMS)
-	add(&lg.averages.stepMS, own.stepMS)
-	add(&lg.averages.pathMS, own.pathMS)
+	add(&lg.averages.stepMS, own.stepMS, lg.jobs)
+	add(&lg.averages.pathMS, own.pathMS, lg.jobs)
+	sl, ok := lg.slacks[dc.queue]
+	if !ok {
+		sl = &slack{}
+		lg.slacks[dc.queue] = sl
+	}
+	sl.jobs = min(sl.jobs+1, meanJobs)
+	add(&sl.meanMS, dc.slackMS(), sl.jobs)
 }
 
 // decay brings the average of the accepted work to nowMS.
--- a/internal/request/loadshed/loadshed_test.go
+++ b/internal/request/loadshed/loadshed_test.go
@@ -149,6 +149,25 @@
 	qt.Check(t, decideAt(startMS+310).Hopeless(), qt.IsFalse)
 }
 
+// Queues of one service may have very different objectives: the short one of most jobs must not refuse a job of another queue that has plenty of time, and the long one must not admit a job that can't be in time.
+func TestWaitIsJudgedByTheObjectiveOfTheQueue(t *testing.T) {
+	rules := testRules()
+	rules.Queues = append(rules.Queues, &workpb.Queue{Name: "patient", Service: service, Stretch: 2, TargetMs: 30_000})
+	for _, tc := range []struct {
+		usual, queue int
+		want         bool
+	}{{0, 1, false}, {1, 0, true}} {
+		sh := loadshed.New()
+		for range 100 {
+			sh.Accepted(sh.Decide(rules, rules.GetQueues()[tc.usual], testJob("calm"), startMS-5000, startMS-5000), startMS-5000)
+		}
+		sh.Accepted(sh.Decide(rules, rules.GetQueues()[tc.queue], testJob("calm"), startMS-5000, startMS-5000), startMS-5000)
+		sh.SetEstimate(fullPool(waits("calm", 30_000, 0)), startMS)
+		dc := sh.Decide(rules, rules.GetQueues()[tc.queue], testJob("calm"), startMS, startMS)
+		qt.Check(t, dc.Hopeless(), qt.Equals, tc.want, qt.Commentf("queue %d, wait %d ms", tc.queue, dc.WaitMS()))
+	}
+}
+
 // Two owners may state different estimates for a moment: only the one that was stored last may count.
 func TestNewestEstimateCounts(t *testing.T) {
 	sh := loadshed.New()
