jobcontrol: late begun jobs' waiting tasks don't go ahead of new ones

Of a job of which a task had started, all remaining work counted as begun and its ready tasks as asking for capacity, also when the job was late or its queue had no objective. Such tasks are placed after those of new jobs that can be in time, so one batch job of 500 tasks on a VM of 8 cores listed the service with 400 core-seconds of begun work where 6.4 kept capacity from new jobs. Entries then refused multi-step jobs beside a short queue.

Of late begun jobs only the tasks that run now count, and their waiting tasks ask for nothing. The new test failed for both kinds before.

--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -166,15 +166,16 @@
 
 // remainingCoreMS returns the step's remaining work in milliseconds of a core. Tasks that may still run on an unreachable VM are left out, since they can't use capacity elsewhere yet.
 func (ct *Controller) remainingCoreMS(st *step) int64 {
-	return st.remainingMS(ct.unreachable) * st.row.GetCpuMilli() / milli
+	unreachable := func(tk *task) bool { return tk.current != nil && ct.unreachable(tk.current.vm) }
+	return st.remainingMS(unreachable) * st.row.GetCpuMilli() / milli
 }
 
-// remainingMS returns how long the step's remaining tasks take in sum, without those whose run is on a VM that matches.
-func (st *step) remainingMS(except func(*vmState) bool) int64 {
+// remainingMS returns how long the step's remaining tasks take in sum, without those that match.
+func (st *step) remainingMS(except func(*task) bool) int64 {
 	estimate := st.expectedTaskMS()
 	rest := int64(0)
 	for _, tk := range st.tasks {
-		if tk.done || (tk.current != nil && except(tk.current.vm)) {
+		if tk.done || except(tk) {
 			continue
 		}
 		left := int64(fullPercent)
--- a/internal/scheduling/jobcontrol/waits.go
+++ b/internal/scheduling/jobcontrol/waits.go
@@ -70,10 +70,11 @@
 	return sum
 }
 
-// addWork adds the remaining work of started jobs and that of the others that can still be in time. Best-effort tasks take no capacity, and what runs on VMs that don't count competes for none that does.
+// addWork adds the remaining work of started jobs and that of the others that can still be in time. Best-effort tasks take no capacity, and what runs on VMs that don't count competes for none that does. Of a started job that is late only the tasks that run count: new jobs go ahead of the others, so a queue without an objective, whose jobs are always late, would make every new job seem to wait.
 func (ct *Controller) addWork(es *waitestimate.Estimator, counted map[*vmState]bool, nowMS int64) {
 	asked := newTeamDemand(nil)
-	gone := func(vm *vmState) bool { return !counted[vm] }
+	gone := func(tk *task) bool { return tk.current != nil && !counted[tk.current.vm] }
+	notRunning := func(tk *task) bool { return tk.current == nil || !counted[tk.current.vm] }
 	for _, jb := range ct.active {
 		qu := ct.queueOf(jb)
 		if qu == nil {
@@ -82,10 +83,13 @@
 		for _, oc := range jb.occurrences {
 			var ready int64
 			switch {
-			case oc.started():
+			case oc.started() && oc.onTime(qu, nowMS):
 				var work int64
 				work, ready = oc.openWork(gone, nowMS)
 				es.AddBegun(qu.GetService(), work)
+			case oc.started():
+				work, _ := oc.openWork(notRunning, nowMS)
+				es.AddBegun(qu.GetService(), work)
 			case oc.onTime(qu, nowMS):
 				var work int64
 				work, ready = oc.wholeWork()
@@ -104,8 +108,8 @@
 	}
 }
 
-// openWork returns the occurrence's remaining work in milliseconds of a core, without tasks whose run is on a VM that matches, and the CPU capacity that its tasks which may start now would take.
-func (oc *occurrence) openWork(except func(*vmState) bool, nowMS int64) (workCoreMS, readyMilli int64) {
+// openWork returns the occurrence's remaining work in milliseconds of a core, without tasks that match, and the CPU capacity that its tasks which may start now would take.
+func (oc *occurrence) openWork(except func(*task) bool, nowMS int64) (workCoreMS, readyMilli int64) {
 	for _, st := range oc.steps {
 		need := st.need().CoresMilli()
 		if st.row.GetLasting() || st.done == len(st.tasks) || need == 0 {
--- a/internal/scheduling/jobcontrol/waits_test.go
+++ b/internal/scheduling/jobcontrol/waits_test.go
@@ -217,6 +217,36 @@
 	qt.Check(t, sv.GetTeams()[2].GetUsedMilli(), qt.Equals, int64(3000))
 }
 
+// Guards against a wait for work that doesn't go first: of a begun job that is late, or whose queue has no objective, only the tasks that run keep capacity from a new job; the others start after it.
+func TestWaitingTasksOfLateJobsDontGoAheadOfNewOnes(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		ageMS   int64
+		stretch float64
+	}{
+		{"late", 20_000, 1.6},
+		{"no objective", 0, 0},
+	} {
+		fl := newFleet(t, vmOf("a"))
+		rules := weightedRules(0)
+		rules.Queues = append(rules.Queues, &workpb.Queue{Name: "batch", Service: "s", MaxAttempts: 3, Stretch: tc.stretch})
+		fl.setRules(rules)
+		fl.setBehavior(60_000, workpb.End_END_DONE)
+		batch := jobOf("batch", stepOf(500))
+		batch.Queue, batch.AcceptedMs = "batch", fl.ck.Now()-tc.ageMS
+		fl.ct.Submit(batch)
+		for _, wk := range fl.workers {
+			wk.Percent = 0
+		}
+		fl.run(200)
+		qt.Check(t, fl.estimate() == nil, qt.IsTrue, qt.Commentf(tc.name))
+		fl.submitMany("new", "u", 4)
+		row := fl.estimate()
+		qt.Assert(t, len(row.GetServices()), qt.Equals, 1, qt.Commentf(tc.name))
+		qt.Check(t, row.GetServices()[0].GetBegunCoreMs(), qt.Equals, int64(8*800), qt.Commentf(tc.name))
+	}
+}
+
 // Guards against counting work on a VM that doesn't count itself: the rest of the pool would seem to have more to do than it has.
 func TestWorkCountsOnlyWithTheCapacityThatItUses(t *testing.T) {
 	fl := newFleet(t, zonedVMs()...)
