intake: store a submission whose refused row is deleted meanwhile

A caller that came back while the owner deleted the row of its refusal found the row with the first commit and missed it with the second. Both certainly failed, but the submission was answered as in doubt (504).

A third commit is now made if all before it certainly failed and the last one met a changed row. The new test failed before.

--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -47,6 +47,8 @@
 	submitTimeoutMS = 2400
 	// refuseAttempts is how many times the commit of a refusal is tried; with firstTimeoutMS each, they leave time for the submission that follows if none was taken.
 	refuseAttempts = 3
+	// conflictTry is the index of the commit of a submission that is made only if all before it certainly failed and the last one met a changed row.
+	conflictTry = 2
 	// resolvePauseMS is the pause between two attempts to resolve an outcome.
 	resolvePauseMS = 100
 	// maxFinalStates limits the cache of final states, which is cleared when full.
@@ -113,7 +115,11 @@
 func (in *Intake) submit(ctx context.Context, jb *workpb.Job, knownVersion int64, hopeless func(int64) bool) (refused bool, err error) {
 	version := int64(0)
 	inDoubt := false
-	for _, timeoutMS := range []int64{firstTimeoutMS, secondTimeoutMS} {
+	for try, timeoutMS := range []int64{firstTimeoutMS, secondTimeoutMS, firstTimeoutMS} {
+		// A third commit is needed if the owner deletes the refused row before the second one, which then certainly fails.
+		if try == conflictTry && (inDoubt || code.Of(err) != code.Conflict) {
+			break
+		}
 		raw, marshalErr := proto.Marshal(jb)
 		if marshalErr != nil {
 			return false, code.Internal.Wrap(marshalErr)
--- a/internal/scheduling/intake/refuse_test.go
+++ b/internal/scheduling/intake/refuse_test.go
@@ -248,6 +248,28 @@
 	}
 }
 
+// The owner deletes the refused row of a job while its caller comes back: the submission must be stored and not be reported as in doubt, since each of its commits certainly failed or took effect.
+func TestSubmissionBesideTheDeletionOfItsRefusal(t *testing.T) {
+	st := rowstoretest.New(clock.NewFake(0))
+	rs := st.Rowstore()
+	in := intake.New(rs)
+	_, err := in.Refuse(context.Background(), triedAt(1000))
+	qt.Assert(t, err, qt.IsNil)
+	commits, commit := 0, rs.Commit
+	rs.Commit = func(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
+		commits++
+		if commits == 2 {
+			_, _, err := commit(ctx, rowstore.NewTx(tx.Partition()).Remove(intake.JobsTable, jobID))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		return commit(ctx, tx)
+	}
+	qt.Assert(t, in.Submit(context.Background(), triedAt(9000)), qt.IsNil)
+	row := storedRow(t, st)
+	qt.Check(t, row.GetRefused(), qt.IsFalse)
+	qt.Check(t, row.GetFirstTriedMs(), qt.Equals, int64(1000))
+}
+
 // A submission that was decided to be hopeless must be refused, or stored if the store took nothing of the refusal; one that proves to be hopeless by the first attempt in a refused row must be refused as well.
 func TestSubmitUnless(t *testing.T) {
 	const late, down = rowstoretest.Late, rowstoretest.Refused
