--- a/internal/scheduling/waitview/waitview.go
+++ b/internal/scheduling/waitview/waitview.go
@@ -73,7 +73,7 @@
 // apply takes up the newest of the rows and returns how long the next call may wait.
 func (vw *View) apply(list []rowstore.Row, readMS int64) int64 {
 	for _, rw := range list {
-		if rw.Key() != Key {
+		if rw.Key() != waitestimate.Key {
 			continue
 		}
 		ws := &workpb.Waits{}
