relayserver: a poll that names a job doesn't end the process

A relayed call with a poll and the name of a job made the server write the payload into the order that the call doesn't have. The nil pointer panicked in the call's goroutine, which ends the whole entry. Ruled out: calls without order and poll, unknown verbs, negative times. The payload is now read for orders only. TestOddCallsAreAnswered panicked before.

--- a/internal/scheduling/relayserver/relayserver.go
+++ b/internal/scheduling/relayserver/relayserver.go
@@ -60,7 +60,7 @@
 	if od == nil && lr == nil {
 		return rs
 	}
-	if ca.GetJob() != "" {
+	if lr == nil && ca.GetJob() != "" {
 		text, err := sv.payload(ctx, ca.GetJob())
 		if err != nil {
 			sv.lg.Fail("payload-unread", err, "job", ca.GetJob())
