Answers to polls without a VM's lists aren't taken for empty ones

An answer of status 200 with an empty body, null or {} was decoded as a VM without runs: all runs that the owner knew there had vanished and their tasks started elsewhere, while they still ran. The same held for a relayed result without lists. Ruled out: lists of another type, which were refused already.

--- a/internal/scheduling/relay/relay.go
+++ b/internal/scheduling/relay/relay.go
@@ -134,7 +134,7 @@
 	return &relaypb.Call{Order: short, Job: nm.Job()}
 }
 
-// SendPoll polls a VM. A poll without an answer is repeated directly, since the fault may be the other entry's.
+// SendPoll polls a VM. A poll without an answer, or whose answer lacks the VM's lists, is repeated directly, since the fault may be the other entry's.
 func (re *Relay) SendPoll(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
 	lk := re.linkTo(lr.GetVm(), lr.GetZone())
 	if lk == nil {
@@ -145,7 +145,7 @@
 	limited, cancel := re.ck.WithTimeout(ctx, timeoutMS)
 	defer cancel()
 	rs, outcome := lk.call(limited, &relaypb.Call{Poll: lr, LatestMs: latestMS})
-	if outcome == answered {
+	if outcome == answered && (rs.GetLook() != nil || rs.GetVerdict() != workpb.Verdict_ACCEPTED) {
 		return rs.GetLook(), rs.GetVerdict()
 	}
 	if ctx.Err() != nil {
--- a/internal/scheduling/relay/relay_test.go
+++ b/internal/scheduling/relay/relay_test.go
@@ -102,6 +102,8 @@
 	payloadMS atomic.Int64
 	// storeAway entries can't read payloads.
 	storeAway map[string]bool
+	// withoutLists is set while the answers of other entries lack the lists of the VM.
+	withoutLists bool
 }
 
 const (
@@ -173,6 +175,9 @@
 func (fl *fleet) pollFrom(caller string) func(context.Context, *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
 	return func(_ context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
 		fl.record(lr.GetVm(), caller)
+		if fl.withoutLists && caller != directCaller {
+			return nil, workpb.Verdict_ACCEPTED
+		}
 		return &workpb.Look{ClockMs: 7}, workpb.Verdict_ACCEPTED
 	}
 }
@@ -353,3 +358,14 @@
 		qt.Check(t, fl.callers["vm-b"], qt.DeepEquals, []string{directCaller})
 	})
 }
+
+// A result without the VM's lists must not be taken for empty lists, which would mean that all runs of the VM are gone and may start elsewhere.
+func TestPollResultWithoutListsIsNotAnEmptyOne(t *testing.T) {
+	play(t, func(fl *fleet) {
+		fl.withoutLists = true
+		lk, vd := fl.re.SendPoll(context.Background(), &workpb.LookRequest{Vm: "vm-a", Zone: "a"})
+		qt.Check(t, vd, qt.Equals, workpb.Verdict_ACCEPTED)
+		qt.Check(t, lk.GetClockMs(), qt.Equals, int64(7))
+		qt.Check(t, fl.callers["vm-a"], qt.HasLen, 2)
+	})
+}
