ownership: unreadable rows don't keep all entries from taking over

One unreadable row of a candidate, or an unreadable ownership row, made each entry's poll fail, so that nobody scheduled until the row was mended by hand; an owner whose row was overwritten repeated its commit for good. An unreadable candidate now counts as none, and an unreadable ownership row as that of a lost owner: it is taken over once it was seen unchanged for the usual time, with a token above all earlier ones, since tokens are versions of the store. An owner that finds its row unreadable gives up. Ruled out: a successor that begins before the lease has ended, which the second test checks.

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -118,7 +118,7 @@
 	return zoneOf, nil
 }
 
-// readCandidates returns the registered entries by name.
+// readCandidates returns the registered entries by name. An unreadable row counts as none, so that it doesn't keep all entries from taking over.
 func (ow *Ownership) readCandidates(ctx context.Context) (map[string]*workpb.Candidate, error) {
 	list, _, err := ow.st.ReadAll(ctx, candidatesTable, candidatesPartition)
 	if err != nil {
@@ -127,10 +127,9 @@
 	out := make(map[string]*workpb.Candidate, len(list))
 	for _, rw := range list {
 		cd := &workpb.Candidate{}
-		if err := proto.Unmarshal(rw.Value(), cd); err != nil {
-			return nil, code.Internal.New("cannot decode row %s: %w", rw.Key(), err)
+		if proto.Unmarshal(rw.Value(), cd) == nil {
+			out[rw.Key()] = cd
 		}
-		out[rw.Key()] = cd
 	}
 	return out, nil
 }
@@ -213,10 +212,9 @@
 	}
 	nowMS := ow.ck.Now()
 	row := &workpb.Ownership{}
-	if ok {
-		if err := proto.Unmarshal(rw.Value(), row); err != nil {
-			return false, code.Internal.New("cannot decode row %s: %w", rw.Key(), err)
-		}
+	if ok && proto.Unmarshal(rw.Value(), row) != nil {
+		// An unreadable row names no owner. It is replaced like that of a lost one: whoever renews it meanwhile changes its version.
+		row = &workpb.Ownership{}
 	}
 	ow.rowChanged = ow.row == nil || rw.Version() != ow.version
 	if ow.rowChanged || startMS-ow.lastReadMS > maxReadGapMS {
@@ -383,8 +381,9 @@
 			continue
 		}
 		row := &workpb.Ownership{}
-		if err := proto.Unmarshal(rw.Value(), row); err != nil {
-			return code.Internal.New("cannot decode row %s: %w", rw.Key(), err)
+		if proto.Unmarshal(rw.Value(), row) != nil {
+			// This entry didn't write it, so the ownership is lost.
+			break
 		}
 		if row.GetIncarnation() == ow.incarnation && row.GetSequence() == next.GetSequence() && row.GetReleased() == next.GetReleased() {
 			ow.markApplied(next, rw.Version())
--- a/internal/membership/ownership/ownership_test.go
+++ b/internal/membership/ownership/ownership_test.go
@@ -241,3 +241,34 @@
 		}
 	})
 }
+
+// putRow writes a row past the entries.
+func (pr *pair) putRow(t *testing.T, partition, table, key string, value []byte) {
+	_, _, err := pr.st.Rowstore().Commit(context.Background(), rowstore.NewTx(partition).Put(table, key, value))
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// One unreadable row must not keep every entry from scheduling for good, nor let two schedule at once.
+func TestUnreadableRowsDoNotPreventATakeover(t *testing.T) {
+	for _, tc := range []struct{ name, partition, table, key string }{
+		{"candidate", "candidates", "candidates", "odd"},
+		{"ownership", ownership.Partition, "ownership", "owner"},
+	} {
+		pr := newPair()
+		pr.putRow(t, tc.partition, tc.table, tc.key, []byte{0xff})
+		qt.Check(t, pr.watch(t, pr.one, 5000), qt.IsTrue, qt.Commentf(tc.name))
+		qt.Check(t, poll(t, pr.two), qt.IsFalse, qt.Commentf(tc.name))
+	}
+}
+
+// An owner whose row is overwritten by something unreadable must give up, since it can't renew the row, and its successor must wait for the lease.
+func TestOwnerOfAnOverwrittenRowGivesUp(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	pr.putRow(t, ownership.Partition, "ownership", "owner", []byte{0xff})
+	qt.Check(t, poll(t, pr.two), qt.IsFalse)
+	qt.Check(t, code.Of(pr.one.Commit(context.Background(), put("a"))), qt.Equals, code.LeaseLapsed)
+	qt.Check(t, pr.one.Held(), qt.IsFalse)
+	qt.Check(t, pr.watch(t, pr.two, ownership.LeaseMS), qt.IsFalse)
+	qt.Check(t, pr.watch(t, pr.two, 2000), qt.IsTrue)
+}
