Rows of jobs, progress and waves that make no sense don't stop scheduling

A job's row that depends on a step it doesn't have, a row without an id, and a progress row with a negative step, index or occurrence panicked in the owner's process, then in that of each successor that read it. A job of 50,000 tasks was taken up whatever its size. An unreadable row of a maintenance wave ended each restore with an error, so that no owner ever scheduled. Job rows are now checked as submissions are, and ignored with a log line; progress of unknown tasks, repeated tasks and runs below 1 is ignored; a wave whose state is unreadable isn't driven, since the machines that it has down aren't known, and all else goes on. Ruled out, passed before: odd registrations, shares, estimates, hosts and phases. TestOddRowsDoNotStopScheduling panicked or failed for ten of its rows before; 2,000 random histories from pass.

--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -68,7 +68,7 @@
 const (
 	singleOccurrence = 1
 	// maxOpenTasks bounds the tasks of a job's occurrences that are open at once, since each takes memory: as many as one occurrence may have.
-	maxOpenTasks = 20_000
+	maxOpenTasks = jobwork.MaxTasks
 )
 
 func newJob(row *workpb.Job) *job {
@@ -151,6 +151,9 @@
 
 // task returns the task of a name, or nil if the job has no such task or its occurrence isn't open yet.
 func (jb *job) task(nm taskname.Name) *task {
+	if min(nm.Occurrence(), nm.Step(), nm.Index()) < 0 {
+		return nil
+	}
 	if nm.Occurrence() >= len(jb.occurrences) || nm.Step() >= len(jb.row.GetSteps()) {
 		return nil
 	}
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -42,6 +42,11 @@
 		ct.lg.Info("stored-task-unknown", "job", jb.row.GetId(), "step", tr.GetStep(), "index", tr.GetIndex())
 		return
 	}
+	if tk.run > 0 || tr.GetRun() <= 0 {
+		// The row lists the task twice, or a run that no owner starts.
+		ct.lg.Info("stored-task-unusable", "job", jb.row.GetId(), "step", tr.GetStep(), "index", tr.GetIndex())
+		return
+	}
 	tk.run = tr.GetRun()
 	tk.failures = tr.GetFailures()
 	tk.checkpoint = tr.GetCheckpoint()
--- a/internal/scheduling/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -10,8 +10,10 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowfeed"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
 const (
@@ -105,6 +107,17 @@
 	return ids
 }
 
+// decodeJob decodes a job's row. One that can't be scheduled is an error: it would end each owner's process in turn.
+func decodeJob(rw rowstore.Row, jb *workpb.Job) error {
+	if err := proto.Unmarshal(rw.Value(), jb); err != nil {
+		return code.BodyBroken.Wrap(err)
+	}
+	if jb.GetId() == "" || jb.GetId() != rw.Key() {
+		return code.BodyBroken.New("row %s holds job %q", rw.Key(), jb.GetId())
+	}
+	return jobwork.Check(jb.GetSteps())
+}
+
 // applyJobs submits new jobs and cancels jobs; with progress, which is given only on restore, jobs continue from it.
 func (rn *Runner) applyJobs(list []rowstore.Row, progress map[string]*workpb.Progress) {
 	var cancelled []string
@@ -117,7 +130,7 @@
 			continue
 		}
 		jb := &workpb.Job{}
-		if err := proto.Unmarshal(rw.Value(), jb); err != nil {
+		if err := decodeJob(rw, jb); err != nil {
 			rn.lg.Fail("job-unreadable", err, "job", rw.Key())
 			continue
 		}
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -65,7 +65,8 @@
 			if rs.err != nil {
 				return rs.err
 			}
-			return rn.apply(ctx, rs.sn)
+			rn.apply(ctx, rs.sn)
+			return nil
 		case <-renewal:
 			if err := rn.renew(limited); err != nil {
 				return err
@@ -157,7 +158,7 @@
 }
 
 // apply builds the owner's state from a snapshot and starts to follow the changes since.
-func (rn *Runner) apply(ctx context.Context, sn *snapshot) error {
+func (rn *Runner) apply(ctx context.Context, sn *snapshot) {
 	progress := map[string]*workpb.Progress{}
 	for _, rw := range sn.progress {
 		pg := &workpb.Progress{}
@@ -167,16 +168,13 @@
 		}
 		progress[rw.Key()] = pg
 	}
-	if err := rn.waves.restore(sn.waves); err != nil {
-		return err
-	}
+	rn.waves.restore(sn.waves)
 	rn.applyJobs(sn.jobs, progress)
 	rn.cleaner.addOrphans(keySet(sn.jobs), progress)
 	rn.applyRegistry(sn.registry, true)
 	rn.applyShares(sn.shares)
 	rn.startFollowing(ctx, sn)
 	go rn.loadEnded(ctx)
-	return nil
 }
 
 // loadEnded loads the ended jobs, which nothing waits for: their rows are deleted one day, and the forecast learns from them.
@@ -219,7 +217,7 @@
 func (rn *Runner) applyEnded(list []rowstore.Row) {
 	for _, rw := range list {
 		jb := &workpb.Job{}
-		if err := proto.Unmarshal(rw.Value(), jb); err != nil {
+		if err := decodeJob(rw, jb); err != nil {
 			rn.lg.Fail("job-unreadable", err, "job", rw.Key())
 			continue
 		}
--- a/internal/scheduling/jobrunner/waves.go
+++ b/internal/scheduling/jobrunner/waves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 
@@ -14,9 +15,11 @@
 
 // waves runs the maintenance waves during one ownership.
 type waves struct {
-	rn         *Runner
-	drivers    map[int64]*waveDriver
-	restored   map[int64]*workpb.Upkeep
+	rn       *Runner
+	drivers  map[int64]*waveDriver
+	restored map[int64]*workpb.Upkeep
+	// unreadable holds the keys of the stored states that couldn't be read.
+	unreadable map[string]bool
 	machines   []*workpb.Machine
 	listReadMS int64
 	// listUnused is set while the waves haven't been moved forward with the last list.
@@ -59,24 +62,29 @@
 )
 
 func newWaves(rn *Runner) *waves {
-	return &waves{rn: rn, drivers: map[int64]*waveDriver{}, restored: map[int64]*workpb.Upkeep{}}
+	return &waves{rn: rn, drivers: map[int64]*waveDriver{}, restored: map[int64]*workpb.Upkeep{}, unreadable: map[string]bool{}}
 }
 
-// restore takes up the wave states that an earlier owner stored.
-func (wv *waves) restore(list []rowstore.Row) error {
+// restore takes up the wave states that an earlier owner stored. A wave whose state is unreadable isn't driven, since the machines that it has down aren't known; jobs and other waves go on.
+func (wv *waves) restore(list []rowstore.Row) {
 	for _, rw := range list {
 		row := &workpb.Upkeep{}
-		if err := proto.Unmarshal(rw.Value(), row); err != nil {
-			return code.Internal.New("cannot decode row %s: %w", rw.Key(), err)
+		err := proto.Unmarshal(rw.Value(), row)
+		if key := strconv.FormatInt(row.GetWave(), 10); err == nil && key != rw.Key() {
+			err = code.BodyBroken.New("the row holds wave %s", key)
+		}
+		if err != nil {
+			wv.rn.lg.Fail("wave-state-unreadable", err, "wave", rw.Key())
+			wv.unreadable[rw.Key()] = true
+			continue
 		}
 		wv.restored[row.GetWave()] = row
 	}
-	return nil
 }
 
 func (wv *waves) step(ctx context.Context) {
 	for _, spec := range wv.rn.deps.Waves() {
-		if _, ok := wv.drivers[spec.GetNumber()]; !ok {
+		if _, ok := wv.drivers[spec.GetNumber()]; !ok && !wv.unreadable[strconv.FormatInt(spec.GetNumber(), 10)] {
 			wv.addDriver(spec)
 		}
 	}
