Permissions are checked right before the first byte of a call

A start was checked against the ownership lease, its age and its withdrawal before it waited for a connection to its VM, or for another entry that then didn't pass it on, up to 0.75 s; a process that was paused there sent it whenever it woke. Orders to machines relied on the timeout of their context alone: a timer fires late after a pause, doesn't count a suspension, and the transport sends what it has a connection for. The check now travels with the call (sendcheck) and is made by the connection at the first byte, also on kept connections and for calls that were given up; a start that is kept back this way says nothing on its VM. Left is a pause between this check and the system call.

--- a/internal/scheduling/jobrunner/export_test.go
+++ b/internal/scheduling/jobrunner/export_test.go
@@ -24,3 +24,8 @@
 
 // Controller returns the runner's controller.
 func (rn *Runner) Controller() *jobcontrol.Controller { return rn.ct }
+
+// WithinLease returns the context of a call to the machine API.
+func (rn *Runner) WithinLease(ctx context.Context) (context.Context, context.CancelFunc) {
+	return rn.withinLease(ctx)
+}
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
 	"github.com/fulmarloft/fulmarloft/internal/membership/lag"
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
@@ -248,9 +249,9 @@
 	}
 }
 
-// withinLease returns a context that ends with the ownership lease. A machine may not check fencing tokens, so an order must not reach it after a successor's.
+// withinLease returns a context that ends with the ownership lease, and whose calls aren't sent without it. A machine may not check fencing tokens, so an order must not reach it after a successor's.
 func (rn *Runner) withinLease(ctx context.Context) (context.Context, context.CancelFunc) {
-	return rn.ck.WithTimeout(ctx, rn.ow.RemainingMS())
+	return rn.ck.WithTimeout(sendcheck.With(ctx, rn.ow.Held), rn.ow.RemainingMS())
 }
 
 func (rn *Runner) step(ctx context.Context) {
--- a/internal/scheduling/jobrunner/ordercopies.go
+++ b/internal/scheduling/jobrunner/ordercopies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
@@ -65,12 +66,19 @@
 	oc.inFlight++
 	rn := oc.oq.rn
 	sentMS := rn.ck.Now()
+	// The call may wait for a connection, or for another entry that doesn't pass it on.
+	allowed := func() bool { return rn.maySendOrder(oc.qo.od) && oc.oq.maySend(oc.qo) }
+	ctx = sendcheck.With(ctx, allowed)
 	go func() {
 		if !rn.maySendOrder(oc.qo.od) {
 			oc.answers <- orderAnswer{kept: true}
 			return
 		}
 		vd := rn.deps.Order(ctx, oc.qo.od)
+		if vd == workpb.Verdict_NOT_SENT && !allowed() {
+			oc.answers <- orderAnswer{kept: true}
+			return
+		}
 		tookMS := rn.ck.Now() - sentMS
 		if vd == workpb.Verdict_ACCEPTED {
 			rn.startRetry.Record(tookMS)
--- a/internal/scheduling/jobrunner/unsent_test.go
+++ b/internal/scheduling/jobrunner/unsent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobrunner"
@@ -86,3 +88,47 @@
 	qt.Assert(t, orders, qt.HasLen, int(count))
 	return orders
 }
+
+// A start that waits for its connection until the ownership lease has expired, as in a paused process, must not be sent then, and says nothing on its VM.
+func TestStartIsNotSentOnceTheLeaseHasExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ck := clock.New()
+		ow := ownership.New(rowstoretest.New(ck).Rowstore(), ck, "one", "one.1", 1)
+		_, err := ow.Poll(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		var late atomic.Int64
+		order := func(ctx context.Context, _ *workpb.Order) workpb.Verdict {
+			time.Sleep((ownership.LeaseMS + 1) * time.Millisecond)
+			if !sendcheck.Allowed(ctx) {
+				return workpb.Verdict_NOT_SENT
+			}
+			late.Add(1)
+			return workpb.Verdict_ACCEPTED
+		}
+		rn := jobrunner.New(&jobrunner.Dependencies{Order: order}, ck, event.Discard(), ow, 4000, 0)
+		rn.Enqueue(t.Context(), plannedStarts(t, rn, ck, 3)...)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			rn.HandleOutcomes()
+		}
+		qt.Check(t, late.Load(), qt.Equals, int64(0))
+		qt.Check(t, rn.OpenStarts(), qt.Equals, 0)
+		qt.Check(t, rn.Controller().Responsive("vm-0"), qt.IsTrue)
+	})
+}
+
+// A call to the machine API must not be sent without the ownership, even if its context hasn't ended yet: timers fire late after a pause.
+func TestCallWithinTheLeaseNeedsTheOwnership(t *testing.T) {
+	ck := clock.NewFake(1000)
+	ow := ownership.New(rowstoretest.New(ck).Rowstore(), ck, "one", "one.1", 1)
+	_, err := ow.Poll(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	rn := jobrunner.New(&jobrunner.Dependencies{}, ck, event.Discard(), ow, 4000, 0)
+	ctx, cancel := rn.WithinLease(t.Context())
+	defer cancel()
+	qt.Check(t, sendcheck.Allowed(ctx), qt.IsTrue)
+	qt.Assert(t, ow.Release(t.Context()), qt.IsNil)
+	qt.Check(t, ctx.Err(), qt.IsNil)
+	qt.Check(t, sendcheck.Allowed(ctx), qt.IsFalse)
+}
