--- a/internal/store/rowstore/rowstore.go
+++ b/internal/store/rowstore/rowstore.go
@@ -1,6 +1,10 @@
 package rowstore
 
-import "context"
+import (
+	"context"
+
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
 
 // Store holds the calls to the store; an adapter sets its functions.
 //
@@ -33,7 +37,11 @@
 		if !pg.More() || len(pg.Rows()) == 0 {
 			return all, first, nil
 		}
-		from = pg.Rows()[len(pg.Rows())-1].Key() + "\x00"
+		last := pg.Rows()[len(pg.Rows())-1].Key()
+		if last < from {
+			return nil, 0, code.TableUnavailable.New("table %s, partition %q: the rows from %q end with %q", table, partition, from, last)
+		}
+		from = last + "\x00"
 	}
 }
 
