rowfeed: changes that an answer leaves out aren't skipped

It now goes on after the last change it got, less one version, since a transaction may change several rows, and such an answer proves nothing. Whether the platform's store ever answers a feed in pages isn't known.

--- a/internal/store/rowfeed/rowfeed.go
+++ b/internal/store/rowfeed/rowfeed.go
@@ -45,7 +45,7 @@
 // Complete reports whether the rows are all rows of the table.
 func (ch Change) Complete() bool { return ch.complete }
 
-// SentMS returns when the answered call was sent.
+// SentMS returns when the answered call was sent, 0 if further changes follow, so that the rows aren't known to be the newest.
 func (ch Change) SentMS() int64 { return ch.sentMS }
 
 const (
@@ -142,6 +142,10 @@
 	if err != nil && !isHistoryLost(err) {
 		err = code.TableUnavailable.Wrap(err)
 	}
+	// The store's version covers the changes that the answer leaves out. The last row's transaction may have changed further rows.
+	if list := an.pg.Rows(); an.pg.More() && len(list) > 0 {
+		return Change{rows: list}, max(list[len(list)-1].Version()-1, after+1), err
+	}
 	return Change{rows: an.pg.Rows(), sentMS: an.sentMS}, an.pg.Version(), err
 }
 
--- a/internal/store/rowfeed/rowfeed_test.go
+++ b/internal/store/rowfeed/rowfeed_test.go
@@ -125,3 +125,41 @@
 		qt.Check(t, fx.seen, qt.DeepEquals, map[string]bool{"0": true, "1": true, "2": true, "after": true})
 	})
 }
+
+// An answer that leaves out changes must neither make the feed skip them, such as the withdrawal of a key or the end of a VM, nor count as proof that nothing newer exists.
+func TestChangesOfAnIncompleteAnswerAreNotSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ck := clock.New()
+		st := rowstoretest.New(ck)
+		inner := st.Rowstore()
+		paged := *inner
+		paged.Feed = func(ctx context.Context, table string, after, wait int64) (rowstore.Page, error) {
+			pg, err := inner.Feed(ctx, table, after, wait)
+			if err != nil || len(pg.Rows()) <= 2 {
+				return pg, err
+			}
+			return rowstore.NewPage(pg.Rows()[:2], true, pg.Version()), nil
+		}
+		for at := range 7 {
+			_, _, err := inner.Commit(t.Context(), rowstore.NewTx("").Put("t", strconv.Itoa(at), nil))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		seen := map[string]bool{}
+		ctx, cancel := context.WithCancel(t.Context())
+		fd := rowfeed.New(&paged, ck, "t", waitMS, nil).StartAfter(0)
+		done := make(chan struct{})
+		go func() {
+			fd.Run(ctx, func(ch rowfeed.Change) {
+				for _, rw := range ch.Rows() {
+					seen[rw.Key()] = true
+				}
+				qt.Check(t, ch.SentMS() == 0 || len(seen) == 7, qt.IsTrue)
+			})
+			close(done)
+		}()
+		time.Sleep(5 * time.Second)
+		cancel()
+		<-done
+		qt.Check(t, seen, qt.HasLen, 7)
+	})
+}
