operatorfeed: a wave removed during a gap in the feed is dropped

After the store had dropped the history, the complete list was applied without dropping the waves that it lacks, so that the entry as a later owner drove a wave that the operators had removed. Evacuated zones and rules were handled already. The new test failed before.

--- a/internal/configuration/operatorfeed/operatorfeed.go
+++ b/internal/configuration/operatorfeed/operatorfeed.go
@@ -62,6 +62,9 @@
 	rf.OnOutage = func(err error) { fd.lg.Fail("operators-feed-lost", err, "rules-age-ms", fd.ad.AgeMS()) }
 	rf.OnRecovery = func(version int64) { fd.lg.Info("operators-feed-regained", "version", version) }
 	rf.Run(ctx, func(ch rowfeed.Change) {
+		if ch.Complete() {
+			fd.keepWaves(ch.Rows())
+		}
 		fd.apply(ch.Rows())
 		fd.applyEvacuations(ch)
 		fd.ad.ConfirmCurrent(ch.SentMS())
@@ -105,6 +108,15 @@
 	fd.waves[rw.Key()] = wave
 }
 
+// keepWaves drops the waves that a complete list lacks.
+func (fd *Feed) keepWaves(list []rowstore.Row) {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	maps.DeleteFunc(fd.waves, func(key string, _ *workpb.Wave) bool {
+		return !slices.ContainsFunc(list, func(rw rowstore.Row) bool { return rw.Key() == key })
+	})
+}
+
 // Waves returns the waves that the operators have requested, in no particular order.
 func (fd *Feed) Waves() []*workpb.Wave {
 	fd.mu.Lock()
--- a/internal/configuration/operatorfeed/operatorfeed_test.go
+++ b/internal/configuration/operatorfeed/operatorfeed_test.go
@@ -133,3 +133,19 @@
 		qt.Assert(t, fx.fd.EvacuatedZones(), qt.DeepEquals, map[string]bool{"b": true})
 	})
 }
+
+// A wave that the operators removed while this entry's feed had a gap must not be driven by it as a later owner.
+func TestWaveRemovedDuringAGapIsDropped(t *testing.T) {
+	runFeed(t, func(fx *fixture) {
+		fx.publish(t, "w1", "")
+		qt.Assert(t, fx.fd.Waves(), qt.HasLen, 1)
+		fx.st.SetDown(true)
+		time.Sleep(2 * time.Second)
+		fx.st.SetDown(false)
+		_, _, err := fx.st.Rowstore().Commit(context.Background(), rowstore.NewTx("").Remove("o", "w1"))
+		qt.Assert(t, err, qt.IsNil)
+		fx.st.DropHistory()
+		time.Sleep(300 * time.Millisecond)
+		qt.Check(t, fx.fd.Waves(), qt.HasLen, 0)
+	})
+}
