A completed wave isn't reported as running by an owner that was paused

The status row of a wave was written without a condition and without a look at the ownership: an owner that was paused after it had decided to report a wave as running overwrote its successor's report that the wave is completed, which isn't written again, so operators waited for good.

--- a/internal/scheduling/jobrunner/waves.go
+++ b/internal/scheduling/jobrunner/waves.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/machines/maintenance"
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
@@ -226,6 +227,7 @@
 	}
 	dr.reporting = true
 	go func() {
+		ctx := sendcheck.With(ctx, wv.rn.ow.Held)
 		err := wv.rn.deps.WaveStatus(ctx, dr.spec.GetNumber(), status == reportedCompleted)
 		if err != nil {
 			_ = wv.rn.ck.Sleep(ctx, statusRetryMS)
