--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -68,7 +68,8 @@
 				return rs.err
 			}
 			rn.ow.EndRestore()
-			return rn.apply(ctx, rs.sn)
+			rn.apply(ctx, rs.sn)
+			return nil
 		case <-renewal:
 			rn.ow.ReportRestore(rn.bulk.Bytes())
 			if nowMS := rn.ck.Now(); nowMS-loggedMS >= progressLogMS {
@@ -161,7 +162,7 @@
 }
 
 // apply builds the owner's state from a snapshot and starts to follow the changes since.
-func (rn *Runner) apply(ctx context.Context, sn *snapshot) error {
+func (rn *Runner) apply(ctx context.Context, sn *snapshot) {
 	progress := map[string]*workpb.Progress{}
 	for _, rw := range sn.progress {
 		pg := &workpb.Progress{}
@@ -171,16 +172,13 @@
 		}
 		progress[rw.Key()] = pg
 	}
-	if err := rn.waves.restore(sn.waves); err != nil {
-		return err
-	}
+	rn.waves.restore(sn.waves)
 	rn.applyJobs(sn.jobs, progress)
 	rn.cleaner.addOrphans(keySet(sn.jobs), progress)
 	rn.applyRegistry(sn.registry, true)
 	rn.applyShares(sn.shares)
 	rn.startFollowing(ctx, sn)
 	go rn.loadEnded(ctx)
-	return nil
 }
 
 // loadEnded loads the ended jobs, which nothing waits for: their rows are deleted one day, and the forecast learns from them.
@@ -228,7 +226,7 @@
 func (rn *Runner) applyEnded(list []rowstore.Row) {
 	for _, rw := range list {
 		jb := &workpb.Job{}
-		if err := proto.Unmarshal(rw.Value(), jb); err != nil {
+		if err := decodeJob(rw, jb); err != nil {
 			rn.lg.Fail("job-unreadable", err, "job", rw.Key())
 			continue
 		}
--- a/internal/scheduling/jobrunner/waves.go
+++ b/internal/scheduling/jobrunner/waves.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/machines/maintenance"
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
@@ -14,9 +16,11 @@
 
 // waves runs the maintenance waves during one ownership.
 type waves struct {
-	rn         *Runner
-	drivers    map[int64]*waveDriver
-	restored   map[int64]*workpb.Upkeep
+	rn       *Runner
+	drivers  map[int64]*waveDriver
+	restored map[int64]*workpb.Upkeep
+	// unreadable holds the keys of the stored states that couldn't be read.
+	unreadable map[string]bool
 	machines   []*workpb.Machine
 	listReadMS int64
 	// listUnused is set while the waves haven't been moved forward with the last list.
@@ -59,24 +63,29 @@
 )
 
 func newWaves(rn *Runner) *waves {
-	return &waves{rn: rn, drivers: map[int64]*waveDriver{}, restored: map[int64]*workpb.Upkeep{}}
+	return &waves{rn: rn, drivers: map[int64]*waveDriver{}, restored: map[int64]*workpb.Upkeep{}, unreadable: map[string]bool{}}
 }
 
-// restore takes up the wave states that an earlier owner stored.
-func (wv *waves) restore(list []rowstore.Row) error {
+// restore takes up the wave states that an earlier owner stored. A wave whose state is unreadable isn't driven, since the machines that it has down aren't known; jobs and other waves go on.
+func (wv *waves) restore(list []rowstore.Row) {
 	for _, rw := range list {
 		row := &workpb.Upkeep{}
-		if err := proto.Unmarshal(rw.Value(), row); err != nil {
-			return code.Internal.New("cannot decode row %s: %w", rw.Key(), err)
+		err := proto.Unmarshal(rw.Value(), row)
+		if key := strconv.FormatInt(row.GetWave(), 10); err == nil && key != rw.Key() {
+			err = code.BodyBroken.New("the row holds wave %s", key)
+		}
+		if err != nil {
+			wv.rn.lg.Fail("wave-state-unreadable", err, "wave", rw.Key())
+			wv.unreadable[rw.Key()] = true
+			continue
 		}
 		wv.restored[row.GetWave()] = row
 	}
-	return nil
 }
 
 func (wv *waves) step(ctx context.Context) {
 	for _, spec := range wv.rn.deps.Waves() {
-		if _, ok := wv.drivers[spec.GetNumber()]; !ok {
+		if _, ok := wv.drivers[spec.GetNumber()]; !ok && !wv.unreadable[strconv.FormatInt(spec.GetNumber(), 10)] {
 			wv.addDriver(spec)
 		}
 	}
@@ -218,6 +227,7 @@
 	}
 	dr.reporting = true
 	go func() {
+		ctx := sendcheck.With(ctx, wv.rn.ow.Held)
 		err := wv.rn.deps.WaveStatus(ctx, dr.spec.GetNumber(), status == reportedCompleted)
 		if err != nil {
 			_ = wv.rn.ck.Sleep(ctx, statusRetryMS)
