--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -126,7 +126,7 @@
 	"vm-suspected":            "VM {vm} failed several jobs and gets fewer starts.",
 	"vm-unregistered":         "VM {vm} was taken out of the registry with {runs} runs.",
 	"vm-unresolved":           "VM {vm} doesn't answer with {runs} runs; its machine {machine} is {machine-status}, and the leases expire in {wait-ms} ms.",
-	"wave-state-unreadable":   "The stored state of maintenance wave {wave} can't be decoded; the wave starts anew from the operators' request.",
+	"wave-state-unreadable":   "The stored state of maintenance wave {wave} can't be decoded; the wave isn't driven.",
 	"wave-status-unwritten":   "The status of wave {wave} could not be written.",
 	"wave-taken-up":           "Wave {wave} was taken up: {machines} machines, {at-once} at once.",
 	"wave-unreadable":         "The wave of row {key} could not be decoded.",
