--- a/internal/observability/entrystatus/entrystatus.go
+++ b/internal/observability/entrystatus/entrystatus.go
@@ -24,6 +24,8 @@
 	lostMS map[string]int64
 	// shareLevels holds for each service the teams above their share, with their levels, as text.
 	shareLevels map[string]string
+	// deferred holds for each service how many jobs were put off, if any.
+	deferred map[string]int64
 }
 
 // vm is a VM as the last event about it left it; runs is the number of its runs at that time.
@@ -45,7 +47,7 @@
 
 // New returns a status without events.
 func New(ck *clock.Clock) *Status {
-	return &Status{ck: ck, vms: map[string]vm{}, lostMS: map[string]int64{}, shareLevels: map[string]string{}}
+	return &Status{ck: ck, vms: map[string]vm{}, lostMS: map[string]int64{}, shareLevels: map[string]string{}, deferred: map[string]int64{}}
 }
 
 // Follow takes an event with its alternating names and values; it is meant for event.Log's OnEvent.
@@ -73,6 +75,11 @@
 		st.reset()
 	case "start-in-doubt":
 		st.unanswered++
+	case "starts-deferred":
+		st.deferred[value(pairs, "service")] = number(pairs, "jobs")
+		if number(pairs, "jobs") == 0 {
+			delete(st.deferred, value(pairs, "service"))
+		}
 	case "share-levels":
 		st.shareLevels[value(pairs, "service")] = value(pairs, "levels")
 		if value(pairs, "levels") == "none" {
@@ -86,6 +93,7 @@
 	st.ownerMS, st.schedulingMS, st.token, st.unanswered = 0, 0, "", 0
 	clear(st.vms)
 	clear(st.shareLevels)
+	clear(st.deferred)
 	for table := range st.lostMS {
 		if table != operatorsTable {
 			delete(st.lostMS, table)
@@ -159,6 +167,9 @@
 		inDoubt += each.runs
 	}
 	out["vms"], out["runs-in-doubt"], out["starts-unanswered"] = vms, inDoubt, st.unanswered
+	if len(st.deferred) > 0 {
+		out["deferred-jobs"] = maps.Clone(st.deferred)
+	}
 	if len(st.shareLevels) > 0 {
 		out["share-levels"] = maps.Clone(st.shareLevels)
 	}
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -344,7 +344,7 @@
 	rn.committing = true
 	rn.lastCommitMS = nowMS
 	shares := rn.ct.SharesToStore()
-	rn.levels.report(rn.ct.ShareLevels)
+	rn.levels.report(rn.ct.ShareLevels, rn.ct.DeferredJobs)
 	progressIDs := rn.cleaner.nextProgressIDs(jobcontrol.MaxRows - len(bt.Rows()))
 	rn.commits.Go(func() { rn.commit(ctx, bt, counts, shares, waveRows, progressIDs) })
 }
--- a/internal/scheduling/sizefairness/sizefairness.go
+++ b/internal/scheduling/sizefairness/sizefairness.go
@@ -33,7 +33,7 @@
 	// The largest tenth and the fifth below it should begin in time at least targetPercent as often as all jobs: half is required, and large jobs that began in time end late more often. With 80 the largest tenth was in time less than half as often as all jobs at three times what fits.
 	largestPercent = 90
 	nextPercent    = 70
-	targetPercent  = 90
+	targetPercent  = 100
 	percent        = 100
 )
 
