--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -172,17 +172,12 @@
 
 // remainingMS returns how long the step's remaining tasks take in sum, without those that match.
 func (st *step) remainingMS(except func(*task) bool) int64 {
-	estimate := st.expectedTaskMS()
 	rest := int64(0)
 	for _, tk := range st.tasks {
 		if tk.done || except(tk) {
 			continue
 		}
-		left := int64(fullPercent)
-		if tk.current != nil {
-			left -= min(tk.current.percent, fullPercent)
-		}
-		rest += estimate * left / fullPercent
+		rest += tk.remainingMS()
 	}
 	return rest
 }
@@ -190,6 +185,15 @@
 // expectedTaskMS returns how long a task of the step is expected to take: as declared by its submitter. Learned durations belong here.
 func (st *step) expectedTaskMS() int64 { return max(st.row.GetEstimateMs(), jobwork.MinStepEstimateMS) }
 
+// remainingMS returns the rest of the task's estimate by the progress of its run, if it has one.
+func (tk *task) remainingMS() int64 {
+	left := int64(fullPercent)
+	if tk.current != nil {
+		left -= min(tk.current.percent, fullPercent)
+	}
+	return tk.st.expectedTaskMS() * left / fullPercent
+}
+
 // unreachable reports whether a VM's runs can't be observed or stopped for now.
 func (ct *Controller) unreachable(vm *vmState) bool {
 	return vm.unresponsive || !vm.synced || ct.CutOff(vm.reg.GetZone())
