Learn the speed of VMs and of queues' work from progress and ends

Declared estimates are off by up to nine tenths, and for one run a slow VM and a long task look alike. Package taskpace compares each task with its siblings on other VMs, or else with its queue's recent tasks; the lower median of the four tasks that began last on a VM is its slowness, so that one long task doesn't make it slow. Tasks are ordered by their start: ordered by when they were heard of last, long tasks fill the window, and sound VMs counted as slow. Nothing uses it yet.

--- /dev/null
+++ b/internal/scheduling/taskpace/taskpace.go
@@ -0,0 +1,167 @@
+package taskpace
+
+import (
+	"maps"
+	"slices"
+)
+
+// Pace holds what one owner has learned; it isn't safe for concurrent use.
+type Pace struct {
+	queues map[string]*queueTimes
+	steps  map[string]map[int]sibling
+	vms    map[string]*vmPace
+}
+
+// sibling is how long a task of a step took, or is projected to take.
+type sibling struct {
+	vm     string
+	tookMS int64
+}
+
+const (
+	// minSiblings is the number of other tasks of a step on other VMs from which its duration is known; one of them alone may be an unusual task.
+	minSiblings = 2
+	// minPercent and minProjectedMS are the progress and the time from which a run's duration is projected: progress comes in whole percent, and it is some ten milliseconds old.
+	minPercent     = 5
+	minProjectedMS = 300
+	fullPercent    = 100
+)
+
+// New returns a pace without observations.
+func New() *Pace {
+	return &Pace{queues: map[string]*queueTimes{}, steps: map[string]map[int]sibling{}, vms: map[string]*vmPace{}}
+}
+
+// RecordProgress records the projected duration of a task's run, which began at startMS, on a VM, and reports whether the VM has become slow or has recovered.
+func (pc *Pace) RecordProgress(queue, step string, index int, vm string, estimateMS, projectedMS, startMS, nowMS int64) bool {
+	pc.recordSibling(step, index, vm, projectedMS)
+	return pc.recordVM(queue, step, index, vm, estimateMS, projectedMS, startMS, nowMS)
+}
+
+// RecordDone records that a task, which began at startMS, is done on a VM, and reports whether the VM has become slow or has recovered.
+func (pc *Pace) RecordDone(queue, step string, index int, vm string, estimateMS, startMS, nowMS int64) bool {
+	tookMS := nowMS - startMS
+	pc.recordSibling(step, index, vm, tookMS)
+	changed := pc.recordVM(queue, step, index, vm, estimateMS, tookMS, startMS, nowMS)
+	qt, ok := pc.queues[queue]
+	if !ok {
+		qt = &queueTimes{}
+		pc.queues[queue] = qt
+	}
+	qt.record(estimateMS, tookMS, pc.VMSlow(vm))
+	return changed
+}
+
+// ProjectedMS returns how long a whole task takes at the rate of a run that made a percentage of progress in a time, and whether that suffices to tell.
+func (pc *Pace) ProjectedMS(tookMS, percent int64) (int64, bool) {
+	if percent < minPercent || tookMS < minProjectedMS {
+		return 0, false
+	}
+	return tookMS * fullPercent / percent, true
+}
+
+func (pc *Pace) recordSibling(step string, index int, vm string, tookMS int64) {
+	if pc.steps[step] == nil {
+		pc.steps[step] = map[int]sibling{}
+	}
+	pc.steps[step][index] = sibling{vm: vm, tookMS: tookMS}
+}
+
+// ForgetStep removes what was learned of a step's tasks.
+func (pc *Pace) ForgetStep(step string) { delete(pc.steps, step) }
+
+// ForgetVM removes what was learned of a VM, which has restarted or ended.
+func (pc *Pace) ForgetVM(vm string) { delete(pc.vms, vm) }
+
+// TrialBegun records that a slow VM was given a task to see whether it has recovered.
+func (pc *Pace) TrialBegun(vm string, nowMS int64) {
+	if vp, ok := pc.vms[vm]; ok {
+		vp.onTrial, vp.seenMS = true, nowMS
+	}
+}
+
+// Factor returns how long a queue's tasks take relative to their estimates, as the ratio of the sums over the most recent ones; 1 while too few have ended.
+func (pc *Pace) Factor(queue string) float64 {
+	if qt, ok := pc.queues[queue]; ok {
+		return qt.factor()
+	}
+	return 1
+}
+
+// ExpectedMS returns how long a task takes on a VM of normal speed, from its siblings on other VMs or else from its queue, and whether enough is known to tell.
+func (pc *Pace) ExpectedMS(queue, step string, index int, vm string, estimateMS int64) (int64, bool) {
+	if took := pc.siblingTimes(step, index, vm); len(took) >= minSiblings {
+		return lowerMedian(took), true
+	}
+	if qt, ok := pc.queues[queue]; ok {
+		return qt.usualMS(estimateMS)
+	}
+	return 0, false
+}
+
+// siblingTimes returns how long the other tasks of a step take on other VMs that aren't known to be slow.
+func (pc *Pace) siblingTimes(step string, index int, vm string) []int64 {
+	var out []int64
+	for other, sb := range pc.steps[step] {
+		if other != index && sb.vm != vm && !pc.VMSlow(sb.vm) {
+			out = append(out, sb.tookMS)
+		}
+	}
+	return out
+}
+
+// recordVM compares a duration with what is expected elsewhere.
+func (pc *Pace) recordVM(queue, step string, index int, vm string, estimateMS, tookMS, startMS, nowMS int64) bool {
+	expectedMS, ok := pc.ExpectedMS(queue, step, index, vm, estimateMS)
+	if !ok || expectedMS <= 0 {
+		return false
+	}
+	vp, known := pc.vms[vm]
+	if !known {
+		vp = newVMPace()
+		pc.vms[vm] = vp
+	}
+	return vp.record(taskKey{step, index}, float64(tookMS)/float64(expectedMS), startMS, nowMS)
+}
+
+// VMSlow reports whether a VM counts as slow.
+func (pc *Pace) VMSlow(vm string) bool {
+	vp, ok := pc.vms[vm]
+	return ok && vp.verdict == verdictSlow
+}
+
+// VMSound reports whether a VM is known to run its tasks at normal speed, whatever one of them takes.
+func (pc *Pace) VMSound(vm string, nowMS int64) bool {
+	vp, ok := pc.vms[vm]
+	return ok && vp.verdict == verdictSound && nowMS-vp.seenMS < evidenceTTLMS
+}
+
+// TrialDue reports whether a slow VM should get one task again to see whether it has recovered.
+func (pc *Pace) TrialDue(vm string, nowMS int64) bool {
+	vp, ok := pc.vms[vm]
+	return ok && vp.verdict == verdictSlow && nowMS-vp.seenMS >= vp.trialMS
+}
+
+// SlowPercent returns how long tasks take on a VM relative to others, in percent; 100 if nothing is known.
+func (pc *Pace) SlowPercent(vm string) int64 {
+	if vp, ok := pc.vms[vm]; ok && len(vp.recent) > 0 {
+		return int64(vp.slowness() * fullPercent)
+	}
+	return fullPercent
+}
+
+// SlowVMs returns the VMs that count as slow, in order.
+func (pc *Pace) SlowVMs() []string {
+	var out []string
+	for _, vm := range slices.Sorted(maps.Keys(pc.vms)) {
+		if pc.VMSlow(vm) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func lowerMedian(list []int64) int64 {
+	slices.Sort(list)
+	return list[(len(list)-1)/2]
+}
