--- a/internal/testbed/workertest/workertest.go
+++ b/internal/testbed/workertest/workertest.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
@@ -23,6 +24,10 @@
 	Behave func(task string, run int64) (workMS int64, end workpb.End)
 	// SlowPercent is by how much the VM's clock runs slow.
 	SlowPercent int64
+	// SlowdownPercent is how long runs take on the VM relative to others; it may change during runs.
+	SlowdownPercent int64
+	// Saves reports whether runs of a task save their progress, from which a later run continues.
+	Saves func(task string) bool
 	// Percent is the progress reported for runs that don't end by themselves or take no time.
 	Percent int64
 	// Gauge returns the value reported with the progress of a task's run.
@@ -39,8 +44,9 @@
 }
 
 type run struct {
-	startMS      int64
 	workMS       int64
+	doneMS       int64
+	advancedMS   int64
 	end          workpb.End
 	leaseUntilMS int64
 	stopAtMS     int64
@@ -56,7 +62,8 @@
 // New returns a VM that starts now; it sets the start time in the registration.
 func New(ck *clock.Clock, reg *workpb.VM) *Worker {
 	reg.BornMs = ck.Now()
-	wk := &Worker{ck: ck, reg: reg, startedMS: ck.Now(), running: map[key]*run{}, highestRun: map[string]int64{}, Percent: percent, Pace: map[string]int64{}}
+	wk := &Worker{ck: ck, reg: reg, startedMS: ck.Now(), running: map[key]*run{}, highestRun: map[string]int64{}, Percent: percent, SlowdownPercent: percent, Pace: map[string]int64{}}
+	wk.Saves = func(string) bool { return false }
 	wk.Gauge = func(string) int64 { return 0 }
 	wk.Behave = func(string, int64) (int64, workpb.End) { return defaultWorkMS, workpb.End_END_DONE }
 	wk.Record = func(string, string, int64, bool, workpb.End) {}
@@ -98,12 +105,14 @@
 	sort.Slice(keys, func(i, j int) bool { return keys[i].task < keys[j].task })
 	for _, ky := range keys {
 		rn := wk.running[ky]
+		rn.doneMS += (nowMS - rn.advancedMS) * percent / wk.SlowdownPercent
+		rn.advancedMS = nowMS
 		switch {
 		case rn.stopping && nowMS >= rn.stopAtMS:
 			wk.finish(ky, workpb.End_END_STOPPED)
 		case nowMS >= rn.leaseUntilMS:
 			wk.finish(ky, workpb.End_END_LEASE_EXPIRED)
-		case rn.end != workpb.End_END_UNKNOWN && nowMS >= rn.startMS+rn.workMS:
+		case rn.end != workpb.End_END_UNKNOWN && rn.doneMS >= rn.workMS:
 			wk.finish(ky, rn.end)
 		}
 	}
@@ -151,7 +160,11 @@
 		return workpb.Verdict_LEASE_PASSED
 	}
 	workMS, end := wk.Behave(ky.task, ky.run)
-	wk.running[ky] = &run{startMS: wk.ClockMS(), workMS: workMS, end: end, leaseUntilMS: od.GetLeaseUntilMs()}
+	rn := &run{advancedMS: wk.ClockMS(), workMS: workMS, end: end, leaseUntilMS: od.GetLeaseUntilMs()}
+	if saved, err := strconv.ParseInt(od.GetCheckpoint(), 10, 64); err == nil && wk.Saves(ky.task) {
+		rn.doneMS = workMS * saved / percent
+	}
+	wk.running[ky] = rn
 	wk.Record(wk.reg.GetId(), ky.task, ky.run, true, workpb.End_END_UNKNOWN)
 	return workpb.Verdict_ACCEPTED
 }
@@ -166,7 +179,11 @@
 	lk := &workpb.Look{BornMs: wk.reg.GetBornMs(), ClockMs: wk.ClockMS()}
 	for ky, rn := range wk.running {
 		rn.leaseUntilMS = max(rn.leaseUntilMS, lr.GetLeaseUntilMs())
-		lk.Running = append(lk.Running, &workpb.RunningRun{Task: ky.task, Run: ky.run, Percent: wk.progress(rn), Gauge: wk.Gauge(ky.task)})
+		row := &workpb.RunningRun{Task: ky.task, Run: ky.run, Percent: wk.progress(rn), Gauge: wk.Gauge(ky.task)}
+		if wk.Saves(ky.task) {
+			row.Checkpoint = strconv.FormatInt(row.GetPercent(), 10)
+		}
+		lk.Running = append(lk.Running, row)
 	}
 	for _, end := range wk.ended {
 		if end.GetNumber() > lr.GetAcknowledged() {
@@ -181,5 +198,5 @@
 	if rn.end == workpb.End_END_UNKNOWN || rn.workMS == 0 {
 		return wk.Percent
 	}
-	return (wk.ClockMS() - rn.startMS) * percent / rn.workMS
+	return rn.doneMS * percent / rn.workMS
 }
