Move runs off slow VMs by what was learned, and leave long tasks on sound VMs

Cause: runs were moved by their declared estimate alone, and slow VMs got work like any other. Change: the owner learns from polls and ends (taskpace). A run moves where its rest exceeds 1.3 times a fresh run and what is lost, and room is left after waiting tasks; slow VMs are chosen last and tried with one task after 5 to 40 s. It acts for queues with an objective that aren't public, under rules with weights; elsewhere all stays. Log lines vm-slow, vm-recovered, vm-pace-forgotten, slow-run-moved with sentences; counters; slow-vms in /status. A second set of random histories has slow VMs, long tasks and saved progress.

--- a/cmd/fulmarloft/status.go
+++ b/cmd/fulmarloft/status.go
@@ -36,6 +36,7 @@
 	SchedulingMS int64            `json:"scheduling-for-ms"`
 	RenewedMS    int64            `json:"renewed-ms-ago"`
 	VMs          map[string]int   `json:"vms"`
+	SlowVMs      []string         `json:"slow-vms"`
 	RunsInDoubt  int64            `json:"runs-in-doubt"`
 	Unanswered   int64            `json:"starts-unanswered"`
 	LostMS       map[string]int64 `json:"changes-lost-ms"`
@@ -126,6 +127,9 @@
 	}
 	fmt.Fprintf(out, "  owns scheduling for %d ms with token %s, schedules for %d ms, last commit %d ms ago\n", st.OwnerMS, st.Token, st.SchedulingMS, st.RenewedMS)
 	fmt.Fprintf(out, "  VMs: %s\n", counts(st.VMs))
+	if len(st.SlowVMs) > 0 {
+		fmt.Fprintf(out, "  slow VMs: %s\n", strings.Join(st.SlowVMs, ", "))
+	}
 	fmt.Fprintf(out, "  in doubt: %d runs on VMs that don't answer; %d starts got no answer since it took over\n", st.RunsInDoubt, st.Unanswered)
 }
 
--- a/cmd/fulmarloft/status_test.go
+++ b/cmd/fulmarloft/status_test.go
@@ -24,7 +24,7 @@
 		return strings.TrimPrefix(sv.URL, "http://")
 	}
 	owner := serve(`{"entry":"e-1","zone":"a","ready":true,"owner":true,"token":"7","owner-for-ms":50,"scheduling-for-ms":10,"renewed-ms-ago":3,
-		"vms":{"silent":1,"registered":20},"runs-in-doubt":9,"starts-unanswered":2,"changes-lost-ms":{"jobs":10},"rules-version":4,"rules-age-ms":120,"waiting":{"q-2":5,"q-1":3}}`)
+		"vms":{"silent":1,"registered":20},"slow-vms":["i-1","i-2"],"runs-in-doubt":9,"starts-unanswered":2,"changes-lost-ms":{"jobs":10},"rules-version":4,"rules-age-ms":120,"waiting":{"q-2":5,"q-1":3}}`)
 	other := serve(`{"entry":"e-2","zone":"b","draining":true,"owner":false,"changes-lost-ms":{},"rules-version":3,"rules-age-ms":900,"waiting-error":"store away"}`)
 	missing := serve("")
 	for _, tc := range []struct {
@@ -38,6 +38,7 @@
   waiting jobs: q-1 3, q-2 5
   owns scheduling for 50 ms with token 7, schedules for 10 ms, last commit 3 ms ago
   VMs: registered 20, silent 1
+  slow VMs: i-1, i-2
   in doubt: 9 runs on VMs that don't answer; 2 starts got no answer since it took over
 e-2 (b): draining; rules 3, confirmed 900 ms ago
   waiting jobs unknown: store away
--- a/internal/observability/entrystatus/entrystatus.go
+++ b/internal/observability/entrystatus/entrystatus.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -18,7 +20,9 @@
 	schedulingMS int64
 	token        string
 	vms          map[string]vm
-	unanswered   int
+	// slow holds the VMs that are slow by comparison.
+	slow       map[string]bool
+	unanswered int
 	// lostMS holds since when the changes of a table are lost.
 	lostMS map[string]int64
 }
@@ -42,7 +46,7 @@
 
 // New returns a status without events.
 func New(ck *clock.Clock) *Status {
-	return &Status{ck: ck, vms: map[string]vm{}, lostMS: map[string]int64{}}
+	return &Status{ck: ck, vms: map[string]vm{}, slow: map[string]bool{}, lostMS: map[string]int64{}}
 }
 
 // Follow takes an event with its alternating names and values; it is meant for event.Log's OnEvent.
@@ -77,6 +81,7 @@
 func (st *Status) reset() {
 	st.ownerMS, st.schedulingMS, st.token, st.unanswered = 0, 0, "", 0
 	clear(st.vms)
+	clear(st.slow)
 	for table := range st.lostMS {
 		if table != operatorsTable {
 			delete(st.lostMS, table)
@@ -101,6 +106,10 @@
 	old, known := st.vms[id]
 	runs := number(pairs, "runs")
 	switch name {
+	case "vm-slow":
+		st.slow[id] = true
+	case "vm-recovered", "vm-pace-forgotten":
+		delete(st.slow, id)
 	case "vm-registered":
 		state := stateRegistered
 		if value(pairs, "draining") == "true" {
@@ -126,6 +135,13 @@
 	}
 }
 
+// SlowVMs returns the number of VMs that are slow by comparison.
+func (st *Status) SlowVMs() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return len(st.slow)
+}
+
 // Values returns the status by name, for JSON: times are durations until now.
 func (st *Status) Values() map[string]any {
 	st.mu.Lock()
@@ -144,6 +160,9 @@
 	if st.schedulingMS != 0 {
 		out["scheduling-for-ms"] = nowMS - st.schedulingMS
 	}
+	if len(st.slow) > 0 {
+		out["slow-vms"] = slices.Sorted(maps.Keys(st.slow))
+	}
 	vms, inDoubt := map[string]int{}, int64(0)
 	for _, each := range st.vms {
 		vms[each.state]++
--- a/internal/observability/entrystatus/entrystatus_test.go
+++ b/internal/observability/entrystatus/entrystatus_test.go
@@ -51,6 +51,22 @@
 	qt.Check(t, st.Values(), qt.DeepEquals, map[string]any{"owner": false, "changes-lost-ms": map[string]int64{}})
 }
 
+// The status must name the VMs that are slow now, and none that has recovered, restarted or belongs to an earlier ownership.
+func TestStatusNamesSlowVMs(t *testing.T) {
+	st := entrystatus.New(clock.NewFake(1000))
+	st.Follow("ownership-taken", []any{"token", int64(7)})
+	for _, id := range []string{"i-3", "i-2", "i-1", "i-4"} {
+		st.Follow("vm-slow", []any{"vm", id, "slow-percent", int64(400)})
+	}
+	st.Follow("vm-recovered", []any{"vm", "i-1", "slow-percent", int64(100)})
+	st.Follow("vm-pace-forgotten", []any{"vm", "i-4"})
+	qt.Check(t, st.Values()["slow-vms"], qt.DeepEquals, []string{"i-2", "i-3"})
+	qt.Check(t, st.SlowVMs(), qt.Equals, 2)
+	st.Follow("scheduling-lost", []any{"token", int64(7)})
+	st.Follow("ownership-taken", []any{"token", int64(9)})
+	qt.Check(t, st.Values()["slow-vms"], qt.IsNil)
+}
+
 func BenchmarkFollow(b *testing.B) {
 	st := entrystatus.New(clock.NewFake(1000))
 	for b.Loop() {
--- a/internal/observability/explain/late.go
+++ b/internal/observability/explain/late.go
@@ -153,7 +153,8 @@
 	"start-unadmitted": "Starts stopped on VMs that had changed",
 	"run-ended":        "Runs that ended without being done", "run-evacuated": "Runs stopped to empty a machine or zone",
 	"run-stalled": "Runs stopped without progress", "run-slow": "Runs moved as they were too slow",
-	"run-vanished": "Runs that their VMs no longer listed", "run-failed": "Runs that failed", "run-failed-late": "Runs that proved to have failed after they had been given up",
+	"slow-run-moved": "Runs moved off slow VMs",
+	"run-vanished":   "Runs that their VMs no longer listed", "run-failed": "Runs that failed", "run-failed-late": "Runs that proved to have failed after they had been given up",
 	"run-lapsed": "Runs whose leases lapsed", "run-reclaimed": "Runs that had to give way on a short worker", "run-displaced": "Runs displaced by urgent jobs",
 }
 
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskpace"
 )
 
 // Controller holds all jobs and VMs of one ownership; it isn't safe for concurrent use.
@@ -25,6 +26,12 @@
 	// weights holds the teams' weights for fair sharing of a full pool.
 	weights map[string]float64
 	shares  map[string]*shares
+	// weighted is set if a team has a weight.
+	weighted bool
+	// nextMoveMS is when runs on slow VMs are looked for next.
+	nextMoveMS int64
+	// pace holds what was learned of the speed of VMs and of the duration of work.
+	pace *taskpace.Pace
 	// unplaceable holds the services with long-running tasks that fit none of their VMs.
 	unplaceable map[string]*unplaceable
 	jobs        map[string]*job
@@ -67,7 +74,7 @@
 func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
-		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{},
+		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*shares{}, pace: taskpace.New(),
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unplaceable: map[string]*unplaceable{},
 		startLimit: math.MaxInt,
@@ -79,8 +86,10 @@
 	ct.rules = ix
 	clear(ct.caps)
 	clear(ct.weights)
+	ct.weighted = false
 	for _, tm := range ix.Rules().GetTeams() {
 		ct.weights[tm.GetName()] = tm.GetWeight()
+		ct.weighted = ct.weighted || tm.GetWeight() > 0
 		ct.caps[tm.GetName()] = size.New(tm.GetCapCpuMilli(), tm.GetCapMemoryMb(), tm.GetCapAccelerators())
 	}
 }
@@ -120,6 +129,7 @@
 	jb.state = st
 	ct.markDirty(jb)
 	ct.stopAll(jb)
+	ct.forgetPace(jb)
 	delete(ct.active, jb.row.GetId())
 	ct.endedIDs = append(ct.endedIDs, jb.row.GetId())
 	if st == workpb.State_COMPLETED {
@@ -215,7 +225,7 @@
 // newRun returns a run of a task that isn't on its VM and doesn't belong to the task yet.
 func (ct *Controller) newRun(vm *vmState, tk *task, number int64, ph phase) *run {
 	return &run{
-		key: runKey{tk.name().String(), number}, vm: vm, st: tk.st, team: tk.job().row.GetTeam(),
+		key: runKey{tk.name().String(), number}, vm: vm, st: tk.st, index: tk.index, team: tk.job().row.GetTeam(),
 		need: tk.st.need(), capUse: tk.st.capUse(), phase: ph, token: ct.token, startedMS: ct.ck.Now(), progressMS: ct.ck.Now(), sentPace: fullPercent,
 	}
 }
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -15,6 +15,9 @@
 	if how == workpb.End_END_FAILED {
 		ct.recordSuspicion(rn)
 	}
+	if how == workpb.End_END_DONE {
+		ct.learnDone(rn)
+	}
 	if ct.release(rn) == nil {
 		return
 	}
@@ -90,6 +93,9 @@
 		tk.done = true
 		tk.st.done++
 	}
+	if tk.st.done == len(tk.st.tasks) {
+		ct.pace.ForgetStep(tk.st.name())
+	}
 }
 
 // taskFailed counts a failure of a task whose run was no longer followed.
@@ -245,6 +251,7 @@
 			ct.setPhase(rn, phaseRunning)
 			rn.startedMS = ct.ck.Now()
 			rn.progressMS = rn.startedMS
+			rn.beginProgress(rn.startedMS)
 			ct.markJobRunning(rn)
 		}
 		return
--- a/internal/scheduling/jobcontrol/history_test.go
+++ b/internal/scheduling/jobcontrol/history_test.go
@@ -58,6 +58,8 @@
 	forgotten                 map[string]workpb.State
 	capCPU                    int64
 	nextListMS                int64
+	// events counts the owner's log events by name.
+	events map[string]int
 	checks
 }
 
@@ -87,8 +89,9 @@
 	hs := &history{
 		pl: pl, ck: clock.NewFake(historyStartMS), lg: event.Discard(), registry: map[string]*workpb.VM{}, jobs: map[string]*workpb.Job{},
 		cancelled: map[string]bool{}, stored: map[string]*workpb.Progress{}, service: "s", services: map[string]bool{"s": true},
-		evacuated: map[string]bool{}, forgotten: map[string]workpb.State{}, capCPU: pl.capCPU,
+		evacuated: map[string]bool{}, forgotten: map[string]workpb.State{}, events: map[string]int{}, capCPU: pl.capCPU,
 	}
+	hs.lg.OnEvent(func(name string, _ []any) { hs.events[name]++ })
 	hs.checks = newChecks()
 	for _, vm := range pl.vms {
 		hs.addHost(proto.Clone(vm).(*workpb.VM))
@@ -108,6 +111,7 @@
 		return hs.behave(task, run)
 	}
 	ht.wk.SlowPercent = hs.draw(maxSlowPercent+1, "slow-clock", vm.GetId())
+	hs.setSpeed(ht)
 	hs.hosts = append(hs.hosts, ht)
 	hs.register(ht)
 	return ht
@@ -131,7 +135,11 @@
 	if hs.draw(percentAll, "fails", task, run) < 4 {
 		return hs.draw(500, "fails-after", task, run), workpb.End_END_FAILED
 	}
-	return 50 + hs.draw(hs.pl.maxWorkMS, "takes", task, run), workpb.End_END_DONE
+	workMS := 50 + hs.draw(hs.pl.maxWorkMS, "takes", task, run)
+	if hs.pl.paced && !st.GetGang() {
+		workMS = hs.pacedWorkMS(task)
+	}
+	return workMS, workpb.End_END_DONE
 }
 
 func (hs *history) after(delayMS int64, fn func()) {
@@ -255,7 +263,7 @@
 		Version:  1,
 		Queues:   []*workpb.Queue{{Name: "q", Service: hs.service, MaxAttempts: historyAttempts, Stretch: 1.6, TargetMs: 600}},
 		Services: []*workpb.Service{{Name: "s"}, {Name: "u"}},
-		Teams:    []*workpb.Team{{Name: "t", CapCpuMilli: hs.capCPU}},
+		Teams:    []*workpb.Team{{Name: "t", CapCpuMilli: hs.capCPU, Weight: hs.weight()}},
 	}
 }
 
--- a/internal/scheduling/jobcontrol/historyplan_test.go
+++ b/internal/scheduling/jobcontrol/historyplan_test.go
@@ -65,6 +65,8 @@
 	capCPU int64
 	// maxWorkMS bounds how long runs take.
 	maxWorkMS int64
+	// paced is set if VMs and tasks differ in speed, and the rules let what is learned of that decide.
+	paced bool
 }
 
 const (
@@ -96,6 +98,13 @@
 	return pl
 }
 
+// drawPacedPlan draws a plan whose VMs and tasks differ in speed.
+func drawPacedPlan(seed uint64) *historyPlan {
+	pl := drawPlan(seed)
+	pl.paced = true
+	return pl
+}
+
 func drawVM(rg *rand.Rand, id, service string) *workpb.VM {
 	labels := []string{"a"}
 	if rg.IntN(3) == 0 {
--- a/internal/scheduling/jobcontrol/historyseeds_test.go
+++ b/internal/scheduling/jobcontrol/historyseeds_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"runtime"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -16,14 +15,32 @@
 )
 
 // A long run by hand: go test -run TestRandomHistories ./internal/jobcontrol -args -histories 100000 -history-seed 1.
-func TestRandomHistoriesKeepEveryLimit(t *testing.T) {
+func TestRandomHistoriesKeepEveryLimit(t *testing.T) { playSeeds(t, drawPlan) }
+
+// The same with slow VMs, long tasks and saved progress, where what is learned of them decides about moves and second runs. The histories must contain these, or they would check nothing of them.
+func TestRandomHistoriesWithSlowVMsKeepEveryLimit(t *testing.T) {
+	counts := playSeeds(t, drawPacedPlan)
+	for _, name := range []string{"vm-slow", "vm-recovered", "slow-run-moved"} {
+		qt.Check(t, counts[name] > 0, qt.IsTrue, qt.Commentf("%s: %v", name, counts))
+	}
+}
+
+// playSeeds plays the histories of all seeds and returns how often each event occurred.
+func playSeeds(t *testing.T, draw func(uint64) *historyPlan) map[string]int {
 	seeds := make(chan uint64)
-	var starts atomic.Int64
+	var mu sync.Mutex
+	starts, counts := 0, map[string]int{}
 	var players sync.WaitGroup
 	for range max(runtime.GOMAXPROCS(0)/2, 1) {
 		players.Go(func() {
 			for seed := range seeds {
-				starts.Add(int64(playSeed(t, seed)))
+				hs := playSeed(t, draw(seed))
+				mu.Lock()
+				starts += hs.starts
+				for name, count := range hs.events {
+					counts[name] += count
+				}
+				mu.Unlock()
 			}
 		})
 	}
@@ -32,19 +49,20 @@
 	}
 	close(seeds)
 	players.Wait()
-	t.Logf("%d histories, %d starts", *historyCount, starts.Load())
+	t.Logf("%d histories, %d starts, %d VMs found slow, %d runs moved", *historyCount, starts, counts["vm-slow"], counts["slow-run-moved"])
+	return counts
 }
 
-// playSeed plays the history of a seed and returns how many runs started; a broken limit is reported with the shortest plan that breaks it.
-func playSeed(t *testing.T, seed uint64) int {
-	hs := newHistory(drawPlan(seed))
+// playSeed plays a history and returns it; a broken limit is reported with the shortest plan that breaks it.
+func playSeed(t *testing.T, pl *historyPlan) *history {
+	hs := newHistory(pl)
 	hs.run()
 	if len(hs.violations) > 0 {
 		vi := hs.violations[0]
 		short := hs.pl.shrink(vi.rule)
-		t.Errorf("seed %d breaks %s at %d: %s\njobs %d, faults left: %v", seed, vi.rule, vi.atMS, vi.detail, len(short.jobs), short.faults)
+		t.Errorf("seed %d breaks %s at %d: %s\njobs %d, faults left: %v", pl.seed, vi.rule, vi.atMS, vi.detail, len(short.jobs), short.faults)
 	}
-	return hs.starts
+	return hs
 }
 
 func TestHistoryOfASeedRepeats(t *testing.T) {
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -43,6 +43,10 @@
 	adviceVMs         map[string]int64
 	advicePending     bool
 	adviceRequestedMS int64
+	// paced is set while what was learned of VMs and work decides where the step's tasks run.
+	paced bool
+	// paceKey names the step where its durations are learned, empty until then.
+	paceKey string
 }
 
 type task struct {
@@ -59,6 +63,8 @@
 	givenUp map[int64]*vmState
 	// replaced holds the runs that were detached so that the task may start elsewhere as well, until they have ended.
 	replaced map[int64]*run
+	// moves counts the runs of the task that were stopped because their VM was slow by comparison.
+	moves int
 	// movedOffSlowVM is set once a run of the task was stopped because it was slow.
 	movedOffSlowVM bool
 }
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -129,6 +129,7 @@
 	vm.startMS = startMS
 	vm.processed, vm.stored, vm.acknowledged, vm.acknowledging = 0, 0, 0, 0
 	vm.pace = fullPercent
+	ct.forgetVMPace(vm.id)
 	// A start whose deadline was computed for the earlier incarnation's clock may have got the longest possible lease.
 	vm.leaseUntilMS = max(vm.leaseUntilMS, ct.ck.Now()+inDoubtMS)
 	for _, rn := range vm.runs {
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -51,6 +51,7 @@
 	ct.placeCandidates(bt, ready, pools, nowMS, candidate.lasting)
 	ct.evacuateDraining(pools, hr, nowMS)
 	ct.placeCandidates(bt, ready, pools, nowMS, candidate.ending)
+	ct.moveSlowRuns(pools, hr, nowMS)
 }
 
 // rankedCandidates returns the steps with tasks that may start, in order of their rank, for each service with usable VMs.
@@ -107,6 +108,7 @@
 	pools := map[string][]*vmState{}
 	for _, vm := range ct.vms {
 		vm.reserved, vm.lastingSum = false, nil
+		vm.slow, vm.trialDue = ct.pace.VMSlow(vm.id), ct.pace.TrialDue(vm.id, nowMS)
 		if vm.usable(nowMS) && !ct.ZoneClosed(vm.reg.GetZone()) {
 			pools[vm.reg.GetService()] = append(pools[vm.reg.GetService()], vm)
 		}
@@ -199,6 +201,7 @@
 
 func (ct *Controller) placeStep(bt *Batch, cd candidate, all []*vmState, nowMS int64) {
 	pool := all
+	cd.st.paced = ct.paced(cd.st)
 	if ct.queueOf(cd.st.oc.jb).GetAdvised() {
 		pool = ct.vmsWithTicket(cd.st, pool, nowMS)
 	}
@@ -265,6 +268,7 @@
 func (ct *Controller) planStart(bt *Batch, vm *vmState, tk *task, number int64) {
 	tk.run = number
 	vm.lastingSum = nil
+	ct.beginTrial(vm)
 	bt.starts = append(bt.starts, ct.allocate(vm, tk, phasePlanned))
 	ct.markDirty(tk.job())
 }
@@ -316,14 +320,19 @@
 	avoidedVMCost    = 10_000_000
 	interferenceCost = 2_000_000
 	separateCost     = 100_000
+	// slowVMCost makes slow VMs the last ones that are chosen, but for those where the task failed.
+	slowVMCost = 5_000_000
 	// maintenanceDueCost is for long-running tasks, which would soon have to move again.
 	maintenanceDueCost = 500_000
 )
 
-// placementCost returns the cost of placing a task on a VM. It favours the VM with the least free CPU, near the task's data and the step's other tasks, and avoids VMs where the task failed and, for long-running tasks, those whose machines wait for maintenance. Best-effort tasks are kept away from latency-sensitive ones, which in turn are packed together.
+// placementCost returns the cost of placing a task on a VM. It favours the VM with the least free CPU, near the task's data and the step's other tasks, and avoids VMs that are slow, those where the task failed and, for long-running tasks, those whose machines wait for maintenance. Best-effort tasks are kept away from latency-sensitive ones, which in turn are packed together.
 func placementCost(tk *task, vm *vmState, rack string) int64 {
 	st := tk.st
 	sum := vm.free().CoresMilli()
+	if st.paced {
+		sum = vm.paceCost(sum)
+	}
 	if st.row.GetDataRack() != "" && !vm.hasLabel(st.row.GetDataRack()) {
 		sum += remoteRackCost
 	}
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -96,6 +96,7 @@
 	od := ct.newOrder(workpb.Verb_START, rn)
 	od.Payload = rn.task.job().row.GetPayload()
 	od.Checkpoint = rn.task.checkpoint
+	rn.fromStart = rn.task.checkpoint == ""
 	od.LeaseUntilMs = ct.extendLease(rn.vm)
 	od.Ticket = ticketText
 	return od
@@ -132,6 +133,7 @@
 			ct.expireRuns(vm)
 		}
 		if !vm.registered && len(vm.runs) == 0 && len(vm.lateStarts) == 0 && !vm.polling {
+			ct.forgetVMPace(id)
 			delete(ct.vms, id)
 		}
 	}
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -218,6 +218,8 @@
 		if rn.phase == phaseOrdered || rn.phase == phaseInDoubt {
 			ct.setPhase(rn, phaseRunning)
 			rn.startedMS, rn.progressMS = nowMS, nowMS
+			rn.percent = row.GetPercent()
+			rn.beginProgress(nowMS)
 			ct.markJobRunning(rn)
 		}
 		if row.GetPercent() != rn.percent {
@@ -225,6 +227,9 @@
 		}
 		rn.percent, rn.gauge = row.GetPercent(), row.GetGauge()
 		if rn.task != nil && row.GetCheckpoint() != "" {
+			if rn.task.checkpoint != row.GetCheckpoint() {
+				rn.savedPercent = rn.percent
+			}
 			rn.task.checkpoint = row.GetCheckpoint()
 		}
 	}
--- a/internal/scheduling/jobcontrol/reconcile.go
+++ b/internal/scheduling/jobcontrol/reconcile.go
@@ -22,6 +22,7 @@
 		switch {
 		case listed[key]:
 			ct.settleRuns(rn, nowMS)
+			ct.learnProgress(rn, nowMS)
 			ct.reconcileListed(rn, nowMS)
 		case rn.phase == phaseRunning && rn.startedMS < sentMS && nowMS < rn.mayStartUntilMS:
 			// The VM has restarted and doesn't know yet that the run must not start there.
@@ -77,7 +78,7 @@
 		ct.lg.Info("run-stalled", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "percent", rn.percent)
 		ct.recordSuspicion(rn)
 		ct.stop(rn)
-	case rn.phase == phaseRunning && rn.slow(nowMS):
+	case rn.phase == phaseRunning && rn.slow(nowMS) && !ct.paceKnown(rn, nowMS):
 		ct.lg.Info("run-slow", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "percent", rn.percent, "age-ms", nowMS-rn.startedMS)
 		rn.task.movedOffSlowVM = true
 		ct.recordSuspicion(rn)
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -56,6 +56,8 @@
 	// maintenanceDue is set while the VM's machine waits for its maintenance.
 	maintenanceDue bool
 	reserved       bool
+	// slow and trialDue are set, as of the last planning pass, while the VM is slow by comparison, and while one task should show whether it still is.
+	slow, trialDue bool
 	// lastingSum is what the long-running tasks take, nil until lastingUse computes it in a planning pass.
 	lastingSum *size.Size
 	suspicion  *suspicion.Suspicion
@@ -101,7 +103,9 @@
 	// task is nil for a run that doesn't belong to a task, or no longer does.
 	task *task
 	// st is the step of the run's task, also while the run no longer belongs to the task; nil for an unknown task.
-	st     *step
+	st *step
+	// index is the number of the run's task in its step.
+	index  int
 	team   string
 	need   size.Size
 	capUse size.Size
@@ -119,6 +123,14 @@
 	startedMS  int64
 	percent    int64
 	progressMS int64
+	// fromStart is set if startedMS is when the run began, and it began without saved progress.
+	fromStart bool
+	// earlier and recent are points of the run's progress from which its rate is computed.
+	earlier, recent progressPoint
+	// listed is the run's progress when its VM listed it last.
+	listed progressPoint
+	// savedPercent is the run's progress when it last reported a checkpoint.
+	savedPercent int64
 	// gauge is the tail latency in milliseconds for a latency-sensitive task, else the CPU use in thousandths of a core.
 	gauge int64
 	// sentPace is the pace last ordered from the VM, in percent.
