Learn whether the tasks or only single runs are long, and what runs from saved progress show

Cause: the long ones of a queue may be tasks or single runs. Change: a long run on a sound VM is moved as a trial, early enough that little is lost; it counts as in vain until the next run proves to be less than half as long. The next trial follows only if as many helped as were in vain, or after 30 s. What a run loses counts by its rate, which holds for runs of an earlier owner too. A run that continues from saved progress is measured from its first list: before, half of the work in 0.3 s made its VM look fast. A run that is due to have ended has no rest; with a negative one, runs at 99 percent were moved (the load showed it).

--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -251,7 +251,9 @@
 			ct.setPhase(rn, phaseRunning)
 			rn.startedMS = ct.ck.Now()
 			rn.progressMS = rn.startedMS
-			rn.beginProgress(rn.startedMS)
+			if rn.fromStart {
+				rn.beginProgress(rn.startedMS)
+			}
 			ct.markJobRunning(rn)
 		}
 		return
--- a/internal/scheduling/jobcontrol/history_test.go
+++ b/internal/scheduling/jobcontrol/history_test.go
@@ -182,7 +182,7 @@
 	for _, ft := range hs.pl.faults {
 		hs.after(ft.atMS, func() { hs.begin(ft) })
 	}
-	for hs.ck.Now() < historyStartMS+maxHistoryMS && !hs.quiet() {
+	for hs.ck.Now() < historyStartMS+hs.pl.lastsMS() && !hs.quiet() {
 		hs.step()
 		if len(hs.violations) > 0 {
 			return
--- a/internal/scheduling/jobcontrol/historypace_test.go
+++ b/internal/scheduling/jobcontrol/historypace_test.go
@@ -11,8 +11,17 @@
 	maxSlowSpanMS    = 20_000
 	minHistoryWorkMS = 300
 	savingTasks      = 3
+	minSiblings      = 2
 )
 
+// lastsMS returns when a history must have ended; a third of the VMs being four times slower takes longer.
+func (pl *historyPlan) lastsMS() int64 {
+	if pl.paced {
+		return slowHostPercent * maxHistoryMS / percentAll
+	}
+	return maxHistoryMS
+}
+
 // weight returns the weight of the team in a history: above 0, what is learned of VMs and work decides where tasks run.
 func (hs *history) weight() float64 {
 	if hs.pl.paced {
--- a/internal/scheduling/jobcontrol/historyplan_test.go
+++ b/internal/scheduling/jobcontrol/historyplan_test.go
@@ -102,6 +102,15 @@
 func drawPacedPlan(seed uint64) *historyPlan {
 	pl := drawPlan(seed)
 	pl.paced = true
+	for _, pj := range pl.jobs {
+		for _, st := range pj.row.GetSteps() {
+			if !st.GetGang() && !st.GetLasting() {
+				// A task is compared with at least two siblings.
+				st.Count += minSiblings
+				st.Duplicates = st.GetDuplicates() || st.GetCount()%2 == 0
+			}
+		}
+	}
 	return pl
 }
 
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -63,6 +63,8 @@
 	givenUp map[int64]*vmState
 	// replaced holds the runs that were detached so that the task may start elsewhere as well, until they have ended.
 	replaced map[int64]*run
+	// longMS is how long the task's run would have taken that was moved off a VM of normal speed, 0 if none was.
+	longMS int64
 	// moves counts the runs of the task that were stopped because their VM was slow by comparison.
 	moves int
 	// movedOffSlowVM is set once a run of the task was stopped because it was slow.
--- a/internal/scheduling/jobcontrol/paceload_test.go
+++ b/internal/scheduling/jobcontrol/paceload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -18,8 +19,12 @@
 	// slowVMs of the twelve VMs are four times slower, until recoverMS if that isn't 0.
 	slowVMs   int
 	recoverMS int64
+	// rotateMS is the interval at which other VMs become slow, 0 if they stay the same.
+	rotateMS int64
 	// longOneIn makes one task in so many seven times longer.
 	longOneIn int
+	// longRunOneIn makes one run in so many seven times longer, whatever its task.
+	longRunOneIn int
 	// estimatesOff makes estimates up to nine tenths too low or too high.
 	estimatesOff bool
 	duplicates   bool
@@ -108,13 +113,25 @@
 		wk.SlowdownPercent = slowHostPercent
 	}
 	wk.Saves = func(string) bool { return rn.ld.saves }
-	wk.Behave = func(task string, _ int64) (int64, workpb.End) { return rn.lengths[task], workpb.End_END_DONE }
+	wk.Behave = func(task string, run int64) (int64, workpb.End) { return rn.runLength(task, run), workpb.End_END_DONE }
 	wk.Record = func(vm, task string, run int64, started bool, end workpb.End) {
 		rn.fl.record(vm, task, run, started, end)
 		rn.record(fmt.Sprint(vm, task, run), task, started, end)
 	}
 }
 
+// runLength returns how long a run of a task takes; it depends on its task and number only, so that loads are alike before and after a change.
+func (rn *loadRunner) runLength(task string, run int64) int64 {
+	if rn.ld.longRunOneIn > 0 {
+		sum := fnv.New64a()
+		fmt.Fprint(sum, rn.ld.seed, task, run)
+		if sum.Sum64()%uint64(rn.ld.longRunOneIn) == 0 {
+			return longFactor * rn.lengths[task]
+		}
+	}
+	return rn.lengths[task]
+}
+
 func (rn *loadRunner) record(key, task string, started bool, end workpb.End) {
 	nowMS := rn.fl.ck.Now()
 	if started {
@@ -163,6 +180,9 @@
 			rn.submit(number)
 			number++
 		}
+		if rn.ld.rotateMS > 0 {
+			rn.rotate((rn.fl.ck.Now() - beginMS) / rn.ld.rotateMS)
+		}
 		if rn.ld.recoverMS > 0 && rn.fl.ck.Now()-beginMS >= rn.ld.recoverMS {
 			for _, wk := range rn.fl.workers {
 				wk.SlowdownPercent = 100
@@ -181,6 +201,17 @@
 	rn.fl.run(2000)
 }
 
+// rotate makes the VMs of a turn slow, and all others normal.
+func (rn *loadRunner) rotate(turn int64) {
+	for at := range loadVMs {
+		wk := rn.fl.workers[fmt.Sprintf("v%02d", at)]
+		wk.SlowdownPercent = 100
+		if (at+int(turn)*rn.ld.slowVMs)%loadVMs < rn.ld.slowVMs {
+			wk.SlowdownPercent = slowHostPercent
+		}
+	}
+}
+
 func (rn *loadRunner) complete(id string) {
 	delete(rn.open, id)
 	tookMS := rn.fl.ck.Now() - rn.fl.jobs[id].GetAcceptedMs()
@@ -224,6 +255,7 @@
 		{name: "a third of the VMs four times slower", slowVMs: 4, maxMeanPercent: 60, minInTimePercent: 200, maxWastedPercent: 5},
 		{name: "a third of the VMs four times slower, nearly full", slowVMs: 4, everyMS: 190, maxMeanPercent: 85, minInTimePercent: 120, maxWastedPercent: 15},
 		{name: "one task in thirty seven times longer", longOneIn: 30, maxMeanPercent: 103, minInTimePercent: 98, maxWastedPercent: 3},
+		{name: "one run in thirty seven times longer", longRunOneIn: 30, maxMeanPercent: 103, minInTimePercent: 98, maxWastedPercent: 10},
 		{name: "slow VMs and long tasks", slowVMs: 4, longOneIn: 30, maxMeanPercent: 75, minInTimePercent: 130, maxWastedPercent: 15},
 		{name: "slow VMs that recover", slowVMs: 4, recoverMS: 15_000, maxMeanPercent: 85, minInTimePercent: 110, maxWastedPercent: 5},
 		{name: "estimates off", estimatesOff: true, maxMeanPercent: 102, minInTimePercent: 99, maxWastedPercent: 1},
--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -58,10 +58,13 @@
 
 func (st *step) estimateMS() int64 { return max(st.row.GetEstimateMs(), minStepEstimateMS) }
 
-// beginProgress records the first point of a run's progress.
+// beginProgress records the first point of a run's progress. That of a run that continues from saved progress isn't known before its VM lists it.
 func (rn *run) beginProgress(nowMS int64) {
 	rn.earlier = progressPoint{nowMS, rn.percent}
 	rn.recent, rn.listed = rn.earlier, rn.earlier
+	if !rn.fromStart && rn.task != nil && rn.task.checkpoint != "" {
+		rn.savedPercent = rn.percent
+	}
 }
 
 // listProgress records the progress that the VM has just listed, and moves the window over which the run's rate is measured.
@@ -90,6 +93,9 @@
 
 // learnProgress learns from the progress of a run that its VM lists.
 func (ct *Controller) learnProgress(rn *run, nowMS int64) {
+	if rn.phase == phaseRunning && rn.earlier.atMS == 0 {
+		rn.beginProgress(nowMS)
+	}
 	if !ct.learns(rn) {
 		return
 	}
@@ -104,14 +110,34 @@
 
 // learnDone learns from the end of a run that was watched from its beginning.
 func (ct *Controller) learnDone(rn *run) {
-	if !ct.learns(rn) || !rn.fromStart {
+	if !ct.learns(rn) {
 		return
 	}
 	nowMS := ct.ck.Now()
+	ct.learnRetry(rn, nowMS)
+	if !rn.fromStart {
+		return
+	}
 	changed := ct.pace.RecordDone(rn.st.oc.jb.row.GetQueue(), rn.st.name(), rn.index, rn.vm.id, rn.st.estimateMS(), rn.startedMS, nowMS)
 	ct.logPace(rn.vm, changed)
 }
 
+// learnRetry learns from the end of a task that was moved as it was long on a VM of normal speed.
+func (ct *Controller) learnRetry(rn *run, nowMS int64) {
+	tk := rn.task
+	if tk == nil || tk.longMS == 0 {
+		return
+	}
+	tookMS, ok := nowMS-rn.startedMS, rn.fromStart
+	if !ok {
+		tookMS, ok = ct.pace.ProjectedMS(rn.observed())
+	}
+	if ok && 2*tookMS < tk.longMS {
+		ct.pace.RetryHelped(rn.st.oc.jb.row.GetQueue())
+	}
+	tk.longMS = 0
+}
+
 func (ct *Controller) logPace(vm *vmState, changed bool) {
 	switch {
 	case !changed:
@@ -198,7 +224,7 @@
 		return straggler{}, false
 	}
 	sg, ok := ct.straggler(rn, nowMS)
-	if !ok || !ct.pace.MovePays(rn.vm.id, sg.expectedMS, nowMS-rn.startedMS, sg.restMS, rn.percent, rn.savedPercent, nowMS) {
+	if !ok || !ct.pace.MovePays(rn.st.oc.jb.row.GetQueue(), rn.vm.id, sg.expectedMS, sg.restMS, rn.percent, rn.savedPercent, nowMS) {
 		return straggler{}, false
 	}
 	return sg, true
@@ -220,6 +246,10 @@
 	rn := sg.rn
 	ct.lg.Info("slow-run-moved", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "percent", rn.percent,
 		"age-ms", nowMS-rn.startedMS, "rest-ms", sg.restMS, "expected-ms", sg.expectedMS)
+	if ct.pace.VMSound(rn.vm.id, nowMS) {
+		rn.task.longMS = nowMS - rn.startedMS + sg.restMS
+		ct.pace.RetryBegun(rn.st.oc.jb.row.GetQueue(), nowMS)
+	}
 	rn.task.moves++
 	rn.task.movedOffSlowVM = true
 	rn.task.avoid = append(rn.task.avoid, rn.vm.id)
--- a/internal/scheduling/taskpace/taskpace.go
+++ b/internal/scheduling/taskpace/taskpace.go
@@ -10,6 +10,8 @@
 	queues map[string]*queueTimes
 	steps  map[string]map[int]sibling
 	vms    map[string]*vmPace
+	// retries holds, by queue, whether further runs of tasks that were long on sound VMs helped.
+	retries map[string]*retries
 }
 
 // sibling is how long a task of a step took, or is projected to take.
@@ -29,7 +31,7 @@
 
 // New returns a pace without observations.
 func New() *Pace {
-	return &Pace{queues: map[string]*queueTimes{}, steps: map[string]map[int]sibling{}, vms: map[string]*vmPace{}}
+	return &Pace{queues: map[string]*queueTimes{}, steps: map[string]map[int]sibling{}, vms: map[string]*vmPace{}, retries: map[string]*retries{}}
 }
 
 // RecordProgress records the projected duration of a task's run, which began at startMS, on a VM, and reports whether the VM has become slow or has recovered.
--- a/internal/scheduling/taskpace/taskpace_test.go
+++ b/internal/scheduling/taskpace/taskpace_test.go
@@ -77,22 +77,26 @@
 	for range 3 {
 		po.step(slowVM("v2", 4))
 	}
+	for range 2 {
+		po.pc.RetryBegun(queue, po.nowMS)
+	}
 	for _, tc := range []struct {
-		name                                 string
-		vm                                   string
-		ageMS, restMS, percent, savedPercent int64
-		moves                                bool
+		name                          string
+		vm                            string
+		restMS, percent, savedPercent int64
+		moves                         bool
 	}{
-		{"slow VM, begun", "v2", 400, 3600, 10, 0, true},
-		{"slow VM, half done, nothing saved", "v2", 2000, 2000, 50, 0, false},
-		{"slow VM, half done, saved", "v2", 2000, 2000, 50, 50, true},
-		{"slow VM, nearly done, saved", "v2", 3800, 200, 95, 95, false},
-		{"sound VM, long task", "v1", 700, 6300, 10, 0, false},
-		{"unknown VM, begun", "v9", 400, 3600, 10, 0, true},
-		{"unknown VM, half done, nothing saved", "v9", 2000, 2000, 50, 0, false},
-		{"unknown VM, half done, saved", "v9", 2000, 2000, 50, 50, true},
+		{"slow VM, begun", "v2", 3600, 10, 0, true},
+		{"slow VM, half done, nothing saved", "v2", 2000, 50, 0, false},
+		{"slow VM, half done, saved", "v2", 2000, 50, 50, true},
+		{"slow VM, nearly done, saved", "v2", 200, 95, 95, false},
+		{"unknown VM, due to have ended", "v9", -50, 99, 0, false},
+		{"sound VM, long task", "v1", 6300, 10, 0, false},
+		{"unknown VM, begun", "v9", 3600, 10, 0, true},
+		{"unknown VM, half done, nothing saved", "v9", 2000, 50, 0, false},
+		{"unknown VM, half done, saved", "v9", 2000, 50, 50, true},
 	} {
-		got := po.pc.MovePays(tc.vm, workMS, tc.ageMS, tc.restMS, tc.percent, tc.savedPercent, po.nowMS)
+		got := po.pc.MovePays(queue, tc.vm, workMS, tc.restMS, tc.percent, tc.savedPercent, po.nowMS)
 		qt.Check(t, got, qt.Equals, tc.moves, qt.Commentf(tc.name))
 	}
 }
