Start second runs of the last tasks of steps that allow duplicate runs

Cause: a last task on a VM of which too little is known to move it holds up its job though VMs have room. Change: such a task gets a second run on another VM, if it would clearly end sooner and a third of the pool stays free; one of both is stopped as soon as a waiting task lacks room. The first run is stored as replaced before the second starts; both count on their VMs, for the cap and as attempts. The end of one stops the other, which stays in the row of a done task too. Never for gangs, long-running and best-effort tasks. Log lines second-run-planned and -yielded, counters.

--- a/internal/observability/explain/late.go
+++ b/internal/observability/explain/late.go
@@ -153,6 +153,7 @@
 	"start-unadmitted": "Starts stopped on VMs that had changed",
 	"run-ended":        "Runs that ended without being done", "run-evacuated": "Runs stopped to empty a machine or zone",
 	"run-stalled": "Runs stopped without progress", "run-slow": "Runs moved as they were too slow",
+	"second-run-planned": "Second runs beside slow ones", "second-run-yielded": "Second runs stopped as waiting tasks needed the room",
 	"slow-run-moved": "Runs moved off slow VMs",
 	"run-vanished":   "Runs that their VMs no longer listed", "run-failed": "Runs that failed", "run-failed-late": "Runs that proved to have failed after they had been given up",
 	"run-lapsed": "Runs whose leases lapsed", "run-reclaimed": "Runs that had to give way on a short worker", "run-displaced": "Runs displaced by urgent jobs",
--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -90,6 +90,8 @@
 	"scheduling-ended":        "The entry ended its scheduling with token {token}.",
 	"scheduling-lost":         "The owner with token {token} lost the ownership.",
 	"scheduling-started":      "The owner with token {token} has read the stored jobs and schedules, {after-ms} ms after it took over.",
+	"second-run-planned":      "Task {task} gets run {run} on VM {vm} beside its run on VM {first-vm}, which is at {percent} percent after {age-ms} ms and would take another {rest-ms} ms; elsewhere the task takes {expected-ms} ms.",
+	"second-run-yielded":      "Run {run} of task {task} on VM {vm}, at {percent} percent, is stopped, as the task has another run and waiting tasks need the room.",
 	"settings-checked":        "The settings file was checked.",
 	"settings-refused":        "The settings file was refused.",
 	"status-unwritten":        "The entry could not write its status.",
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -30,6 +30,8 @@
 	weighted bool
 	// nextMoveMS is when runs on slow VMs are looked for next.
 	nextMoveMS int64
+	// nextSecondMS is when second runs are looked for next.
+	nextSecondMS int64
 	// pace holds what was learned of the speed of VMs and of the duration of work.
 	pace *taskpace.Pace
 	// unplaceable holds the services with long-running tasks that fit none of their VMs.
@@ -186,6 +188,7 @@
 		if tk.current != nil {
 			ct.stop(tk.current)
 		}
+		ct.stopFirst(tk)
 	})
 }
 
--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -109,7 +109,7 @@
 
 // started reports whether a task of the step has a run or is done.
 func (st *step) started() bool {
-	return slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.done || tk.current != nil })
+	return slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.done || tk.current != nil || tk.first() != nil })
 }
 
 // demandMilli returns the CPU capacity, in thousandths of a core, with which the rest of an occurrence's work would finish within its critical path.
--- a/internal/scheduling/jobcontrol/duplicates.go
+++ b/internal/scheduling/jobcontrol/duplicates.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if rn := tk.current; rn != nil {
-		ct.detach(rn)
+		markReplaced(rn, ct.detach(rn))
 		ct.stop(rn)
 	}
 	ct.markDirty(tk.job())
@@ -34,6 +34,10 @@
 // detachDuplicates lets tasks whose steps allow duplicate runs start elsewhere as soon as their VM is unresponsive; their runs there are stopped when it answers again.
 func (ct *Controller) detachDuplicates(vm *vmState) {
 	for _, rn := range vm.runs {
+		if rn.isDuplicate && rn.phase == phaseRunning {
+			// The first of two runs: its task goes on with the second, or starts elsewhere.
+			ct.setPhase(rn, phaseStopping)
+		}
 		if rn.task == nil || rn.phase == phasePlanned || !rn.task.st.row.GetDuplicates() || rn.lasting() || rn.task.st.row.GetGang() {
 			continue
 		}
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -18,7 +18,11 @@
 	if how == workpb.End_END_DONE {
 		ct.learnDone(rn)
 	}
+	isFirst := rn.isDuplicate && rn.phase == phaseRunning
 	if ct.release(rn) == nil {
+		if isFirst {
+			ct.replacedRunLost(rn, how)
+		}
 		return
 	}
 	if checkpoint != "" {
@@ -37,6 +41,7 @@
 	switch how {
 	case workpb.End_END_DONE:
 		rn.vm.suspicion.RecordSuccess()
+		ct.learnSecondRun(tk)
 		ct.taskDone(tk)
 	case workpb.End_END_FAILED:
 		ct.countFailure(tk)
@@ -93,6 +98,7 @@
 		tk.done = true
 		tk.st.done++
 	}
+	ct.stopFirst(tk)
 	if tk.st.done == len(tk.st.tasks) {
 		ct.pace.ForgetStep(tk.st.name())
 	}
--- a/internal/scheduling/jobcontrol/historycheck_test.go
+++ b/internal/scheduling/jobcontrol/historycheck_test.go
@@ -152,6 +152,9 @@
 		if other.task == tr.task && !tr.st.GetDuplicates() {
 			hs.report("twice", "%s beside %s", tr, other)
 		}
+		if other.task == tr.task && other.ht.cut {
+			hs.events["second-run-on-silent-vm"]++
+		}
 	}
 	// An order that is executed by the VM's next incarnation may be older than the end of its task.
 	if hs.executing.incarnation == tr.ht.incarnation && !tr.st.GetLasting() && !tr.st.GetGang() && !tr.st.GetDuplicates() {
--- a/internal/scheduling/jobcontrol/historyseeds_test.go
+++ b/internal/scheduling/jobcontrol/historyseeds_test.go
@@ -20,7 +20,7 @@
 // The same with slow VMs, long tasks and saved progress, where what is learned of them decides about moves and second runs. The histories must contain these, or they would check nothing of them.
 func TestRandomHistoriesWithSlowVMsKeepEveryLimit(t *testing.T) {
 	counts := playSeeds(t, drawPacedPlan)
-	for _, name := range []string{"vm-slow", "vm-recovered", "slow-run-moved"} {
+	for _, name := range []string{"vm-slow", "vm-recovered", "slow-run-moved", "second-run-planned", "second-run-on-silent-vm"} {
 		qt.Check(t, counts[name] > 0, qt.IsTrue, qt.Commentf("%s: %v", name, counts))
 	}
 }
@@ -49,7 +49,8 @@
 	}
 	close(seeds)
 	players.Wait()
-	t.Logf("%d histories, %d starts, %d VMs found slow, %d runs moved", *historyCount, starts, counts["vm-slow"], counts["slow-run-moved"])
+	t.Logf("%d histories, %d starts, %d VMs found slow, %d runs moved, %d second runs beside slow ones, %d yielded, %d beside runs on silent VMs", *historyCount, starts, counts["vm-slow"], counts["slow-run-moved"],
+		counts["second-run-planned"], counts["second-run-yielded"], counts["second-run-on-silent-vm"])
 	return counts
 }
 
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -61,8 +61,12 @@
 	avoid       []string
 	// givenUp holds the runs, with their VMs, that this owner ended without knowing how they ended.
 	givenUp map[int64]*vmState
-	// replaced holds the runs that were detached so that the task may start elsewhere as well, until they have ended.
+	// replaced holds the runs that were detached so that the task may start elsewhere as well, until they have ended. They are to be stopped, but for the first of two runs that go on beside each other.
 	replaced map[int64]*run
+	// secondRuns counts the runs of the task that were started beside another.
+	secondRuns int
+	// firstOnSoundVM is set while the task has a second run beside one on a VM of normal speed.
+	firstOnSoundVM bool
 	// longMS is how long the task's run would have taken that was moved off a VM of normal speed, 0 if none was.
 	longMS int64
 	// moves counts the runs of the task that were stopped because their VM was slow by comparison.
@@ -282,9 +286,9 @@
 
 func (tk *task) job() *job { return tk.st.oc.jb }
 
-// waiting reports whether the task may be given a run.
+// waiting reports whether the task may be given a run; one whose first run goes on after the end of its second waits for that.
 func (tk *task) waiting(nowMS int64) bool {
-	return !tk.done && tk.current == nil && tk.notBeforeMS <= nowMS
+	return !tk.done && tk.current == nil && tk.notBeforeMS <= nowMS && tk.first() == nil
 }
 
 // available reports whether a long-running task is known to serve its users; on an unresponsive VM it may not.
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -52,6 +52,7 @@
 	ct.evacuateDraining(pools, hr, nowMS)
 	ct.placeCandidates(bt, ready, pools, nowMS, candidate.ending)
 	ct.moveSlowRuns(pools, hr, nowMS)
+	ct.placeSecondRuns(bt, ready, pools, nowMS)
 }
 
 // rankedCandidates returns the steps with tasks that may start, in order of their rank, for each service with usable VMs.
--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -220,7 +220,11 @@
 
 // movable returns a run as a straggler if moving it pays.
 func (ct *Controller) movable(rn *run, nowMS int64) (straggler, bool) {
-	if rn.task == nil || rn.task.moves >= maxMoves || rn.vm.leaving {
+	if rn.task == nil || rn.task.moves >= maxMoves || rn.vm.leaving || rn.task.first() != nil {
+		return straggler{}, false
+	}
+	if rn.st.row.GetDuplicates() && !ct.pace.VMSlow(rn.vm.id) && ct.lastTasks(rn.st, nowMS) {
+		// It may get a second run, which loses nothing if the task proves to be long anywhere.
 		return straggler{}, false
 	}
 	sg, ok := ct.straggler(rn, nowMS)
