Move a run without waiting for its stop where the step allows duplicate runs

Cause: a moved task waits for the stop, its poll and a commit, though its step allows both runs at once. Change: the next run starts in the pass that stops the first, which is stored as replaced, as on a silent VM.

--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -51,7 +51,7 @@
 	ct.placeCandidates(bt, ready, pools, nowMS, candidate.lasting)
 	ct.evacuateDraining(pools, hr, nowMS)
 	ct.placeCandidates(bt, ready, pools, nowMS, candidate.ending)
-	ct.moveSlowRuns(pools, hr, nowMS)
+	ct.moveSlowRuns(bt, pools, hr, nowMS)
 	ct.placeSecondRuns(bt, ready, pools, nowMS)
 }
 
--- a/internal/scheduling/jobcontrol/secondruns_test.go
+++ b/internal/scheduling/jobcontrol/secondruns_test.go
@@ -163,3 +163,28 @@
 	qt.Check(t, fl.starts[slowTask], qt.Equals, 2)
 	qt.Check(t, fl.ct.Load(first)+fl.ct.Load(second), qt.Equals, 2)
 }
+
+// A run that is moved off a slow VM must not delay its task until it has stopped where the step allows duplicate runs, and must delay it where it doesn't; fleet.record checks the latter.
+func TestMoveWaitsForTheStopUnlessRunsMayOverlap(t *testing.T) {
+	for _, duplicates := range []bool{true, false} {
+		fl := newFleet(t, vmOf("a"), vmOf("b"), vmOf("c"))
+		fl.setRules(pacedRules())
+		fl.allowDuplicates = duplicates
+		fl.setBehavior(1200, workpb.End_END_DONE)
+		st := stepOf(9)
+		st.MaxPerVm, st.Duplicates, st.EstimateMs = 3, duplicates, 1200
+		fl.workers["a"].SlowdownPercent = 800
+		fl.submit(jobOf("j1", st))
+		overlaps := 0
+		fl.beforeOrder = func(od *workpb.Order) {
+			if od.GetVerb() == workpb.Verb_START && od.GetRun() == 2 && fl.workers["a"].Running() > 0 {
+				overlaps++
+			}
+		}
+		fl.loseAnswer = func(od *workpb.Order) bool { return od.GetVerb() == workpb.Verb_STOP }
+		fl.run(4200)
+		qt.Check(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+		qt.Check(t, overlaps > 0, qt.Equals, duplicates)
+		qt.Check(t, fl.ct.Load("a"), qt.Equals, 0)
+	}
+}
--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -195,8 +195,8 @@
 	return cmp.Or(cmp.Compare(other.restMS, one.restMS), cmp.Compare(one.rn.key.task, other.rn.key.task))
 }
 
-// moveSlowRuns stops runs that would end much sooner elsewhere, where room is free after the waiting tasks have been placed, and holds that room for them.
-func (ct *Controller) moveSlowRuns(pools map[string][]*vmState, hr heldRoom, nowMS int64) {
+// moveSlowRuns stops runs that would end much sooner elsewhere, where room is free after the waiting tasks have been placed. It holds that room for them, or starts the next run at once where the step allows duplicate runs.
+func (ct *Controller) moveSlowRuns(bt *Batch, pools map[string][]*vmState, hr heldRoom, nowMS int64) {
 	if !ct.weighted || nowMS < ct.nextMoveMS {
 		return
 	}
@@ -211,13 +211,27 @@
 	}
 	slices.SortFunc(found, compareStragglers)
 	for _, sg := range found[:min(len(found), maxMovesPerPass)] {
-		if sg.rn.target = ct.chooseOtherVM(sg.rn, ct.fasterVMs(sg.rn, pools), nowMS); sg.rn.target != nil {
-			hr.hold(sg.rn.target, sg.rn.need)
-			ct.moveRun(sg, nowMS)
+		vm := ct.chooseOtherVM(sg.rn, ct.fasterVMs(sg.rn, pools), nowMS)
+		if vm == nil {
+			continue
 		}
+		tk := sg.rn.task
+		ct.moveRun(sg, nowMS)
+		if ct.mayOverlap(sg.rn) {
+			markReplaced(sg.rn, ct.detach(sg.rn))
+			ct.planStart(bt, vm, tk, tk.run+1)
+			continue
+		}
+		sg.rn.target = vm
+		hr.hold(vm, sg.rn.need)
 	}
 }
 
+// mayOverlap reports whether the task of a run that is being stopped may start elsewhere before the run has ended.
+func (ct *Controller) mayOverlap(rn *run) bool {
+	return rn.st.row.GetDuplicates() && ct.mayStartMore() && len(ct.dirtyJobs) < MaxRows && ct.withinCap(rn.team, rn.capUse)
+}
+
 // movable returns a run as a straggler if moving it pays.
 func (ct *Controller) movable(rn *run, nowMS int64) (straggler, bool) {
 	if rn.task == nil || rn.task.moves >= maxMoves || rn.vm.leaving || rn.task.first() != nil {
