Compare a run again only when its projection changes, and keep what is usual in a queue

Cause: a busy VM lists its runs at up to eight polls a second; a comparison with 30 siblings takes 2.8 us, and one with a queue's tasks took as long, so 20,000 runs would take a third of a core of the owner. Change: a run is compared again when its projected duration changes by a twentieth, or after 1 s; what is usual in a queue is computed when a task ends (41 ns a comparison); runs without rest are left out before the comparison, and second runs look at their own pool only. Conclusion: kept for the owner's processor time.

--- a/internal/scheduling/jobcontrol/secondruns.go
+++ b/internal/scheduling/jobcontrol/secondruns.go
@@ -59,9 +59,9 @@
 	for _, vm := range pools[service] {
 		spareMilli += vm.free().CoresMilli() - vm.capacity().CoresMilli()/spareDivisor
 	}
-	for _, vm := range ct.vms {
+	for _, vm := range pools[service] {
 		for _, rn := range vm.runs {
-			if sg, ok := ct.duplicable(rn, nowMS); ok && ct.queueOf(rn.st.oc.jb).GetService() == service {
+			if sg, ok := ct.duplicable(rn, nowMS); ok {
 				found = append(found, sg)
 			}
 		}
--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -10,12 +10,17 @@
 const (
 	// rateWindowMS is the minimum length of the window over which a run's rate of progress is measured, so that a VM that has slowed down or recovered is noticed during a run.
 	rateWindowMS = 1500
+	// minRestMS is the rest below which a restart can't pay; it spares most runs the comparison.
+	minRestMS = 300
 	// maxMoves is how often a task is moved off slow VMs; more would make a task that is slow everywhere run forever.
 	maxMoves = 2
 	// maxMovesPerPass bounds the runs that are stopped in one planning pass, since what follows shows whether the VMs or the work are slow.
 	maxMovesPerPass = 8
 	// moveIntervalMS is the interval between passes that look for runs to move; progress becomes known no more often.
 	moveIntervalMS = 200
+	// learnIntervalMS is the interval at which a run whose projected duration changes by less than one projectionDivisor-th is compared with others; busy VMs list their runs several times a second.
+	learnIntervalMS   = 1000
+	projectionDivisor = 20
 	// minObservedMS is how long a run's progress must have been watched before it is compared.
 	minObservedMS = 300
 )
@@ -101,13 +106,23 @@
 	}
 	rn.listProgress(nowMS)
 	projectedMS, ok := ct.pace.ProjectedMS(rn.observed())
-	if !ok {
+	if !ok || !rn.projectionChanged(projectedMS, nowMS) {
 		return
 	}
 	changed := ct.pace.RecordProgress(rn.st.oc.jb.row.GetQueue(), rn.st.name(), rn.index, rn.vm.id, rn.st.estimateMS(), projectedMS, rn.startedMS, nowMS)
 	ct.logPace(rn.vm, changed)
 }
 
+// projectionChanged reports whether a run's projected duration should be compared again: it differs clearly from the last one, or that is old.
+func (rn *run) projectionChanged(projectedMS, nowMS int64) bool {
+	differenceMS := max(projectedMS-rn.projectedMS, rn.projectedMS-projectedMS)
+	if differenceMS*projectionDivisor < rn.projectedMS && nowMS-rn.projectedAtMS < learnIntervalMS {
+		return false
+	}
+	rn.projectedMS, rn.projectedAtMS = projectedMS, nowMS
+	return true
+}
+
 // learnDone learns from the end of a run that was watched from its beginning.
 func (ct *Controller) learnDone(rn *run) {
 	if !ct.learns(rn) {
@@ -181,14 +196,13 @@
 
 // straggler returns a run with its rest if it can be compared with a fresh run elsewhere.
 func (ct *Controller) straggler(rn *run, nowMS int64) (straggler, bool) {
-	if !ct.learns(rn) || rn.percent >= fullPercent || rn.vm.unresponsive {
-		return straggler{}, false
-	}
-	if tookMS, _ := rn.observed(); tookMS < minObservedMS {
+	tookMS, _ := rn.observed()
+	restMS := rn.restMS(nowMS)
+	if tookMS < minObservedMS || restMS < minRestMS || rn.vm.unresponsive || !ct.learns(rn) {
 		return straggler{}, false
 	}
 	expectedMS, ok := ct.expectedMS(rn)
-	return straggler{rn, rn.restMS(nowMS), expectedMS}, ok
+	return straggler{rn, restMS, expectedMS}, ok
 }
 
 func compareStragglers(one, other straggler) int {
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -129,6 +129,8 @@
 	earlier, recent progressPoint
 	// listed is the run's progress when its VM listed it last.
 	listed progressPoint
+	// projectedMS is the duration of the run that was projected and compared with other runs last, at projectedAtMS.
+	projectedMS, projectedAtMS int64
 	// savedPercent is the run's progress when it last reported a checkpoint.
 	savedPercent int64
 	// gauge is the tail latency in milliseconds for a latency-sensitive task, else the CPU use in thousandths of a core.
--- a/internal/scheduling/taskpace/queuetimes.go
+++ b/internal/scheduling/taskpace/queuetimes.go
@@ -15,6 +15,8 @@
 type queueTimes struct {
 	recent []taskTime
 	next   int
+	// usualRatio is the ratio of duration to estimate that tasks on VMs of normal speed rarely exceed, 0 if too few have ended; it is computed when a task has ended, since runs are compared far more often.
+	usualRatio float64
 }
 
 type taskTime struct {
@@ -26,10 +28,11 @@
 	tt := taskTime{max(estimateMS, 1), tookMS, onSlowVM}
 	if len(qt.recent) < recentQueueTasks {
 		qt.recent = append(qt.recent, tt)
-		return
+	} else {
+		qt.recent[qt.next] = tt
+		qt.next = (qt.next + 1) % recentQueueTasks
 	}
-	qt.recent[qt.next] = tt
-	qt.next = (qt.next + 1) % recentQueueTasks
+	qt.usualRatio = qt.findUsualRatio()
 }
 
 func (qt *queueTimes) factor() float64 {
@@ -46,15 +49,19 @@
 
 // usualMS returns the duration that tasks of an estimate rarely exceed on VMs of normal speed. Where estimates are rough, that is much longer than the average, so that single tasks aren't taken for slow.
 func (qt *queueTimes) usualMS(estimateMS int64) (int64, bool) {
-	var ratios []float64
+	return int64(qt.usualRatio * float64(estimateMS)), qt.usualRatio > 0
+}
+
+func (qt *queueTimes) findUsualRatio() float64 {
+	ratios := make([]float64, 0, len(qt.recent))
 	for _, tt := range qt.recent {
 		if !tt.onSlowVM {
 			ratios = append(ratios, float64(tt.tookMS)/float64(tt.estimateMS))
 		}
 	}
 	if len(ratios) < minQueueTasks {
-		return 0, false
+		return 0
 	}
 	slices.Sort(ratios)
-	return int64(ratios[(len(ratios)-1)*usualTenths/10] * float64(estimateMS)), true
+	return ratios[(len(ratios)-1)*usualTenths/10]
 }
--- a/internal/scheduling/taskpace/taskpace_test.go
+++ b/internal/scheduling/taskpace/taskpace_test.go
@@ -163,3 +163,28 @@
 		qt.Check(t, projectedMS, qt.Equals, tc.projectedMS)
 	}
 }
+
+// BenchmarkRecordProgress measures what one listed run costs in a step of 30 tasks; an owner lists tens of thousands a second.
+func BenchmarkRecordProgress(b *testing.B) {
+	pc := taskpace.New()
+	vms := []string{"v0", "v1", "v2", "v3", "v4", "v5", "v6", "v7", "v8", "v9"}
+	for index := range 30 {
+		pc.RecordProgress(queue, "s", index, vms[index%10], workMS, workMS, 0, int64(index))
+	}
+	nowMS := int64(1000)
+	for b.Loop() {
+		nowMS++
+		pc.RecordProgress(queue, "s", int(nowMS%30), vms[nowMS%30%10], workMS, workMS, 0, nowMS)
+	}
+}
+
+// BenchmarkExpectedOfQueue measures the comparison with a queue's recent tasks.
+func BenchmarkExpectedOfQueue(b *testing.B) {
+	pc := taskpace.New()
+	for index := range 100 {
+		pc.RecordDone(queue, fmt.Sprint("s", index), 0, "v", workMS, 0, workMS+int64(index))
+	}
+	for b.Loop() {
+		pc.ExpectedMS(queue, "other", 0, "w", workMS)
+	}
+}
