--- a/cmd/fulmarloft/status.go
+++ b/cmd/fulmarloft/status.go
@@ -36,6 +36,7 @@
 	SchedulingMS int64             `json:"scheduling-for-ms"`
 	RenewedMS    int64             `json:"renewed-ms-ago"`
 	VMs          map[string]int    `json:"vms"`
+	SlowVMs      []string          `json:"slow-vms"`
 	RunsInDoubt  int64             `json:"runs-in-doubt"`
 	Unanswered   int64             `json:"starts-unanswered"`
 	LostMS       map[string]int64  `json:"changes-lost-ms"`
@@ -162,6 +163,9 @@
 	for _, service := range slices.Sorted(maps.Keys(st.ShareLevels)) {
 		fmt.Fprintf(out, "  teams above their share of %s, with their levels: %s\n", service, st.ShareLevels[service])
 	}
+	if len(st.SlowVMs) > 0 {
+		fmt.Fprintf(out, "  slow VMs: %s\n", strings.Join(st.SlowVMs, ", "))
+	}
 	fmt.Fprintf(out, "  in doubt: %d runs on VMs that don't answer; %d starts got no answer since it took over\n", st.RunsInDoubt, st.Unanswered)
 	for _, name := range slices.Sorted(maps.Keys(st.Waits)) {
 		st.Waits[name].write(out, name)
--- a/internal/scheduling/jobcontrol/choose.go
+++ b/internal/scheduling/jobcontrol/choose.go
@@ -28,7 +28,7 @@
 
 // deferStarts moves the jobs that don't fit until their objectives beside the others behind those that do. It acts on queues with an objective that aren't public, under rules in which teams have a weight.
 func (ct *Controller) deferStarts(service string, list []candidate, nowMS int64) {
-	if !ct.weighted() {
+	if !ct.weighted {
 		return
 	}
 	if nowMS-ct.choices[service].atMS >= choiceIntervalMS {
@@ -165,16 +165,6 @@
 	return out
 }
 
-// weighted reports whether the rules give a team a weight.
-func (ct *Controller) weighted() bool {
-	for _, weight := range ct.weights {
-		if weight > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // deferrable reports whether a step belongs to a job that may be deferred: one that can be in time, of a queue with an objective that isn't public, of which nothing has started.
 func (ct *Controller) deferrable(cd *candidate) bool {
 	if cd.tier != tierOnTime || cd.objectiveMS == 0 || cd.begun {
--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -148,7 +148,7 @@
 
 // started reports whether a task of the step has a run or is done.
 func (st *step) started() bool {
-	return slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.done || tk.current != nil })
+	return slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.done || tk.current != nil || tk.first() != nil })
 }
 
 // demandMilli returns the CPU capacity, in thousandths of a core, with which the rest of an occurrence's work would finish within its critical path.
@@ -182,7 +182,7 @@
 	return rest
 }
 
-// expectedTaskMS returns how long a task of the step is expected to take: as declared by its submitter. Learned durations belong here.
+// expectedTaskMS returns how long a task of the step is expected to take, as declared by its submitter; WorkFactor tells how far off the queue's declarations are.
 func (st *step) expectedTaskMS() int64 { return max(st.row.GetEstimateMs(), jobwork.MinStepEstimateMS) }
 
 // remainingMS returns the rest of the task's estimate by the progress of its run, if it has one.
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -15,7 +15,14 @@
 	if how == workpb.End_END_FAILED {
 		ct.recordSuspicion(rn)
 	}
+	if how == workpb.End_END_DONE {
+		ct.learnDone(rn)
+	}
+	isFirst := rn.isDuplicate && rn.phase == phaseRunning
 	if ct.release(rn) == nil {
+		if isFirst {
+			ct.replacedRunLost(rn, how)
+		}
 		return
 	}
 	if checkpoint != "" {
@@ -34,6 +41,7 @@
 	switch how {
 	case workpb.End_END_DONE:
 		rn.vm.suspicion.RecordSuccess()
+		ct.learnSecondRun(tk)
 		ct.taskDone(tk)
 	case workpb.End_END_FAILED:
 		ct.countFailure(tk)
@@ -90,6 +98,10 @@
 		tk.done = true
 		tk.st.done++
 	}
+	ct.stopFirst(tk)
+	if tk.st.done == len(tk.st.tasks) {
+		ct.pace.ForgetStep(tk.st.name())
+	}
 }
 
 // taskFailed counts a failure of a task whose run was no longer followed.
@@ -245,6 +257,9 @@
 			ct.setPhase(rn, phaseRunning)
 			rn.startedMS = ct.ck.Now()
 			rn.progressMS = rn.startedMS
+			if rn.fromStart {
+				rn.beginProgress(rn.startedMS)
+			}
 			ct.markJobRunning(rn)
 		}
 		return
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -240,6 +240,8 @@
 		if rn.phase == phaseOrdered || rn.phase == phaseInDoubt {
 			ct.setPhase(rn, phaseRunning)
 			rn.startedMS, rn.progressMS = nowMS, nowMS
+			rn.percent = row.GetPercent()
+			rn.beginProgress(nowMS)
 			ct.markJobRunning(rn)
 		}
 		if row.GetPercent() != rn.percent {
@@ -247,6 +249,9 @@
 		}
 		rn.percent, rn.gauge = row.GetPercent(), row.GetGauge()
 		if rn.task != nil && row.GetCheckpoint() != "" {
+			if rn.task.checkpoint != row.GetCheckpoint() {
+				rn.savedPercent = rn.percent
+			}
 			rn.task.checkpoint = row.GetCheckpoint()
 		}
 	}
--- a/internal/scheduling/jobcontrol/teamdemand.go
+++ b/internal/scheduling/jobcontrol/teamdemand.go
@@ -10,7 +10,7 @@
 // endingCaps returns what each team with a CPU cap may use beside its long-running tasks. Caps limit demand only under rules in which teams have weights.
 func (ct *Controller) endingCaps() map[string]int64 {
 	out := map[string]int64{}
-	if ct.rules == nil || !weighted(ct.rules) {
+	if !ct.weighted {
 		return out
 	}
 	lasting := map[string]int64{}
--- a/internal/scheduling/jobcontrol/waits.go
+++ b/internal/scheduling/jobcontrol/waits.go
@@ -1,6 +1,7 @@
 package jobcontrol
 
 import (
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitestimate"
 )
 
@@ -15,7 +16,7 @@
 	if ct.rules == nil {
 		return
 	}
-	eligible := eligibleServices(ct.rules)
+	eligible := ct.eligibleServices()
 	if len(eligible) == 0 {
 		return
 	}
@@ -86,14 +87,14 @@
 			case oc.started() && oc.onTime(qu, nowMS):
 				var work int64
 				work, ready = oc.openWork(gone, nowMS)
-				es.AddBegun(qu.GetService(), work)
+				es.AddBegun(qu.GetService(), ct.learnedWork(qu, work))
 			case oc.started():
 				work, _ := oc.openWork(notRunning, nowMS)
-				es.AddBegun(qu.GetService(), work)
+				es.AddBegun(qu.GetService(), ct.learnedWork(qu, work))
 			case oc.onTime(qu, nowMS):
 				var work int64
 				work, ready = oc.wholeWork()
-				es.AddWaiting(qu.GetService(), jb.row.GetTeam(), work)
+				es.AddWaiting(qu.GetService(), jb.row.GetTeam(), ct.learnedWork(qu, work))
 			}
 			asked.add(qu.GetService(), jb.row.GetTeam(), ready)
 		}
@@ -108,6 +109,11 @@
 	}
 }
 
+// learnedWork returns declared work of a queue's jobs as what it takes by what was learned from the queue's ended tasks.
+func (ct *Controller) learnedWork(qu *workpb.Queue, declaredCoreMS int64) int64 {
+	return int64(float64(declaredCoreMS) * ct.WorkFactor(qu.GetName()))
+}
+
 // openWork returns the occurrence's remaining work in milliseconds of a core, without tasks that match, and the CPU capacity that its tasks which may start now would take.
 func (oc *occurrence) openWork(except func(*task) bool, nowMS int64) (workCoreMS, readyMilli int64) {
 	for _, st := range oc.steps {
