jobcontrol: tasks for a few VMs ask for no more than these have

Tasks with a label or accelerators that wait for one VM counted as asking for capacity of the whole pool. With 60 jobs waiting for one of four VMs the service was listed with a wait of seconds while the three others were idle, so that entries refused other jobs.

They now ask for at most the capacity of the VMs that offer the label or accelerators, so a service with more free capacity than that isn't listed. The new test failed for both before.

--- a/internal/scheduling/jobcontrol/waits.go
+++ b/internal/scheduling/jobcontrol/waits.go
@@ -72,7 +72,7 @@
 
 // addWork adds the remaining work of started jobs and that of the others that can still be in time. Best-effort tasks take no capacity, and what runs on VMs that don't count competes for none that does. Of a started job that is late only the tasks that run count: new jobs go ahead of the others, so a queue without an objective, whose jobs are always late, would make every new job seem to wait.
 func (ct *Controller) addWork(es *waitestimate.Estimator, counted map[*vmState]bool, nowMS int64) {
-	asked := newTeamDemand(nil)
+	asked := askedCapacity{}
 	gone := func(tk *task) bool { return tk.current != nil && !counted[tk.current.vm] }
 	notRunning := func(tk *task) bool { return tk.current == nil || !counted[tk.current.vm] }
 	for _, jb := range ct.active {
@@ -80,56 +80,111 @@
 		if qu == nil {
 			continue
 		}
+		service, team := qu.GetService(), jb.row.GetTeam()
+		ask := func(st *step, cores int64) { asked.add(vmKindOf(service, st), team, cores) }
 		for _, oc := range jb.occurrences {
-			var ready int64
 			switch {
 			case oc.started() && oc.onTime(qu, nowMS):
-				var work int64
-				work, ready = oc.openWork(gone, nowMS)
-				es.AddBegun(qu.GetService(), work)
+				es.AddBegun(service, oc.openWork(gone))
+				oc.askForWaiting(nowMS, ask)
 			case oc.started():
-				work, _ := oc.openWork(notRunning, nowMS)
-				es.AddBegun(qu.GetService(), work)
+				es.AddBegun(service, oc.openWork(notRunning))
 			case oc.onTime(qu, nowMS):
-				var work int64
-				work, ready = oc.wholeWork()
-				es.AddWaiting(qu.GetService(), jb.row.GetTeam(), work)
+				es.AddWaiting(service, team, oc.wholeWork(ask))
 			}
-			asked.add(qu.GetService(), jb.row.GetTeam(), ready)
 		}
 	}
-	for team, services := range asked.milli {
-		for service, cores := range services {
+	ct.addAsked(es, counted, asked)
+}
+
+// vmKind is the VMs of a service that offer what a step requires.
+type vmKind struct {
+	service      string
+	label        string
+	accelerators bool
+}
+
+func vmKindOf(service string, st *step) vmKind {
+	return vmKind{service, st.row.GetLabel(), st.row.GetAccelerators() > 0}
+}
+
+// askedCapacity is the CPU capacity that tasks ready to start would take, in thousandths of a core, by the kind of VM that they need and by team.
+type askedCapacity map[vmKind]map[string]int64
+
+func (ac askedCapacity) add(vk vmKind, team string, cores int64) {
+	if ac[vk] == nil {
+		ac[vk] = map[string]int64{}
+	}
+	ac[vk][team] += cores
+}
+
+// addAsked adds what tasks ask for, as far as their teams' caps allow and, for tasks that only some VMs can run, as far as these VMs have capacity: such tasks may wait while other VMs are free for new jobs.
+func (ct *Controller) addAsked(es *waitestimate.Estimator, counted map[*vmState]bool, asked askedCapacity) {
+	capacity := capacityByKind(counted)
+	for vk, teams := range asked {
+		sum := int64(0)
+		for team, cores := range teams {
 			if limit := ct.caps[team].CoresMilli(); limit > 0 {
 				cores = min(cores, max(limit-ct.used[team].CoresMilli(), 0))
 			}
-			es.AddAsked(service, cores)
+			sum += cores
+		}
+		if vk.label != "" || vk.accelerators {
+			sum = min(sum, capacity[vk])
+		}
+		es.AddAsked(vk.service, sum)
+	}
+}
+
+// capacityByKind returns the CPU capacity of the VMs of each kind, without what long-running tasks take.
+func capacityByKind(counted map[*vmState]bool) map[vmKind]int64 {
+	out := map[vmKind]int64{}
+	for vm := range counted {
+		cores := max(vm.reg.GetCpuMilli()-vm.lastingCoresMilli(), 0)
+		for _, label := range vm.reg.GetLabels() {
+			out[vmKind{vm.reg.GetService(), label, false}] += cores
+			if vm.reg.GetAccelerators() > 0 {
+				out[vmKind{vm.reg.GetService(), label, true}] += cores
+			}
+		}
+		if vm.reg.GetAccelerators() > 0 {
+			out[vmKind{vm.reg.GetService(), "", true}] += cores
 		}
 	}
+	return out
 }
 
-// openWork returns the occurrence's remaining work in milliseconds of a core, without tasks that match, and the CPU capacity that its tasks which may start now would take.
-func (oc *occurrence) openWork(except func(*task) bool, nowMS int64) (workCoreMS, readyMilli int64) {
+// openWork returns the occurrence's remaining work in milliseconds of a core, without tasks that match.
+func (oc *occurrence) openWork(except func(*task) bool) int64 {
+	workCoreMS := int64(0)
 	for _, st := range oc.steps {
-		need := st.need().CoresMilli()
-		if st.row.GetLasting() || st.done == len(st.tasks) || need == 0 {
-			continue
+		if !st.row.GetLasting() && st.done < len(st.tasks) {
+			workCoreMS += st.remainingMS(except) * st.need().CoresMilli() / milli
 		}
-		workCoreMS += st.remainingMS(except) * need / milli
-		if !st.ready() {
+	}
+	return workCoreMS
+}
+
+// askForWaiting calls ask for each step with the CPU capacity that its tasks which may start now would take.
+func (oc *occurrence) askForWaiting(nowMS int64, ask func(st *step, cores int64)) {
+	for _, st := range oc.steps {
+		need := st.need().CoresMilli()
+		if st.row.GetLasting() || st.done == len(st.tasks) || need == 0 || !st.ready() {
 			continue
 		}
+		waiting := int64(0)
 		for _, tk := range st.tasks {
 			if tk.waiting(nowMS) {
-				readyMilli += need
+				waiting++
 			}
 		}
+		ask(st, waiting*need)
 	}
-	return workCoreMS, readyMilli
 }
 
-// wholeWork returns the same as openWork for an occurrence of which no task has started, without a look at each task.
-func (oc *occurrence) wholeWork() (workCoreMS, readyMilli int64) {
+// wholeWork returns the work of an occurrence of which no task has started, and calls ask as askForWaiting does, without a look at each task.
+func (oc *occurrence) wholeWork(ask func(st *step, cores int64)) int64 {
+	workCoreMS := int64(0)
 	for _, st := range oc.steps {
 		need := st.need().CoresMilli()
 		if st.row.GetLasting() || need == 0 {
@@ -137,10 +192,10 @@
 		}
 		workCoreMS += st.expectedTaskMS() * int64(len(st.tasks)) * need / milli
 		if st.ready() {
-			readyMilli += int64(len(st.tasks)) * need
+			ask(st, int64(len(st.tasks))*need)
 		}
 	}
-	return workCoreMS, readyMilli
+	return workCoreMS
 }
 
 // addTeams adds each team's level and cap for the services that can be listed.
--- a/internal/scheduling/jobcontrol/waits_test.go
+++ b/internal/scheduling/jobcontrol/waits_test.go
@@ -247,6 +247,28 @@
 	}
 }
 
+// Guards against refusals beside free VMs: tasks that only one VM can run wait for it while the others are idle.
+func TestWorkForOneVMMakesNobodyWaitBesideFreeVMs(t *testing.T) {
+	special, accelerated := stepOf(4), stepOf(4)
+	special.Label, accelerated.Accelerators = "special", 1
+	for _, tc := range []struct {
+		name   string
+		step   *workpb.Step
+		listed bool
+	}{{"label", special, false}, {"accelerators", accelerated, false}, {"any VM", stepOf(4), true}} {
+		vms := zonedVMs()
+		vms[0].Labels, vms[0].Accelerators = append(vms[0].Labels, "special"), 8
+		fl := newFleet(t, vms...)
+		fl.setRules(weightedRules(0))
+		fl.run(100)
+		for at := range 60 {
+			fl.submit(jobOf(fmt.Sprintf("j%d", at), tc.step))
+		}
+		fl.run(100)
+		qt.Check(t, len(fl.estimate().GetServices()) > 0, qt.Equals, tc.listed, qt.Commentf(tc.name))
+	}
+}
+
 // Guards against counting work on a VM that doesn't count itself: the rest of the pool would seem to have more to do than it has.
 func TestWorkCountsOnlyWithTheCapacityThatItUses(t *testing.T) {
 	fl := newFleet(t, zonedVMs()...)
