Name the estimate's row and the rule for refusals once

The names of the row were declared in waitestimate and waitview, and the rule which queues may have refusals in jobcontrol and loadshed; copies that differ would let the owner list what entries don't refuse, or the reverse. They are now in waitestimate and jobwork. No change of behaviour.

--- a/internal/request/loadshed/loadshed.go
+++ b/internal/request/loadshed/loadshed.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 )
 
 // Shedder decides by the owner's last estimate of the queueing delay and by what its entry has accepted since; it is safe for concurrent use.
@@ -102,11 +103,10 @@
 
 // Applies reports whether jobs of the queue may be refused at all: it must have an objective and not be public, in rules whose teams have weights, and the job must run once, at once, and end by itself.
 func Applies(rules *workpb.Rules, qu *workpb.Queue, jb *workpb.Job) bool {
-	if qu.GetPublic() || qu.GetStretch() <= 0 || qu.GetTargetMs() <= 0 || jb.GetOccurrences() > 0 {
+	if !jobwork.Weighted(rules) || !jobwork.HasObjective(qu) || jb.GetOccurrences() > 0 {
 		return false
 	}
-	weighted := slices.ContainsFunc(rules.GetTeams(), func(tm *workpb.Team) bool { return tm.GetWeight() > 0 })
-	return weighted && !slices.ContainsFunc(jb.GetSteps(), (*workpb.Step).GetLasting)
+	return !slices.ContainsFunc(jb.GetSteps(), (*workpb.Step).GetLasting)
 }
 
 // Decide returns the decision on a job whose caller first tried at firstTriedMS.
--- a/internal/scheduling/jobcontrol/teamdemand.go
+++ b/internal/scheduling/jobcontrol/teamdemand.go
@@ -1,5 +1,7 @@
 package jobcontrol
 
+import "github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
+
 // teamDemand is the CPU capacity that teams' work asks for, in thousandths of a core, per team and service.
 type teamDemand struct {
 	milli map[string]map[string]int64
@@ -10,7 +12,7 @@
 // endingCaps returns what each team with a CPU cap may use beside its long-running tasks. Caps limit demand only under rules in which teams have weights.
 func (ct *Controller) endingCaps() map[string]int64 {
 	out := map[string]int64{}
-	if ct.rules == nil || !weighted(ct.rules) {
+	if ct.rules == nil || !jobwork.Weighted(ct.rules.Rules()) {
 		return out
 	}
 	lasting := map[string]int64{}
--- a/internal/scheduling/waitview/waitview.go
+++ b/internal/scheduling/waitview/waitview.go
@@ -10,17 +10,11 @@
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitestimate"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowfeed"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 )
 
-// Table, Partition and Key name the row with the estimate, which the owner writes.
-const (
-	Table     = "waits"
-	Partition = ownership.Partition
-	Key       = "estimate"
-)
-
 // View follows the estimate; its methods are safe for concurrent use.
 type View struct {
 	st *rowstore.Store
@@ -56,11 +50,13 @@
 // Run follows the estimate until the context ends. An estimate that is there already is passed over, since its age isn't known.
 func (vw *View) Run(ctx context.Context) {
 	vw.answeredMS = vw.ck.Now()
-	fd := rowfeed.New(vw.st, vw.ck, Table, idleWaitMS, func(ctx context.Context) ([]rowstore.Row, int64, error) {
-		return vw.st.ReadAll(ctx, Table, Partition)
+	fd := rowfeed.New(vw.st, vw.ck, waitestimate.Table, idleWaitMS, func(ctx context.Context) ([]rowstore.Row, int64, error) {
+		return vw.st.ReadAll(ctx, waitestimate.Table, ownership.Partition)
 	})
-	fd.OnOutage = func(err error) { vw.lg.Fail("estimate-feed-lost", err, "table", Table) }
-	fd.OnRecovery = func(version int64) { vw.lg.Info("estimate-feed-regained", "table", Table, "version", version) }
+	fd.OnOutage = func(err error) { vw.lg.Fail("estimate-feed-lost", err, "table", waitestimate.Table) }
+	fd.OnRecovery = func(version int64) {
+		vw.lg.Info("estimate-feed-regained", "table", waitestimate.Table, "version", version)
+	}
 	fd.Run(ctx, func(ch rowfeed.Change) {
 		nowMS := vw.ck.Now()
 		readMS := nowMS
@@ -77,7 +73,7 @@
 // apply takes up the newest of the rows and returns how long the next call may wait.
 func (vw *View) apply(list []rowstore.Row, readMS int64) int64 {
 	for _, rw := range list {
-		if rw.Key() != Key {
+		if rw.Key() != waitestimate.Key {
 			continue
 		}
 		ws := &workpb.Waits{}
--- a/internal/scheduling/waitview/waitview_test.go
+++ b/internal/scheduling/waitview/waitview_test.go
@@ -11,8 +11,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitestimate"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitview"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/testbed/rowstoretest"
@@ -66,7 +68,7 @@
 }
 
 func (fx *fixture) put(raw []byte) {
-	_, _, err := fx.st.Rowstore().Commit(context.Background(), rowstore.NewTx(waitview.Partition).Put(waitview.Table, waitview.Key, raw))
+	_, _, err := fx.st.Rowstore().Commit(context.Background(), rowstore.NewTx(ownership.Partition).Put(waitestimate.Table, waitestimate.Key, raw))
 	qt.Assert(fx.t, err, qt.IsNil)
 	synctest.Wait()
 }
