--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -8,6 +8,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/sizefairness"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskpace"
@@ -111,10 +112,9 @@
 	ct.rules = ix
 	clear(ct.caps)
 	clear(ct.weights)
-	ct.weighted = false
+	ct.weighted = jobwork.Weighted(ix.Rules())
 	for _, tm := range ix.Rules().GetTeams() {
 		ct.weights[tm.GetName()] = tm.GetWeight()
-		ct.weighted = ct.weighted || tm.GetWeight() > 0
 		ct.caps[tm.GetName()] = size.New(tm.GetCapCpuMilli(), tm.GetCapMemoryMb(), tm.GetCapAccelerators())
 	}
 }
--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 )
 
@@ -44,7 +45,7 @@
 		return false
 	}
 	qu := ct.queueOf(st.oc.jb)
-	return qu.GetStretch() > 0 && qu.GetTargetMs() > 0 && !qu.GetPublic()
+	return jobwork.HasObjective(qu)
 }
 
 // WorkFactor returns how long a queue's tasks take relative to their estimates, 1 while too few have ended under this owner.
