jobrunner: rows of ended jobs aren't deleted after the lease

The cleaner checked the ownership before it started the transaction; an owner that was paused in between deleted or shortened rows that its successor may have deleted already, and a job submitted under the same id since would have been lost. The transaction now carries the check, which the connection makes at its first byte. Left: a transaction that the store itself applies late, since the condition on the row isn't known for ended jobs. TestRowsAreNotDeletedAfterTheLease failed before.

--- a/internal/scheduling/jobrunner/cleaner.go
+++ b/internal/scheduling/jobrunner/cleaner.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/retention"
@@ -99,6 +100,8 @@
 	}
 	rc.nextRunMS = nowMS + cleanupIntervalMS
 	rc.turn++
+	// A later owner may have deleted these rows already, and a caller may have submitted a job under the same id since.
+	ctx = sendcheck.With(ctx, rn.ow.Held)
 	for _, clean := range rc.kinds() {
 		if !rc.removing {
 			clean(ctx, nowMS)
--- a/internal/scheduling/jobrunner/cleaner_test.go
+++ b/internal/scheduling/jobrunner/cleaner_test.go
@@ -209,3 +209,20 @@
 		})
 	}
 }
+
+// An owner that is paused before it deletes rows must not delete them after its lease: a later owner may have done so, and a job submitted under the same id since would be lost.
+func TestRowsAreNotDeletedAfterTheLease(t *testing.T) {
+	for _, retentionMS := range []int64{100, 60_000} {
+		simulate(t, func(si *simulation) {
+			si.retentionMS = retentionMS
+			si.pauseDeletions = true
+			si.start("one")
+			si.submit("00000000000000aa", 2)
+			si.wait(20_000)
+			si.mu.Lock()
+			defer si.mu.Unlock()
+			qt.Check(t, si.pausedDeletions > 0, qt.IsTrue)
+			qt.Check(t, si.lateDeletions, qt.Equals, 0)
+		})
+	}
+}
--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
@@ -82,6 +83,10 @@
 	rowsReadAtStart int
 	// unansweredTable is a table whose reads get no answer.
 	unansweredTable string
+	// pausedDeletions counts the deletions of job rows before which an entry was paused, lateDeletions those that it would send afterwards; pauseDeletions is set while it is.
+	pauseDeletions  bool
+	pausedDeletions int
+	lateDeletions   int
 	// setGauge takes the entries' gauges.
 	setGauge func(val int64, parts ...string)
 }
@@ -264,6 +269,9 @@
 			if err := cut(); err != nil {
 				return 0, nil, err
 			}
+			if si.deletionIsPaused(ctx, en, tx) {
+				return 0, nil, code.TableUnavailable.New("not sent")
+			}
 			return inner.Commit(ctx, tx)
 		},
 		Feed: func(ctx context.Context, table string, after, waitMS int64) (rowstore.Page, error) {
@@ -275,6 +283,25 @@
 	}
 }
 
+// deletionIsPaused cuts an entry off and waits for the end of its lease if it is about to delete rows of jobs, and reports whether it did.
+func (si *simulation) deletionIsPaused(ctx context.Context, en *entry, tx *rowstore.Tx) bool {
+	si.mu.Lock()
+	paused := si.pauseDeletions && tx.Partition() != ownership.Partition && len(tx.Removes()) > 0
+	si.mu.Unlock()
+	if !paused {
+		return false
+	}
+	en.setCut(true)
+	si.wait(ownership.LeaseMS + 1)
+	si.mu.Lock()
+	defer si.mu.Unlock()
+	si.pausedDeletions++
+	if sendcheck.Allowed(ctx) {
+		si.lateDeletions++
+	}
+	return true
+}
+
 // readHangs reports whether reads of a table get no answer.
 func (si *simulation) readHangs(table string) bool {
 	si.mu.Lock()
