relayserver: a call isn't sent after the owner has given it up

The time after which a call isn't sent on was checked before the call waited for its connection to the VM, for up to 0.3 s, or longer in a process that is paused. The check now travels with the call and is made at the first byte. Left is a pause between this check and the system call. TestCallIsNotSentAfterItsLatestTime failed before.

--- a/internal/scheduling/relayserver/relayserver.go
+++ b/internal/scheduling/relayserver/relayserver.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/relaypb"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
@@ -74,6 +75,8 @@
 		rs.Verdict = workpb.Verdict_NOT_SENT
 		return rs
 	}
+	// The call may wait for a connection to its VM.
+	ctx = sendcheck.With(ctx, func() bool { return ca.GetLatestMs() <= 0 || sv.ck.Now() <= ca.GetLatestMs() })
 	if lr != nil {
 		rs.Look, rs.Verdict = sv.Poll(ctx, lr)
 		return rs
--- a/internal/scheduling/relayserver/relayserver_test.go
+++ b/internal/scheduling/relayserver/relayserver_test.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/relaypb"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
@@ -74,3 +75,26 @@
 		qt.Check(t, made, qt.Equals, tc.calls, qt.Commentf(tc.name))
 	}
 }
+
+// A call that waits for its connection to the VM, in a process that is paused for example, must not be sent once the owner has given it up.
+func TestCallIsNotSentAfterItsLatestTime(t *testing.T) {
+	for _, tc := range []struct {
+		pauseMS int64
+		want    workpb.Verdict
+	}{{400, workpb.Verdict_ACCEPTED}, {600, workpb.Verdict_NOT_SENT}} {
+		ck := clock.NewFake(1000)
+		sv := relayserver.New(ck, event.Discard())
+		sv.Order = func(ctx context.Context, _ *workpb.Order) workpb.Verdict {
+			ck.Advance(tc.pauseMS)
+			if !sendcheck.Allowed(ctx) {
+				return workpb.Verdict_NOT_SENT
+			}
+			return workpb.Verdict_ACCEPTED
+		}
+		sm := &stream{ctx: t.Context(), calls: make(chan *relaypb.Call, 1), results: make(chan *relaypb.Result, 1)}
+		sm.calls <- &relaypb.Call{Id: 1, Order: &workpb.Order{Verb: workpb.Verb_START}, LatestMs: 1500}
+		close(sm.calls)
+		qt.Assert(t, sv.Carry(sm), qt.IsNil)
+		qt.Check(t, (<-sm.results).GetVerdict(), qt.Equals, tc.want)
+	}
+}
