--- a/internal/configuration/operatorfeed/operatorfeed_test.go
+++ b/internal/configuration/operatorfeed/operatorfeed_test.go
@@ -149,3 +149,29 @@
 		qt.Check(t, fx.fd.Waves(), qt.HasLen, 0)
 	})
 }
+
+// An entry that has just restarted must take no keyed call before it has read the rules, nor by rules that were replaced while it was away.
+func TestRestartedEntryTakesOnlyTheRulesInTheStore(t *testing.T) {
+	runFeed(t, func(fx *fixture) {
+		fx.publish(t, "rules", "3")
+		fx.publish(t, "rules", "4")
+		fx.st.SetDown(true)
+		ck := clock.New()
+		ad := admission.New(ck, 5000)
+		restarted := operatorfeed.New(fx.st.Rowstore(), ck, event.Discard(), schema(), ad)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			restarted.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(2 * time.Second)
+		_, err := ad.Admit("h", "/q/x", "key")
+		qt.Check(t, code.Of(err), qt.Equals, code.KeyedWorkPaused)
+		fx.st.SetDown(false)
+		time.Sleep(2 * time.Second)
+		qt.Check(t, ad.Rules().Rules().GetVersion(), qt.Equals, int64(4))
+		cancel()
+		<-done
+	})
+}
--- a/internal/scheduling/jobrunner/restore_test.go
+++ b/internal/scheduling/jobrunner/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -10,6 +11,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 )
 
 // startFive starts five entries and lets one of them become the owner.
@@ -185,3 +187,42 @@
 		<-killed.ended
 	})
 }
+
+// A VM that left while no owner followed the registry, or while the store dropped its history, must get no start from the owner that begins or goes on after that.
+func TestVMThatLeftUnnoticedGetsNoStart(t *testing.T) {
+	for _, name := range []string{"owner restarts", "history is dropped"} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(si *simulation) {
+				var onLeft atomic.Int64
+				si.start("one")
+				si.wait(3000)
+				si.st.SetDown(true)
+				if name == "owner restarts" {
+					si.kill("one")
+				}
+				si.wait(1500)
+				si.st.SetDown(false)
+				tx := rowstore.NewTx("").Remove(registryTable, "vm-0").Remove(registryTable, "vm-1").Remove(registryTable, "vm-2")
+				_, _, err := si.st.Rowstore().Commit(context.Background(), tx)
+				qt.Assert(t, err, qt.IsNil)
+				si.st.DropHistory()
+				if name == "owner restarts" {
+					si.start("one")
+				}
+				si.wait(3000)
+				si.mu.Lock()
+				si.intercept = func(od *workpb.Order) bool {
+					if od.GetVerb() == workpb.Verb_START && od.GetVm() != "vm-3" {
+						onLeft.Add(1)
+					}
+					return false
+				}
+				si.mu.Unlock()
+				si.submit("00000000000000aa", 8)
+				si.wait(12_000)
+				qt.Check(t, onLeft.Load(), qt.Equals, int64(0))
+				qt.Check(t, si.state("00000000000000aa"), qt.Equals, workpb.State_COMPLETED)
+			})
+		})
+	}
+}
