ownership: a lease doesn't count from a commit of an earlier ownership

A process that lost the ownership while a commit was in doubt kept the time of that commit's first attempt. When it won the ownership again, its first commit set the lease back to that time: no start was ordered and no run lease renewed until the next commit, 0.3 s later. A takeover now forgets the earlier commit. Ruled out: a lease that is too long, since the kept time is always the older one. The new test failed before.

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -269,6 +269,9 @@
 		return false, err
 	}
 	ow.row, ow.version = next, version
+	// A commit of an earlier ownership that never got its answer doesn't count for this one.
+	ow.firstTryMS = 0
+	ow.inDoubt.Store(false)
 	ow.predecessorMS = startMS - ow.tokenSinceMS
 	ow.tokenSinceMS = startMS
 	ow.renewedMS.Store(startMS)
--- a/internal/membership/ownership/ownership_test.go
+++ b/internal/membership/ownership/ownership_test.go
@@ -272,3 +272,20 @@
 	qt.Check(t, pr.watch(t, pr.two, ownership.LeaseMS), qt.IsFalse)
 	qt.Check(t, pr.watch(t, pr.two, 2000), qt.IsTrue)
 }
+
+// A process that lost the ownership with a commit in doubt and wins it again must hold its lease from its own commits on, instead of counting it from that old one, which stops starts and renewals.
+func TestLeaseOfANewOwnershipDoesNotCountFromAnEarlierOne(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	pr.st.SetCommitOutcome(func(*rowstore.Tx) rowstoretest.Outcome { return rowstoretest.Refused })
+	qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNotNil)
+	pr.st.SetCommitOutcome(func(*rowstore.Tx) rowstoretest.Outcome { return rowstoretest.AnswerLost })
+	qt.Assert(t, pr.one.Commit(context.Background(), put("a")), qt.IsNotNil)
+	pr.st.SetCommitOutcome(func(*rowstore.Tx) rowstoretest.Outcome { return rowstoretest.Served })
+	qt.Assert(t, pr.watch(t, pr.two, 4000), qt.IsTrue)
+	qt.Assert(t, code.Of(pr.one.Commit(context.Background(), put("a"))), qt.Equals, code.LeaseLapsed)
+	qt.Assert(t, pr.two.Release(context.Background()), qt.IsNil)
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	qt.Assert(t, pr.one.Commit(context.Background(), put("b")), qt.IsNil)
+	qt.Check(t, pr.one.Held(), qt.IsTrue)
+}
