--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -299,6 +299,9 @@
 		ow.releasedMS = ow.predecessorMS
 	}
 	ow.row, ow.version = next, version
+	// A commit of an earlier ownership that never got its answer doesn't count for this one.
+	ow.firstTryMS = 0
+	ow.inDoubt.Store(false)
 	ow.tokenSinceMS = startMS
 	ow.renewedMS.Store(startMS)
 	ow.token.Store(next.GetToken())
