--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -114,7 +114,7 @@
 	"share-levels":            "The teams above their share of service {service}, with their levels, are: {levels}.",
 	"shares-unread":           "The new owner could not read the teams' recent use; the levels of teams above their share begin anew.",
 	"stored-task-unknown":     "The progress of job {job} names task {index} of step {step}, which the job doesn't have.",
-	"stored-task-unusable":    "The stored progress of job {job} names task {index} of step {step}, which the job doesn't have; it is left out.",
+	"stored-task-unusable":    "The progress of job {job} names task {index} of step {step} a second time, or a run that no owner starts.",
 	"submission-refused":      "The submission to queue {queue}[ for team {team}] was refused, as the job would have waited {wait-ms} ms and ended too late (share level {share-level}, estimate {estimate-age-ms} ms old); the caller was told to come back after {retry-after-s} s.",
 	"takeover-unfinished":     "The takeover with token {token} ended before the entry scheduled, after it had read {restored-bytes} bytes; it was the failure number {failures} in a row, and the entry leaves the ownership to others for {wait-ms} ms.",
 	"vm-answers":              "VM {vm} answers again.",
