Probe the store before a planned handover

Change: a stopped owner reads a row of each partition that a restore needs. On a healthy store that costs one call's time.

--- a/internal/observability/callmetrics/callmetrics.go
+++ b/internal/observability/callmetrics/callmetrics.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"sync/atomic"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
@@ -16,8 +14,6 @@
 type Calls struct {
 	ck *clock.Clock
 	rg *metric.Registry
-	// storeFailedMS is when a call to the store failed last.
-	storeFailedMS atomic.Int64
 }
 
 // New returns call metrics that use the given clock and registry.
@@ -29,25 +25,25 @@
 		Read: func(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
 			startMS := ca.ck.Now()
 			pg, err := inner.Read(ctx, table, partition, from, to)
-			ca.recordStore("read", err, startMS)
+			ca.record("store", "read", code.Of(err).String(), startMS)
 			return pg, err
 		},
 		Partitions: func(ctx context.Context, table string) ([]string, error) {
 			startMS := ca.ck.Now()
 			list, err := inner.Partitions(ctx, table)
-			ca.recordStore("parts", err, startMS)
+			ca.record("store", "parts", code.Of(err).String(), startMS)
 			return list, err
 		},
 		Commit: func(ctx context.Context, tx *rowstore.Tx) (int64, []rowstore.Row, error) {
 			startMS := ca.ck.Now()
 			version, current, err := inner.Commit(ctx, tx)
-			ca.recordStore("commit", err, startMS)
+			ca.record("store", "commit", code.Of(err).String(), startMS)
 			return version, current, err
 		},
 		Feed: func(ctx context.Context, table string, after, waitMS int64) (rowstore.Page, error) {
 			startMS := ca.ck.Now()
 			pg, err := inner.Feed(ctx, table, after, waitMS)
-			ca.recordStore("feed", err, startMS)
+			ca.record("store", "feed", code.Of(err).String(), startMS)
 			return pg, err
 		},
 	}
@@ -63,24 +59,6 @@
 	}
 }
 
-func (ca *Calls) recordStore(kind string, err error, startMS int64) {
-	ca.record("store", kind, code.Of(err).String(), startMS)
-	switch code.Of(err) {
-	case code.TableUnavailable, code.TableInDoubt:
-		ca.storeFailedMS.Store(ca.ck.Now())
-	default:
-	}
-}
-
-// SinceStoreFailureMS returns the time since a call to the store failed last, a very long one if none has.
-func (ca *Calls) SinceStoreFailureMS() int64 {
-	failedMS := ca.storeFailedMS.Load()
-	if failedMS == 0 {
-		return math.MaxInt64
-	}
-	return ca.ck.Now() - failedMS
-}
-
 func (ca *Calls) record(peer, kind, result string, startMS int64) {
 	ca.rg.Count(1, peer, kind, result)
 	ca.rg.Observe(ca.ck.Now()-startMS, peer, kind, "ms")
--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -29,6 +29,7 @@
 	"feed-lost":               "The owner lost the changes of table {table}.",
 	"feed-regained":           "The owner reads the changes of table {table} again, from version {version}.",
 	"first-start-accepted":    "A VM accepted the first start under the ownership with token {token}, {after-ms} ms after it was taken.",
+	"handover-delayed":        "The entry is to stop, but goes on scheduling under token {token}, since {unavailable} partitions of the store that a successor must read are unavailable.",
 	"history-lost":            "The store no longer keeps the changes of table {table} after {after}; the table is read anew.",
 	"job-accepted":            "The job was accepted into queue {queue}[ for team {team}] under rules {rules}; storing it took {took-ms} ms.",
 	"job-cancelled":           "The job was cancelled.",
--- a/internal/scheduling/jobrunner/handover_test.go
+++ b/internal/scheduling/jobrunner/handover_test.go
@@ -1,7 +1,6 @@
 package jobrunner_test
 
 import (
-	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -24,16 +23,6 @@
 	return si.unavailable != "" && si.unavailable == partition
 }
 
-// sinceStoreFailureMS tells of failures as long as a partition is unavailable.
-func (si *simulation) sinceStoreFailureMS() int64 {
-	si.mu.Lock()
-	defer si.mu.Unlock()
-	if si.unavailable != "" {
-		return 0
-	}
-	return math.MaxInt64
-}
-
 // Guards against an outage of scheduling after a planned stop: while a partition of the store can't be read, no successor can restore, so the owner must go on scheduling for as long as it may.
 func TestStoppedOwnerSchedulesWhileTheStoreFails(t *testing.T) {
 	simulate(t, func(si *simulation) {
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -53,8 +53,6 @@
 	SetGauge func(val int64, parts ...string)
 	// EvacuatedZones returns the availability zones in which the operators allow no starts.
 	EvacuatedZones func() map[string]bool
-	// SinceStoreFailureMS returns the time since one of this entry's calls to the store failed; nil if it isn't known.
-	SinceStoreFailureMS func() int64
 	// MaxHandoverDelayMS is how long after the request to stop this entry may go on scheduling.
 	MaxHandoverDelayMS int64
 	// OnWaits takes each estimate of queueing delays of this owner, nil for none; it may be nil.
@@ -103,6 +101,8 @@
 	startAccepted bool
 	// stopRequestedMS is when this entry was requested to stop, 0 if it wasn't.
 	stopRequestedMS int64
+	// storeProbed is set once all partitions that a successor reads were seen to be available after that request.
+	storeProbed bool
 	// yielded is set when this entry gives up the ownership because it is overloaded.
 	yielded bool
 }
@@ -121,8 +121,6 @@
 	countsIntervalMS = 600
 	// finishTimeoutMS bounds the wait for the last commit.
 	finishTimeoutMS = 1500
-	// storeSettledMS is how long no call to the store must have failed for it to count as available to a successor.
-	storeSettledMS = 500
 	// commitRetryMS is the pause before a failed commit is retried.
 	commitRetryMS = 50
 )
@@ -177,6 +175,7 @@
 		select {
 		case <-stop:
 			rn.stopRequestedMS, stop = rn.ck.Now(), nil
+			go rn.probeStore(ctx)
 		case fn := <-rn.events:
 			fn()
 			rn.drainEvents()
@@ -194,17 +193,6 @@
 	return code.LeaseLapsed.New("another entry owns scheduling now")
 }
 
-// handoverDue reports whether this entry is to hand over scheduling because it was requested to stop. While the store fails some calls, a successor may be unable to restore, for which it needs all partitions; this entry then schedules for as long as it may.
-func (rn *Runner) handoverDue() bool {
-	if rn.stopRequestedMS == 0 {
-		return false
-	}
-	if rn.deps.SinceStoreFailureMS == nil || rn.deps.SinceStoreFailureMS() >= storeSettledMS {
-		return true
-	}
-	return rn.ck.Now()-rn.stopRequestedMS >= rn.deps.MaxHandoverDelayMS
-}
-
 // recordCall records the latency of a call to a VM in a zone that is answered at once, unlike a long poll.
 func (rn *Runner) recordCall(zone string, vd workpb.Verdict, tookMS int64) {
 	switch vd {
--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -232,7 +232,7 @@
 		WaveStatus: si.waveStatus, SetGauge: si.setGauge,
 		Rules: si.rules, Waves: si.waveSpecs, EvacuatedZones: func() map[string]bool { return nil },
 	}
-	deps.SinceStoreFailureMS, deps.MaxHandoverDelayMS = si.sinceStoreFailureMS, maxHandoverDelayMS
+	deps.MaxHandoverDelayMS = maxHandoverDelayMS
 	deps.Relays = relay.New(si.ck, event.Discard(), link.rate())
 	sc := jobrunner.NewScheduler(deps, si.ck, si.lg, ow, 0, si.retentionMS)
 	go func() {
