Faults found by a newcomer's reading of the diff

- bulkread repeated the paging loop of rowstore without its check that pages advance: a store that answers the same rows again kept a restore reading for good (TestRowsThatDoNotAdvanceEndTheRead: 100 reads and more before, an error now).
Page.NextKey serves both.
- waitview dated an estimate by an answer after which further changes follow; no test, the row has never been split.
- What may be deferred, and which levels count, follows jobwork.HasObjective like refusals do, instead of a rule of its own.

--- a/internal/scheduling/jobcontrol/choose.go
+++ b/internal/scheduling/jobcontrol/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/sizefairness"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startchoice"
 )
@@ -49,12 +50,18 @@
 	ct.recordChoices(nowMS)
 	for at := range list {
 		cd := &list[at]
-		if _, ok := waiting[cd.st.oc]; ok || !ct.deferrable(cd) {
+		if !ct.deferrable(cd) {
 			continue
 		}
-		waiting[cd.st.oc] = at
-		jobs = append(jobs, cd.st.oc)
-		ct.undecided[cd.st.oc] = cd.latestMS
+		first, ok := waiting[cd.st.oc]
+		if !ok {
+			jobs = append(jobs, cd.st.oc)
+		}
+		// A job's latest start is the earliest one of its ready steps.
+		if !ok || cd.latestMS < list[first].latestMS {
+			waiting[cd.st.oc] = at
+			ct.undecided[cd.st.oc] = cd.latestMS
+		}
 	}
 	if len(jobs) == 0 {
 		ct.logChoice(service, 0, 0, 0, nowMS)
@@ -167,10 +174,7 @@
 
 // deferrable reports whether a step belongs to a job that may be deferred: one that can be in time, of a queue with an objective that isn't public, of which nothing has started.
 func (ct *Controller) deferrable(cd *candidate) bool {
-	if cd.tier != tierOnTime || cd.objectiveMS == 0 || cd.begun {
-		return false
-	}
-	return !ct.queueOf(cd.st.oc.jb).GetPublic()
+	return cd.tier == tierOnTime && !cd.begun && jobwork.HasObjective(ct.queueOf(cd.st.oc.jb))
 }
 
 // begunCoreMS returns the rest of the work in a service's pool that goes on whatever is chosen: of all jobs that are or can be in time but for those that wait to be chosen, and of the running tasks of others.
--- a/internal/scheduling/jobcontrol/shares.go
+++ b/internal/scheduling/jobcontrol/shares.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/teamshare"
 )
 
@@ -80,7 +81,7 @@
 			continue
 		}
 		cd.level = sh.Level(cd.team())
-		if cd.objectiveMS == 0 {
+		if !jobwork.HasObjective(ct.queueOf(cd.st.oc.jb)) {
 			cd.level = min(cd.level, anyLevelAbove)
 		}
 	}
--- a/internal/scheduling/waitview/waitview.go
+++ b/internal/scheduling/waitview/waitview.go
@@ -60,10 +60,12 @@
 	fd.Run(ctx, func(ch rowfeed.Change) {
 		nowMS := vw.ck.Now()
 		readMS := nowMS
-		if nowMS-ch.SentMS() < heldMS {
+		if ch.SentMS() == 0 || nowMS-ch.SentMS() < heldMS {
 			readMS = vw.answeredMS
 		}
-		vw.answeredMS = nowMS
+		if ch.SentMS() != 0 {
+			vw.answeredMS = nowMS
+		}
 		if !ch.Complete() {
 			fd.SetWait(vw.apply(ch.Rows(), readMS))
 		}
--- a/internal/store/bulkread/bulkread.go
+++ b/internal/store/bulkread/bulkread.go
@@ -21,7 +21,7 @@
 	bytesPerS int64
 	// Busy reports whether a call is under way that a page must not delay.
 	Busy func() bool
-	// OnFailure is called after each page that could not be read.
+	// OnFailure is called after each failed page that is read again; the last failure of a read is only returned.
 	OnFailure func(error)
 
 	bytes atomic.Int64
@@ -154,7 +154,9 @@
 		if !pg.More() || len(pg.Rows()) == 0 {
 			return all, first, nil
 		}
-		from = pg.Rows()[len(pg.Rows())-1].Key() + "\x00"
+		if from, err = pg.NextKey(from); err != nil {
+			return nil, 0, err
+		}
 	}
 }
 
--- a/internal/store/bulkread/bulkread_test.go
+++ b/internal/store/bulkread/bulkread_test.go
@@ -223,3 +223,17 @@
 		qt.Check(t, most.Load() < 2*pageBytes, qt.IsTrue, qt.Commentf("%d bytes under way", most.Load()))
 	})
 }
+
+// Guards against a read that never ends: a store that answers each page with the same rows and says that more follow.
+func TestRowsThatDoNotAdvanceEndTheRead(t *testing.T) {
+	reads := 0
+	st := &rowstore.Store{Read: func(context.Context, string, string, string, string) (rowstore.Page, error) {
+		reads++
+		if reads > 100 {
+			t.Fatal("the same page was read 100 times")
+		}
+		return rowstore.NewPage([]rowstore.Row{rowstore.NewRow(table, partition, "a", nil, 1)}, true, 1), nil
+	}}
+	_, _, err := bulkread.New(st, clock.New(), 0).ReadAll(t.Context(), table, partition, "")
+	qt.Check(t, code.Of(err), qt.Equals, code.TableUnavailable)
+}
--- a/internal/store/rowstore/rowstore.go
+++ b/internal/store/rowstore/rowstore.go
@@ -37,14 +37,21 @@
 		if !pg.More() || len(pg.Rows()) == 0 {
 			return all, first, nil
 		}
-		last := pg.Rows()[len(pg.Rows())-1].Key()
-		if last < from {
-			return nil, 0, code.TableUnavailable.New("table %s, partition %q: the rows from %q end with %q", table, partition, from, last)
+		if from, err = pg.NextKey(from); err != nil {
+			return nil, 0, err
 		}
-		from = last + "\x00"
 	}
 }
 
+// NextKey returns the first key after the page's rows, of which there is at least one; it is an error if these rows don't advance beyond from, the first key that was asked for.
+func (pg Page) NextKey(from string) (string, error) {
+	last := pg.Rows()[len(pg.Rows())-1].Key()
+	if last < from {
+		return "", code.TableUnavailable.New("the rows from %q end with %q", from, last)
+	}
+	return last + "\x00", nil
+}
+
 // Get returns one row, and false if it doesn't exist.
 func (st *Store) Get(ctx context.Context, table, partition, key string) (Row, bool, error) {
 	pg, err := st.Read(ctx, table, partition, key, key+"\x00")
