--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -17,7 +17,7 @@
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
-// Ownership is one entry's view of the ownership row; only Committing, Held, RemainingMS, Restoring, SinceRenewalMS and Token are safe to call concurrently with other methods.
+// Ownership is one entry's view of the ownership row; only Committing, Held, Relays, RemainingMS, Restoring, SinceRenewalMS and Token are safe to call concurrently with other methods.
 type Ownership struct {
 	st          *rowstore.Store
 	ck          *clock.Clock
--- a/internal/membership/sendcheck/sendcheck.go
+++ b/internal/membership/sendcheck/sendcheck.go
@@ -9,7 +9,7 @@
 	return context.WithValue(ctx, contextKey{}, func() bool { return Allowed(ctx) && allowed() })
 }
 
-// Allowed reports whether a call with this context may be sent now: the context hasn't ended and all of its checks pass. Timers of contexts may fire late after a pause, and don't count the time of a suspension.
+// Allowed reports whether a call with this context may be sent now: the context hasn't ended and all of its checks pass. The context's end isn't sufficient, since its timer may fire late after a pause and doesn't count a suspension, so checks compare clock times.
 func Allowed(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return false
--- a/internal/membership/takeover/takeover.go
+++ b/internal/membership/takeover/takeover.go
@@ -29,17 +29,19 @@
 	// minBackoffMS to maxBackoffMS is how long an entry leaves the ownership to others after failures; jitterPart of it is random.
 	minBackoffMS = 2000
 	maxBackoffMS = 30_000
-	jitterPart   = 0.25
-	// lastingTermMS is how long an owner must have scheduled for its failures to be forgotten.
-	lastingTermMS = 10_000
+	// maxBackoffDoublings keeps the backoff from overflowing.
+	maxBackoffDoublings = 10
+	jitterPart          = 0.25
+	// minSuccessfulTermMS is how long an owner must have scheduled for its failures to be forgotten.
+	minSuccessfulTermMS = 10_000
 	// deferPerClassMS is how long an entry defers to each class of stronger ones; it exceeds the interval between their polls. maxDeferClasses limits the number of classes.
 	deferPerClassMS = 300
 	maxDeferClasses = 3
-	// A restore that would take more than quickRestoreMS makes the entry defer by deferPart of the rest to entries with faster links, maxRestoreDeferMS at most.
-	quickRestoreMS    = 1000
-	restoreDeferPart  = 10
-	maxRestoreDeferMS = 2000
-	// linkDivisor is the part of the link that a restore uses.
+	// An entry whose restore would take more than quickRestoreMS defers by the excess divided by restoreDeferDivisor, at most maxRestoreDeferMS.
+	quickRestoreMS      = 1000
+	restoreDeferDivisor = 10
+	maxRestoreDeferMS   = 2000
+	// linkDivisor divides the rate of the link into the part that a restore uses.
 	linkDivisor = 2
 	msPerS      = 1000
 	// minTermMS is the minimum time that an owner schedules before it yields; stableTermMS is the term of a predecessor from which the load seems to be one that an entry can carry.
@@ -74,7 +76,7 @@
 
 // DeferMS returns how long this entry leaves a free row to others: to each class of stronger ones, and to those with faster links if its own restore would take long.
 func (ru *Rule) DeferMS(strongerClasses int) int64 {
-	return deferPerClassMS*int64(min(strongerClasses, maxDeferClasses)) + min(max(ru.restoreMS()-quickRestoreMS, 0)/restoreDeferPart, maxRestoreDeferMS)
+	return deferPerClassMS*int64(min(strongerClasses, maxDeferClasses)) + min(max(ru.restoreMS()-quickRestoreMS, 0)/restoreDeferDivisor, maxRestoreDeferMS)
 }
 
 // restoreMS returns how long a restore of this entry would take, as far as is known.
@@ -96,11 +98,11 @@
 
 // RecordTerm records the end of a term of this entry that was neither released in good order nor yielded; scheduledMS is how long it scheduled, 0 if its restore didn't end.
 func (ru *Rule) RecordTerm(nowMS, scheduledMS int64) {
-	if scheduledMS >= lastingTermMS {
+	if scheduledMS >= minSuccessfulTermMS {
 		ru.failures = 0
 		return
 	}
-	backoffMS := min(int64(minBackoffMS)<<min(ru.failures, 10), maxBackoffMS)
+	backoffMS := min(int64(minBackoffMS)<<min(ru.failures, maxBackoffDoublings), maxBackoffMS)
 	ru.failures++
 	ru.untilMS = nowMS + int64(float64(backoffMS)*(1-jitterPart*ru.random()))
 }
--- a/internal/request/loadshed/loadshed.go
+++ b/internal/request/loadshed/loadshed.go
@@ -36,7 +36,7 @@
 	jobs     int
 	// slacks holds the mean slack of each queue's jobs, since queues of one service may have very different objectives.
 	slacks map[string]*slack
-	// nextReturnMS is the time before which callers were told to come back.
+	// nextReturnMS is the earliest time at which the next refused caller is told to come back.
 	nextReturnMS int64
 }
 
@@ -60,13 +60,13 @@
 
 const (
 	milli = 1000
-	// maxAgeMS is the age from which an estimate isn't used: the owner writes one every 300 ms while work waits, and data 0.6 s old that isn't corrected was found to mislead.
+	// maxAgeMS is the age from which an estimate isn't used: the owner writes one every 300 ms, so an older one means that its owner or the feed is delayed.
 	maxAgeMS = 1500
 	// overlapMS is how long before an estimate was read a job must have been accepted to be part of it: the feeds from the entry to the owner and back and the owner's commit take about as long.
 	overlapMS = 150
 	// atOnceMS is the wait up to which a job counts as starting at once; the owner writes no estimate below 500 ms.
 	atOnceMS = 300
-	// maxWaitPart and maxWaitPartAboveShare are the parts of the mean slack of the queue's jobs that a job of a team within or above its share may wait. The owner starts the job with the least slack first, so a longer queue makes the longer jobs late that were accepted before: of the jobs accepted at their first attempt at twice what fits, 73 % were in time with a limit of 1.5 objectives and 97 % with this one.
+	// maxWaitPart and maxWaitPartAboveShare are the parts of a queue's mean slack that a job of a team within or above its share may wait. They are below 1 since the owner starts the job with the least slack first, so that a queue as long as the mean slack would make accepted longer jobs late.
 	maxWaitPart           = 0.75
 	maxWaitPartAboveShare = 0.5
 	// maxAboveShareSlowdown is how many times longer the work of teams above their share is taken to wait at most, since what they use now changes.
--- a/internal/scheduling/jobcontrol/choose.go
+++ b/internal/scheduling/jobcontrol/choose.go
@@ -144,7 +144,7 @@
 	return out
 }
 
-// logChoice logs how many jobs were deferred, at most once a second for a service while there are any, and their end.
+// logChoice logs the number of a service's deferred jobs when it has changed, at most once per choiceLogIntervalMS.
 func (ct *Controller) logChoice(service string, waiting, deferred int, deferredCoreMS, nowMS int64) {
 	last := ct.loggedChoices[service]
 	if deferred == last.deferred || nowMS-last.atMS < choiceLogIntervalMS {
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -15,7 +15,7 @@
 	tier int
 	// latestMS is the latest start with which the job can still meet its objective; for long-running tasks, their due time.
 	latestMS int64
-	// objectiveMS is how long after its acceptance the job should end, 0 for a queue without an objective.
+	// objectiveMS is how long after its due time the job should end, 0 for a queue without an objective.
 	objectiveMS int64
 	// level is how far the job's team is above its fair share; work of a lower level goes first.
 	level int32
--- a/internal/scheduling/jobcontrol/secondruns.go
+++ b/internal/scheduling/jobcontrol/secondruns.go
@@ -9,7 +9,7 @@
 const (
 	// maxSecondRuns is how often a task gets a second run; one whose second runs fail or are stopped isn't helped by more.
 	maxSecondRuns = 2
-	// spareDivisor divides a pool's CPU capacity into the part that second runs leave free for jobs that arrive; with a quarter, jobs that arrived in bursts waited for second runs.
+	// spareDivisor divides a pool's CPU capacity into the part that second runs leave free, so that jobs that arrive in bursts don't wait for them.
 	spareDivisor = 3
 )
 
--- a/internal/scheduling/jobcontrol/waits.go
+++ b/internal/scheduling/jobcontrol/waits.go
@@ -11,7 +11,7 @@
 // suspicionHorizonMS is how soon the exclusion of a VM under suspicion must end for its capacity to count.
 const suspicionHorizonMS = 2000
 
-// AddWaits adds to an estimate each service with its VMs, its work and its teams. Capacity is counted generously: in a trial that left out VMs with unanswered orders and those that a new owner hadn't polled yet, jobs were refused after each loss of VMs or of the owner although there was capacity.
+// AddWaits adds to an estimate each service with its VMs, its work and its teams. VMs with unanswered orders and those that a new owner hasn't polled yet count as capacity: without them, jobs would be refused after each loss of VMs or of the owner although there is capacity.
 func (ct *Controller) AddWaits(es *waitestimate.Estimator) {
 	if ct.rules == nil {
 		return
--- a/internal/scheduling/jobrunner/linklimits.go
+++ b/internal/scheduling/jobrunner/linklimits.go
@@ -11,10 +11,10 @@
 const (
 	// paceIntervalMS is how often the limits on polls are adapted.
 	paceIntervalMS = 250
-	// A poll takes pollOverheadBytes beside its answer, whose size by relay is that of the message, and directFactor times as much as JSON; a direct poll takes directOverheadBytes.
-	pollOverheadBytes   = 100
-	directOverheadBytes = 500
-	directFactor        = 3
+	// A relayed poll takes the size of its answer and relayedOverheadBytes; a direct one takes directFactor times that size, since it is JSON, and directOverheadBytes.
+	relayedOverheadBytes = 100
+	directOverheadBytes  = 500
+	directFactor         = 3
 	// maxBurstMS is how long the link may take to carry the orders, or the first polls, that are under way at once: a commit that begins meanwhile waits for them.
 	maxBurstMS = 100
 	msPerS     = 1000
@@ -51,7 +51,7 @@
 	}
 	bytes := int64(proto.Size(lk))
 	if rn.deps.Relays.Ready() {
-		rn.pollPace.Record(bytes + pollOverheadBytes)
+		rn.pollPace.Record(bytes + relayedOverheadBytes)
 		return
 	}
 	rn.pollPace.Record(bytes*directFactor + directOverheadBytes)
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -200,7 +200,7 @@
 		})
 		rn.post(ctx, func() { rn.applyEnded(list) })
 		if rn.deps.LinkBytesPerS == 0 {
-			// The pause leaves half of a slow link to other calls.
+			// Reads aren't paced without a known rate, so a pause as long as the read leaves half of the link to other calls.
 			_ = rn.ck.Sleep(ctx, rn.ck.Now()-startMS)
 		}
 	}
--- a/internal/scheduling/jobwork/doc.go
+++ b/internal/scheduling/jobwork/doc.go
@@ -1,2 +1,2 @@
-// Package jobwork sums up the estimates of a job's steps, and tells which queues have an objective.
+// Package jobwork checks a job's steps, computes their critical paths, work and objective, and tells which queues have an objective.
 package jobwork
--- a/internal/scheduling/jobwork/refusable.go
+++ b/internal/scheduling/jobwork/rules.go
@@ -11,7 +11,7 @@
 	return slices.ContainsFunc(rules.GetTeams(), func(tm *workpb.Team) bool { return tm.GetWeight() > 0 })
 }
 
-// HasObjective reports whether a queue's jobs have an objective that refusals may protect.
+// HasObjective reports whether a queue has both a stretch and a target and isn't public, so that the rules for overload apply to its jobs.
 func HasObjective(qu *workpb.Queue) bool {
 	return qu.GetStretch() > 0 && qu.GetTargetMs() > 0 && !qu.GetPublic()
 }
--- a/internal/scheduling/sizefairness/sizefairness.go
+++ b/internal/scheduling/sizefairness/sizefairness.go
@@ -30,10 +30,9 @@
 	historyJobs = 200
 	// minJobs is the number of jobs before which nothing is said on sizes.
 	minJobs = 20
-	// The largest tenth and the fifth below it should begin in time at least targetPercent as often as all jobs: half is required, and large jobs that began in time end late more often. With 80 the largest tenth was in time less than half as often as all jobs at three times what fits.
+	// The largest tenth and the fifth below it should begin in time as often as all jobs: fewer of the large jobs that begin in time also end in time.
 	largestPercent = 90
 	nextPercent    = 70
-	targetPercent  = 100
 	percent        = 100
 )
 
@@ -91,7 +90,7 @@
 
 // shortfall returns how many more of the jobs had to be in time, given the part of all jobs that were.
 func shortfall(jobs []outcome, all float64) int {
-	return max(int(math.Ceil(all*targetPercent/percent*float64(len(jobs))))-inTime(jobs), 0)
+	return max(int(math.Ceil(all*float64(len(jobs))))-inTime(jobs), 0)
 }
 
 func inTime(jobs []outcome) int {
--- a/internal/scheduling/startchoice/startchoice.go
+++ b/internal/scheduling/startchoice/startchoice.go
@@ -28,7 +28,7 @@
 
 const (
 	milli = 1000
-	// marginMS is by how much a job may seem to start too late and still be chosen: some of the work begun runs after it or beside it. With 0 ms calm teams lose jobs beside a hot one, with 300 ms fewer jobs are in time in every overload.
+	// marginMS is how much later than its latest start a job may seem to start and still be chosen, since part of the begun work runs after it or beside it.
 	marginMS = 150
 )
 
--- a/internal/scheduling/taskpace/straggler.go
+++ b/internal/scheduling/taskpace/straggler.go
@@ -5,7 +5,7 @@
 	marginPercent = 130
 	// restartMS is what a restart takes beside the work: the stop, the poll that tells of its end, the commit and the start.
 	restartMS = 300
-	// maxRetryLead is by how many the further runs of long tasks that were in vain may exceed those that helped: where the runs and not the tasks are long, nearly all help, and where a slow VM was taken for a sound one, some do.
+	// maxRetryLead is by how much the retries of long tasks that didn't help may outnumber those that did before no more are made.
 	maxRetryLead = 1
 	// retryMemory is the number of such runs after which earlier ones count half.
 	retryMemory = 16
--- a/internal/scheduling/waitestimate/waitestimate.go
+++ b/internal/scheduling/waitestimate/waitestimate.go
@@ -45,7 +45,7 @@
 }
 
 const (
-	// intervalMS is the time between estimates. In trials data 0.6 s old gave far too many or too few refusals, data 0.3 s old was good.
+	// intervalMS is the time between estimates; work that starts or ends within one interval isn't seen by the entries.
 	intervalMS = 300
 	// settleMS is how long after it began to schedule an owner states nothing: it still learns what its predecessor left.
 	settleMS = 3000
@@ -61,7 +61,7 @@
 	return &Estimator{startMS: startMS, inherited: true}
 }
 
-// SettledMS returns until when the owner states nothing after it began to schedule.
+// SettledMS returns the time before which this owner states nothing.
 func (es *Estimator) SettledMS() int64 { return es.startMS + settleMS }
 
 // Due reports whether the next estimate is due.
--- a/internal/store/bulkread/bulkread.go
+++ b/internal/store/bulkread/bulkread.go
@@ -40,7 +40,7 @@
 const (
 	// pageMS is how long the link may take to carry one page: calls that begin meanwhile wait for it.
 	pageMS = 100
-	// linkDivisor is the part of the link that pages may use.
+	// linkDivisor divides the rate of the link into the part that pages may use.
 	linkDivisor = 2
 	// storePageBytes is the size at which the store itself ends a page.
 	storePageBytes = 1_000_000
