--- a/internal/scheduling/jobrunner/handover.go
+++ b/internal/scheduling/jobrunner/handover.go
@@ -25,12 +25,19 @@
 	return rn.storeProbed || rn.ck.Now()-rn.stopRequestedMS >= rn.deps.MaxHandoverDelayMS
 }
 
+// awaitsProbe reports whether the first probe of the store is under way. Nothing is begun meanwhile, so that no commit holds up the handover.
+func (rn *Runner) awaitsProbe() bool { return rn.stopRequestedMS != 0 && rn.probes == 0 }
+
 // probeStore reads a row of each partition that a restore reads, until all of these reads succeed or none does: an entry that can't reach the store at all can't schedule either.
 func (rn *Runner) probeStore(ctx context.Context) {
 	for ctx.Err() == nil {
 		failed, total := rn.probeOnce(ctx)
-		if failed == 0 || failed == total {
-			rn.post(ctx, func() { rn.storeProbed = true })
+		done := failed == 0 || failed == total
+		rn.post(ctx, func() {
+			rn.probes++
+			rn.storeProbed = done
+		})
+		if done {
 			return
 		}
 		rn.lg.Info("handover-delayed", "token", rn.ow.Token(), "unavailable", failed)
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -101,6 +101,8 @@
 	startAccepted bool
 	// stopRequestedMS is when this entry was requested to stop, 0 if it wasn't.
 	stopRequestedMS int64
+	// probes counts the answered probes of the store after that request.
+	probes int
 	// storeProbed is set once all partitions that a successor reads were seen to be available after that request.
 	storeProbed bool
 	// yielded is set when this entry gives up the ownership because it is overloaded.
@@ -184,6 +186,9 @@
 		if rn.handoverDue() {
 			return rn.finish()
 		}
+		if rn.awaitsProbe() {
+			continue
+		}
 		rn.step(ctx)
 		if rn.overloaded() {
 			rn.yielded = true
