Say in feed outages how many calls received how many bytes

The error of a lost feed now names its calls and their bytes, rules-in-force the size of the row and what was received for it. Parts of an answer are reported through the context (internal/request/progress); no decision changes.

--- a/internal/configuration/operatorfeed/operatorfeed.go
+++ b/internal/configuration/operatorfeed/operatorfeed.go
@@ -65,31 +65,32 @@
 		if ch.Complete() {
 			fd.keepWaves(ch.Rows())
 		}
-		fd.apply(ch.Rows())
+		fd.apply(ch)
 		fd.applyEvacuations(ch)
 		fd.ad.ConfirmCurrent(ch.SentMS())
 	})
 }
 
-func (fd *Feed) apply(list []rowstore.Row) {
-	for _, rw := range list {
+func (fd *Feed) apply(ch rowfeed.Change) {
+	for _, rw := range ch.Rows() {
 		switch {
 		case rw.Key() == fd.sc.RulesKey && !rw.Deleted():
-			fd.applyRules(rw.Value())
+			fd.applyRules(rw.Value(), ch)
 		case fd.sc.IsWave(rw.Key()):
 			fd.applyWave(rw)
 		}
 	}
 }
 
-func (fd *Feed) applyRules(raw []byte) {
+func (fd *Feed) applyRules(raw []byte, ch rowfeed.Change) {
 	rules, err := fd.sc.DecodeRules(raw)
 	if err != nil {
 		fd.lg.Fail("rules-unreadable", err)
 		return
 	}
 	if fd.ad.SetRules(rulesindex.New(rules)) {
-		fd.lg.Info("rules-in-force", "version", rules.GetVersion(), "queues", len(rules.GetQueues()), "teams", len(rules.GetTeams()))
+		fd.lg.Info("rules-in-force", "version", rules.GetVersion(), "queues", len(rules.GetQueues()), "teams", len(rules.GetTeams()),
+			"row-bytes", len(raw), "received-bytes", ch.Bytes())
 	}
 }
 
--- a/internal/store/rowfeed/rowfeed.go
+++ b/internal/store/rowfeed/rowfeed.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/request/hedge"
+	"github.com/fulmarloft/fulmarloft/internal/request/progress"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
@@ -37,6 +39,7 @@
 	rows     []rowstore.Row
 	complete bool
 	sentMS   int64
+	bytes    int64
 }
 
 // Rows returns the changed rows, or all rows of the table.
@@ -48,6 +51,9 @@
 // SentMS returns when the answered call was sent, 0 if further changes follow, so that the rows aren't known to be the newest.
 func (ch Change) SentMS() int64 { return ch.sentMS }
 
+// Bytes returns how much was received for this answer, in all calls that were made for it.
+func (ch Change) Bytes() int64 { return ch.bytes }
+
 const (
 	// retryMS is the pause after a call that failed.
 	retryMS = 100
@@ -121,10 +127,12 @@
 
 // next reads the whole table if no version to continue from is known, and otherwise waits for changes. Only the first try of a call waits; hedged tries return at once, as do all tries after a failure.
 func (fd *Feed) next(ctx context.Context) (Change, int64, error) {
+	var calls, bytes atomic.Int64
+	ctx = progress.With(ctx, func(received int) { bytes.Add(int64(received)) })
 	if !fd.afterValid {
 		sentMS := fd.ck.Now()
 		list, version, err := fd.readTable(ctx)
-		return Change{rows: list, complete: true, sentMS: sentMS}, version, err
+		return Change{rows: list, complete: true, sentMS: sentMS, bytes: bytes.Load()}, version, err
 	}
 	policy, waitMS := fd.longPollPolicy, fd.waitMS
 	if fd.failing {
@@ -134,19 +142,20 @@
 	ctx, cancel := fd.ck.WithTimeout(ctx, waitMS+outageAfterMS)
 	defer cancel()
 	an, err := hedge.Do(ctx, policy, func(ctx context.Context, try int) (answer, error) {
+		calls.Add(1)
 		if try > 0 {
 			return fd.call(ctx, after, 0)
 		}
 		return fd.call(ctx, after, waitMS)
 	})
 	if err != nil && !isHistoryLost(err) {
-		err = code.TableUnavailable.Wrap(err)
+		err = code.TableUnavailable.New("%d calls received %d bytes: %w", calls.Load(), bytes.Load(), err)
 	}
 	// The store's version covers the changes that the answer leaves out. The last row's transaction may have changed further rows.
 	if list := an.pg.Rows(); an.pg.More() && len(list) > 0 {
-		return Change{rows: list}, max(list[len(list)-1].Version()-1, after+1), err
+		return Change{rows: list, bytes: bytes.Load()}, max(list[len(list)-1].Version()-1, after+1), err
 	}
-	return Change{rows: an.pg.Rows(), sentMS: an.sentMS}, an.pg.Version(), err
+	return Change{rows: an.pg.Rows(), sentMS: an.sentMS, bytes: bytes.Load()}, an.pg.Version(), err
 }
 
 type answer struct {
--- a/internal/store/rowfeed/rowfeed_test.go
+++ b/internal/store/rowfeed/rowfeed_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
+	"github.com/fulmarloft/fulmarloft/internal/request/progress"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowfeed"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/internal/testbed/rowstoretest"
@@ -93,6 +94,27 @@
 	}
 }
 
+// An outage's error must tell a silent store from one whose answers take too long: by its calls and what they received.
+func TestOutageSaysWhatItsCallsReceived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ck := clock.New()
+		st := &rowstore.Store{Feed: func(ctx context.Context, _ string, _, _ int64) (rowstore.Page, error) {
+			progress.Report(ctx, 700)
+			<-ctx.Done()
+			return rowstore.Page{}, ctx.Err()
+		}}
+		fd := rowfeed.New(st, ck, "t", waitMS, nil).StartAfter(0)
+		var outage error
+		ctx, cancel := context.WithCancel(t.Context())
+		fd.OnOutage = func(err error) {
+			outage = err
+			cancel()
+		}
+		fd.Run(ctx, func(rowfeed.Change) {})
+		qt.Assert(t, outage, qt.ErrorMatches, `.*\b[1-9]\d* calls received [1-9]\d*00 bytes.*`)
+	})
+}
+
 // The outage of a store that fails all calls is reported once, and so is its end.
 func TestFailingStore(t *testing.T) {
 	runFeed(t, func(fx *fixture) {
