Count silence, not the length of an answer, in feeds and hedged calls

Callers saw: entries on 10 Mbit/s went on handling calls by old rules for 20 s and more (queues dropped long before were served, new ones answered 404), then refused all keyed work. Cause: a call of a feed had 0.8 s beyond its wait for the whole answer, was fetched again beside itself after a fixed time, and all copies were dropped after 1 s more. An answer whose transfer takes 0.8 s, or four copies of a shorter one, never ended, and each round began anew. What a later try receives once more is no progress, so tries that all stall at the same byte still end as an outage.

--- a/internal/store/rowfeed/rowfeed.go
+++ b/internal/store/rowfeed/rowfeed.go
@@ -57,11 +57,11 @@
 const (
 	// retryMS is the pause after a call that failed.
 	retryMS = 100
-	// answerAllowanceMS is how long an answer may take in addition to the requested wait: it allows for a call of 4 ms that is slowed down fifty times, and the network round trip.
+	// answerAllowanceMS is how long an answer may take to begin in addition to the requested wait: it allows for a call of 4 ms that is slowed down fifty times, and the network round trip.
 	answerAllowanceMS = 300
-	// probeIntervalMS is how often a call to a store that doesn't answer is repeated while earlier ones are in flight.
+	// probeIntervalMS is how often a call is repeated while nothing of an answer to earlier ones arrives.
 	probeIntervalMS = 250
-	// outageAfterMS is the time in addition to the requested wait after which a call without an answer has failed and the store counts as unavailable.
+	// outageAfterMS is the time without any part of an answer, in addition to the requested wait, after which a call has failed and the store counts as unavailable.
 	outageAfterMS = 1000
 )
 
@@ -128,10 +128,10 @@
 // next reads the whole table if no version to continue from is known, and otherwise waits for changes. Only the first try of a call waits; hedged tries return at once, as do all tries after a failure.
 func (fd *Feed) next(ctx context.Context) (Change, int64, error) {
 	var calls, bytes atomic.Int64
-	ctx = progress.With(ctx, func(received int) { bytes.Add(int64(received)) })
+	count := func(received int) { bytes.Add(int64(received)) }
 	if !fd.afterValid {
 		sentMS := fd.ck.Now()
-		list, version, err := fd.readTable(ctx)
+		list, version, err := fd.readTable(progress.With(ctx, count))
 		return Change{rows: list, complete: true, sentMS: sentMS, bytes: bytes.Load()}, version, err
 	}
 	policy, waitMS := fd.longPollPolicy, fd.waitMS
@@ -139,10 +139,11 @@
 		policy, waitMS = fd.probePolicy, 0
 	}
 	after := fd.after
-	ctx, cancel := fd.ck.WithTimeout(ctx, waitMS+outageAfterMS)
+	ctx, cancel := progress.WithSilenceTimeout(ctx, fd.ck, waitMS+outageAfterMS, outageAfterMS)
 	defer cancel()
 	an, err := hedge.Do(ctx, policy, func(ctx context.Context, try int) (answer, error) {
 		calls.Add(1)
+		ctx = progress.With(ctx, count)
 		if try > 0 {
 			return fd.call(ctx, after, 0)
 		}
