Give up tasks that crash each VM that starts them

Cause: a run that ends with its VM counted neither against the task nor the VM, and where copies are allowed the task started elsewhere before anybody knew. Evidence: TestTaskThatCrashesItsVMsIsGivenUp failed before with 41 to 244 starts. Fix: a crash is counted for the runs whose start the VM isn't known to have survived; their tasks start alone from then on, so that the next crash tells which one it was; two blamed crashes of three end the job, three of four while VMs crash by themselves.

--- a/internal/observability/explain/subject.go
+++ b/internal/observability/explain/subject.go
@@ -14,7 +14,7 @@
 var acceptances = map[string]bool{"job-accepted": true, "job-submitted": true}
 
 // ends are the events that end a job.
-var ends = map[string]bool{"job-completed": true, "job-failed": true, "job-cancelled": true, "job-ended": true}
+var ends = map[string]bool{"job-completed": true, "job-failed": true, "job-given-up": true, "job-cancelled": true, "job-ended": true}
 
 // refusals are the events of calls that didn't take effect.
 var refusals = map[string]bool{"call-refused": true, "submission-refused": true, "request-refused": true, "request-failed": true, "job-request-refused": true}
--- a/internal/observability/explain/why.go
+++ b/internal/observability/explain/why.go
@@ -109,7 +109,7 @@
 
 func (ex *Explanation) whyFailed() []string {
 	failed := ex.own(func(ln logline.Line) bool {
-		return ln.Event() == "job-failed" || ln.Event() == "request-failed" || ln.Event() == "job-ended" && ln.Get("state") != "done"
+		return ln.Event() == "job-failed" || ln.Event() == "job-given-up" || ln.Event() == "request-failed" || ln.Event() == "job-ended" && ln.Get("state") != "done"
 	})
 	if len(failed) == 0 {
 		return []string{"No line says that the job or request failed."}
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -82,6 +82,8 @@
 	firstPollLimit int
 	// busyPollMS is the interval between polls of a VM with runs.
 	busyPollMS int64
+	// unexplainedCrashMS holds, by service, when a VM last crashed though nothing had started there shortly before.
+	unexplainedCrashMS map[string]int64
 }
 
 const (
@@ -102,7 +104,7 @@
 		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*teamshare.Shares{}, sizes: map[string]*sizefairness.History{}, undecided: map[*occurrence]int64{}, choices: map[string]choice{}, loggedChoices: map[string]loggedChoice{}, loggedLevels: map[string]map[string]int32{},
 		pace: taskpace.New(),
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
-		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unplaceable: map[string]*unplaceable{},
+		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unexplainedCrashMS: map[string]int64{}, unplaceable: map[string]*unplaceable{},
 		startLimit: math.MaxInt, firstPollLimit: math.MaxInt, busyPollMS: busyPollIntervalMS, refusedMS: map[string]int64{},
 	}
 }
@@ -256,6 +258,7 @@
 	return &run{
 		key: runKey{tk.name().String(), number}, vm: vm, st: tk.st, index: tk.index, team: tk.job().row.GetTeam(),
 		need: tk.st.need(), capUse: tk.st.capUse(), phase: ph, token: ct.token, startedMS: ct.ck.Now(), progressMS: ct.ck.Now(), sentPace: fullPercent,
+		onProbation: tk.crashes.probation,
 	}
 }
 
@@ -278,6 +281,7 @@
 		rn.vm.unknownRuns++
 	}
 	rn.vm.runs[rn.key] = rn
+	rn.countUncleared(1)
 	rn.vm.used = rn.vm.used.Plus(rn.need)
 	ct.used[rn.team] = ct.used[rn.team].Plus(rn.capUse)
 }
@@ -294,6 +298,7 @@
 		rn.vm.unknownRuns--
 	}
 	delete(rn.vm.runs, rn.key)
+	rn.countUncleared(-1)
 	rn.vm.used = rn.vm.used.Minus(rn.need)
 	ct.used[rn.team] = ct.used[rn.team].Minus(rn.capUse)
 	ct.keepLateStart(rn)
--- a/internal/scheduling/jobcontrol/duplicates.go
+++ b/internal/scheduling/jobcontrol/duplicates.go
@@ -38,7 +38,7 @@
 			// The first of two runs: its task goes on with the second, or starts elsewhere.
 			ct.setPhase(rn, phaseStopping)
 		}
-		if rn.task == nil || rn.phase == phasePlanned || !rn.task.st.row.GetDuplicates() || rn.lasting() || rn.task.st.row.GetGang() {
+		if rn.task == nil || rn.phase == phasePlanned || !rn.task.st.row.GetDuplicates() || rn.lasting() || rn.task.st.row.GetGang() || !rn.mayDetach() {
 			continue
 		}
 		markReplaced(rn, ct.detach(rn))
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -57,6 +57,7 @@
 	done        bool
 	run         int64
 	failures    int32
+	crashes     crashes
 	checkpoint  string
 	notBeforeMS int64
 	current     *run
@@ -322,6 +323,9 @@
 		Occurrence: int32(tk.st.oc.number), Step: int32(tk.st.number), Index: int32(tk.index),
 		Run: tk.run, Failures: tk.failures,
 	}
+	if cr := tk.crashes; cr.probation && !tk.done {
+		row.Crashes = &workpb.Crashes{Confirmed: cr.confirmed, Doubtful: cr.doubtful, Blamed: cr.blamed}
+	}
 	switch {
 	case tk.done:
 		row.Phase = workpb.Phase_DONE
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -64,6 +64,7 @@
 // endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept.
 func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
 	before, nowMS := len(vm.runs), ct.ck.Now()
+	ct.recordCrash(vm, func(rn *run) bool { return rn.startedMS >= readMS })
 	for _, rn := range vm.runs {
 		confirmed := rn.phase == phaseRunning && nowMS >= rn.mayStartUntilMS
 		if rn.startedMS < readMS && (rn.settled || confirmed) {
@@ -128,9 +129,12 @@
 }
 
 // handleRestart records that a VM has restarted: its end numbers begin at 0 again, and stops accepted before the restart no longer hold. Its earlier runs are over unless the VM lists them, since a start may already have been executed in the new incarnation.
-func (ct *Controller) handleRestart(vm *vmState, startMS int64) {
+func (ct *Controller) handleRestart(vm *vmState, lk *workpb.Look) {
+	startMS := lk.GetBornMs()
 	ct.lg.Info("vm-restarted", "vm", vm.id, "born", startMS, "runs", len(vm.runs))
 	vm.startMS = startMS
+	ct.recordCrash(vm, lists(lk))
+	vm.crashRecorded = false
 	vm.processed, vm.stored, vm.acknowledged, vm.acknowledging = 0, 0, 0, 0
 	vm.pace = fullPercent
 	ct.forgetVMPace(vm.id)
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -115,6 +115,7 @@
 	pools := map[string][]*vmState{}
 	for _, vm := range ct.vms {
 		vm.reserved, vm.lastingSum = false, nil
+		vm.heldForProbation = nowMS < vm.heldUntilMS
 		vm.slow, vm.trialDue = ct.pace.VMSlow(vm.id), ct.pace.TrialDue(vm.id, nowMS)
 		if vm.usable(nowMS) && !ct.ZoneClosed(vm.reg.GetZone()) {
 			pools[vm.reg.GetService()] = append(pools[vm.reg.GetService()], vm)
@@ -228,6 +229,10 @@
 			return
 		}
 		vm := chooseVM(tk, pool)
+		if vm == nil && tk.crashes.probation {
+			ct.holdForProbation(tk, pool, nowMS)
+			continue
+		}
 		if vm == nil {
 			if cd.lasting() {
 				ct.recordUnplaceable(cd.st, all, nowMS)
@@ -311,7 +316,7 @@
 	var best *vmState
 	var bestCost int64
 	for _, vm := range pool {
-		if !need.Fits(vm.free()) || (vm.reserved && !st.row.GetLasting()) || !allowed(st, vm) {
+		if !need.Fits(vm.free()) || (vm.reserved && !st.row.GetLasting()) || !allowed(st, vm) || !vm.admitsProbation(tk) {
 			continue
 		}
 		cost := placementCost(tk, vm, rack)
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -175,7 +175,7 @@
 	vm.unlistedReads = 0
 	if lk.GetBornMs() != 0 && lk.GetBornMs() != vm.startMS {
 		if vm.startMS != 0 {
-			ct.handleRestart(vm, lk.GetBornMs())
+			ct.handleRestart(vm, lk)
 		}
 		vm.startMS = lk.GetBornMs()
 	}
--- a/internal/scheduling/jobcontrol/reconcile.go
+++ b/internal/scheduling/jobcontrol/reconcile.go
@@ -23,6 +23,7 @@
 		case listed[key]:
 			ct.settleRuns(rn, nowMS)
 			ct.learnProgress(rn, nowMS)
+			ct.clearRun(rn, sentMS)
 			ct.reconcileListed(rn, nowMS)
 		case rn.phase == phaseRunning && rn.startedMS < sentMS && nowMS < rn.mayStartUntilMS:
 			// The VM has restarted and doesn't know yet that the run must not start there.
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -50,6 +50,9 @@
 	tk.run = tr.GetRun()
 	tk.failures = tr.GetFailures()
 	tk.checkpoint = tr.GetCheckpoint()
+	if cr := tr.GetCrashes(); cr != nil {
+		tk.crashes = crashes{confirmed: cr.GetConfirmed(), doubtful: cr.GetDoubtful(), blamed: cr.GetBlamed(), probation: true}
+	}
 	tk.st.failures = max(tk.st.failures, tr.GetFailures())
 	switch tr.GetPhase() {
 	case workpb.Phase_DONE:
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -23,6 +23,13 @@
 	lastClockAtMS int64
 	runs          map[runKey]*run
 	used          size.Size
+	// uncleared counts the runs whose start the VM isn't known to have survived, onProbation those of tasks under which VMs have crashed.
+	uncleared, onProbation int
+	// heldForProbation is set, until heldUntilMS, while the VM takes no other work than a task on probation.
+	heldForProbation bool
+	heldUntilMS      int64
+	// crashRecorded is set once the crash of the VM's incarnation was recorded.
+	crashRecorded bool
 	// unknownRuns counts the runs of unknown jobs, of which nobody knows what they take.
 	unknownRuns int
 	// lateStarts holds the released runs that may still begin in the VM's next incarnation.
@@ -119,6 +126,10 @@
 	settled bool
 	// mayStartUntilMS is until when an unanswered copy of the run's start may still be executed, 0 if there is none.
 	mayStartUntilMS int64
+	// cleared is set once the VM has survived the run's start, crashed once a crash of the VM was counted for the run's task.
+	cleared, crashed bool
+	// onProbation is set if the run's task was on probation when the run was created.
+	onProbation bool
 	// repeated is set once the run's start was sent again.
 	repeated bool
 	// target is the VM on which room is held for the task while this run is stopped to move it, or nil.
