Fetch and push long bundles over slow links

Calls to other entries report the bytes they transfer, and fetch and push end when nothing is transferred for that time. TestLongBundleIsFetchedOverASlowLink failed before; TestLongReplyOverASlowLink... shows the reports of a real connection.

--- a/internal/membership/cluster/cluster_test.go
+++ b/internal/membership/cluster/cluster_test.go
@@ -327,3 +327,13 @@
 		}
 	}
 }
+
+// A bundle that takes long to arrive must be taken all the same: given up after a fixed time, it would never reach an entry on a slow link.
+func TestLongBundleIsFetchedOverASlowLink(t *testing.T) {
+	cl := threeZones(t)
+	cl.tableDown[platform] = true
+	en := cl.add("entry-7", "a", perMille)
+	cl.fetchParts = 10
+	en.ag.FetchFrom(t.Context(), cl.entries["entry-2"].mb)
+	qt.Assert(t, en.ag.Bundle(), qt.IsNotNil)
+}
--- a/internal/membership/cluster/rounds.go
+++ b/internal/membership/cluster/rounds.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/membership/liveness"
 	"github.com/fulmarloft/fulmarloft/internal/membership/roster"
 	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/progress"
 )
 
 // SendHeartbeats sends one heartbeat to each heartbeat target of this entry.
@@ -190,7 +191,7 @@
 	if ag.cf.Version() != head.GetVersion() {
 		return nil
 	}
-	ctx, cancel := ag.ck.WithTimeout(ctx, callTimeoutMS)
+	ctx, cancel := progress.WithSilenceTimeout(ctx, ag.ck, callTimeoutMS, callTimeoutMS)
 	defer cancel()
 	cl := ag.dial(mb)
 	req := &configpb.AdoptRequest{Head: head, Relay: relay}
@@ -243,7 +244,7 @@
 
 // FetchFrom fetches the newest version and roster of one entry, of which only the address need be known.
 func (ag *Agent) FetchFrom(ctx context.Context, mb *configpb.Member) {
-	ctx, cancel := ag.ck.WithTimeout(ctx, callTimeoutMS)
+	ctx, cancel := progress.WithSilenceTimeout(ctx, ag.ck, callTimeoutMS, callTimeoutMS)
 	defer cancel()
 	rep, err := ag.dial(mb).Fetch(ctx, &configpb.FetchRequest{Version: ag.cf.Version()})
 	if err != nil {
--- a/internal/membership/peer/peer.go
+++ b/internal/membership/peer/peer.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -13,6 +14,7 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
+	"github.com/fulmarloft/fulmarloft/internal/request/progress"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
@@ -32,6 +34,7 @@
 // conn is a pooled connection with the times at which it last answered and was opened.
 type conn struct {
 	cn         *drpcconn.Conn
+	counting   *countingConn
 	answeredMS int64
 	openedMS   int64
 }
@@ -150,7 +153,8 @@
 		return nil, code.PeerUnreachable.Wrap(err)
 	}
 	pr.rg.Count(1, "peer", "dials")
-	raw = &countingConn{Conn: raw, rg: pr.rg}
+	counting := &countingConn{Conn: raw, rg: pr.rg}
+	raw = counting
 	if pr.client != nil {
 		tc := tls.Client(raw, pr.client)
 		if err := tc.HandshakeContext(ctx); err != nil {
@@ -160,7 +164,7 @@
 		raw = tc
 	}
 	now := pr.ck.Now()
-	return &conn{cn: drpcconn.New(raw), answeredMS: now, openedMS: now}, nil
+	return &conn{cn: drpcconn.New(raw), counting: counting, answeredMS: now, openedMS: now}, nil
 }
 
 // release returns a connection that answered to the pool; after a call without an answer, it closes the connection and all idle ones to the address, which are probably dead too.
@@ -212,13 +216,15 @@
 	return ch
 }
 
-// Invoke makes one call. A call without an answer closes the connection and all idle ones to the address, and returns PeerUnreachable; an error returned by the other entry is passed on unchanged.
+// Invoke makes one call, whose transferred bytes are reported through progress. A call without an answer closes the connection and all idle ones to the address, and returns PeerUnreachable; an error returned by the other entry is passed on unchanged.
 func (pc *pooledConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
 	cn, err := pc.pr.acquire(ctx, pc.address, pc.idleTimeoutMS)
 	if err != nil {
 		return err
 	}
+	cn.counting.call.Store(&ctx)
 	err = cn.cn.Invoke(ctx, rpc, enc, in, out)
+	cn.counting.call.Store(nil)
 	answered := err == nil || (ctx.Err() == nil && !cn.closed())
 	pc.pr.release(pc.address, cn, answered)
 	if !answered {
@@ -242,16 +248,25 @@
 	return sm, nil
 }
 
-// countingConn counts the bytes sent and received.
+// countingConn counts the bytes sent and received, and reports them to those who follow the call under way.
 type countingConn struct {
 	net.Conn
 	rg *metric.Registry
+	// call is the context of the call under way, nil if there is none.
+	call atomic.Pointer[context.Context]
+}
+
+func (cc *countingConn) report(bytes int) {
+	if ctx := cc.call.Load(); ctx != nil && bytes > 0 {
+		progress.Report(*ctx, bytes)
+	}
 }
 
 // Read reads and counts the bytes read.
 func (cc *countingConn) Read(buf []byte) (int, error) {
 	cnt, err := cc.Conn.Read(buf)
 	cc.rg.Count(int64(cnt), "peer", "bytes-received")
+	cc.report(cnt)
 	return cnt, err
 }
 
@@ -259,5 +274,6 @@
 func (cc *countingConn) Write(buf []byte) (int, error) {
 	cnt, err := cc.Conn.Write(buf)
 	cc.rg.Count(int64(cnt), "peer", "bytes-sent")
+	cc.report(cnt)
 	return cnt, err
 }
--- a/internal/membership/peer/peer_test.go
+++ b/internal/membership/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -15,7 +16,9 @@
 	"github.com/fulmarloft/fulmarloft/internal/membership/peer"
 	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
 	"github.com/fulmarloft/fulmarloft/internal/pb/configpb"
+	"github.com/fulmarloft/fulmarloft/internal/request/progress"
 	"github.com/fulmarloft/fulmarloft/internal/testbed/identitytest"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/slowlink"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
@@ -41,6 +44,41 @@
 	return lc.Conn.Write(buf)
 }
 
+// Fetch answers with a long reply.
+func (vs *vouchServer) Fetch(context.Context, *configpb.FetchRequest) (*configpb.FetchReply, error) {
+	return &configpb.FetchReply{Whole: make([]byte, longReplyBytes)}, nil
+}
+
+const (
+	longReplyBytes = 1_000_000
+	// replyBytesPerS lets a long reply take four times the time limit.
+	replyBytesPerS = 500_000
+	replyTimeoutMS = 500
+)
+
+// A reply that takes long must be reported as it arrives, so that a time limit can tell it from an entry that is gone.
+func TestLongReplyOverASlowLinkIsNoTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ck := clock.New()
+		li := slowlink.New(ck, replyBytesPerS)
+		srv := peer.New(ck, nil, nil, metric.New())
+		qt.Assert(t, configpb.DRPCRegisterConfig(srv.Mux(), &vouchServer{}), qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- srv.Serve(ctx, li) }()
+		pr := peer.New(ck, nil, nil, metric.New())
+		pr.SetDial(li.Dial)
+		limited, stop := progress.WithSilenceTimeout(ctx, ck, replyTimeoutMS, replyTimeoutMS)
+		rep, err := configpb.NewDRPCConfigClient(pr.Conn("entry")).Fetch(limited, &configpb.FetchRequest{})
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, len(rep.GetWhole()), qt.Equals, longReplyBytes)
+		stop()
+		pr.CloseIdle("entry")
+		cancel()
+		<-done
+	})
+}
+
 func serve(t *testing.T, conf *tls.Config) string { return serveAt(t, clock.New(), conf, metric.New()) }
 
 func serveAt(t *testing.T, ck *clock.Clock, conf *tls.Config, rg *metric.Registry) string {
