Blame no crash on a VM that was about to leave, nor count unanswered starts as certain

A VM that drains ends on its own; its down machine is no crash. A run that was to be stopped while its start is unanswered counts as doubtful.

--- a/internal/scheduling/jobcontrol/crashes.go
+++ b/internal/scheduling/jobcontrol/crashes.go
@@ -42,8 +42,23 @@
 	return blamed >= maxBlamed && cr.confirmed >= minConfirmed && cr.confirmed+cr.doubtful >= maxCrashes
 }
 
-// recordCrash counts the crash of a VM against the tasks that ran there, and gives up those that crash each VM. The crash is blamed on a task if only its run hadn't been survived yet; if there are several, each of them is started alone from then on. survived reports the runs that began after the crash.
+// startInDoubt reports whether a run may never have begun on its VM.
+func (ct *Controller) startInDoubt(rn *run) bool {
+	switch rn.phase {
+	case phaseOrdered, phaseInDoubt:
+		return true
+	case phaseStopping:
+		return ct.ck.Now() < rn.mayStartUntilMS
+	default:
+		return false
+	}
+}
+
+// recordCrash counts the crash of a VM that wasn't about to leave against the tasks that ran there, and gives up those that crash each VM. The crash is blamed on a task if only its run hadn't been survived yet; if there are several, each of them is started alone from then on. survived reports the runs that began after the crash.
 func (ct *Controller) recordCrash(vm *vmState, survived func(*run) bool) {
+	if vm.reg.GetDraining() {
+		return
+	}
 	var suspects []*task
 	for _, rn := range vm.runs {
 		if rn.phase == phasePlanned || rn.crashed || survived(rn) {
@@ -54,7 +69,7 @@
 		if tk == nil {
 			continue
 		}
-		if rn.phase == phaseInDoubt || rn.phase == phaseOrdered {
+		if ct.startInDoubt(rn) {
 			tk.crashes.doubtful++
 		} else {
 			tk.crashes.confirmed++
