hedge: count only the tries that were cancelled before the call returned

Traced: the call's return cancels the tries that are still in flight, and whether their goroutines count themselves before the check is a race of the test, not of the code. A try now counts as cancelled if that happened at an earlier (simulated) time than the return: as strict for all four cases, and independent of scheduling. No change of the product's code.

--- a/internal/request/hedge/hedge_test.go
+++ b/internal/request/hedge/hedge_test.go
@@ -87,7 +87,7 @@
 		name    string
 		tries   [][]part
 		started int
-		// cancelled is how many tries ended before the call.
+		// cancelled is how many tries were cancelled before the call returned, which cancels the rest.
 		cancelled int
 		tookMS    int64
 	}{
@@ -106,7 +106,9 @@
 				tryMS := ck.Now()
 				for _, pt := range tc.tries[min(try, len(tc.tries)-1)] {
 					if ck.Sleep(ctx, tryMS+pt.atMS-ck.Now()) != nil {
-						cancelled.Add(1)
+						if ck.Now()-startMS < tc.tookMS {
+							cancelled.Add(1)
+						}
 						return 0, ctx.Err()
 					}
 					progress.Report(ctx, pt.bytes)
