--- a/internal/scheduling/jobcontrol/crashes.go
+++ b/internal/scheduling/jobcontrol/crashes.go
@@ -82,11 +82,26 @@
 		ct.unexplainedCrashMS[vm.reg.GetService()] = ct.ck.Now()
 	}
 	vm.crashRecorded = true
+	count := countSuspects(suspects)
 	for _, tk := range suspects {
-		ct.putOnProbation(vm, tk, len(suspects))
+		ct.putOnProbation(vm, tk, count)
 	}
 }
 
+// countSuspects counts tasks, those of a gang as one.
+func countSuspects(list []*task) int {
+	gangs := map[*step]bool{}
+	count := 0
+	for _, tk := range list {
+		if tk.st.row.GetGang() {
+			gangs[tk.st] = true
+			continue
+		}
+		count++
+	}
+	return count + len(gangs)
+}
+
 // crashesUnexplained reports whether a VM of a service has crashed lately though nothing had started there shortly before.
 func (ct *Controller) crashesUnexplained(service string) bool {
 	atMS, ok := ct.unexplainedCrashMS[service]
@@ -159,12 +174,17 @@
 	}
 }
 
-// admitsProbation reports whether, by what else has started on the VM lately, a task may start there: one on probation starts alone, and nothing starts beside it until it is cleared.
+// admitsProbation reports whether, by what else has started on the VM lately, a task may start there: one on probation starts alone, and nothing starts beside it until it is cleared. A gang starts as one, however few VMs it has, and waits for no VM on which nothing has started.
 func (vm *vmState) admitsProbation(tk *task) bool {
-	if tk.crashes.probation {
+	if tk.crashes.probation && !tk.st.row.GetGang() {
 		return vm.uncleared == 0
 	}
-	return vm.onProbation == 0 && !vm.heldForProbation
+	if vm.heldForProbation {
+		return false
+	}
+	return vm.onProbation == 0 || tk.st.row.GetGang() && !vm.hasRun(func(rn *run) bool {
+		return rn.onProbation && !rn.cleared && rn.st != tk.st
+	})
 }
 
 // holdForProbation keeps other work from the VM of a pool that will probably be the first to admit a task on probation, unless one is held already.
--- a/internal/scheduling/jobcontrol/crashes_test.go
+++ b/internal/scheduling/jobcontrol/crashes_test.go
@@ -174,3 +174,15 @@
 		})
 	}
 }
+
+// A gang that was on a crashed VM must run again although it has fewer VMs than members: its tasks waited for VMs of their own, forever.
+func TestGangOnProbationStartsOnFewVMs(t *testing.T) {
+	cf := newCrashFleet(t, 2)
+	st := stepOf(3)
+	st.Gang = true
+	cf.submit(jobOf("g", st))
+	cf.run(40)
+	cf.crashing["vm00"], cf.crashing["vm01"] = true, true
+	cf.run(20_000)
+	qt.Assert(t, cf.state("g"), qt.Equals, workpb.State_COMPLETED)
+}
