Let late starts count for their team's cap, and any listed end complete its task

Any listed done end of a task that is neither long-running nor a gang now completes it, and its current run is stopped, as for duplicates before.

--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -83,6 +83,7 @@
 	"rules-in-force":          "The rules of version {version} are in force in this entry ({queues} queues, {teams} teams).",
 	"rules-unreadable":        "The rules could not be decoded.",
 	"run-displaced":           "The run of job {job} on worker {worker} was told to make room for job {for}.",
+	"other-run-done":          "Run {run} of task {task} proved to be done; it counts, and run {stopped-run} on {vm} is stopped.",
 	"run-done-late":           "Run {run} of task {task} proved to be done after it had been given up; it counts.",
 	"run-ended":               "Run {run} of task {task} on VM {vm} {end}.",
 	"run-evacuated":           "Run {run} of task {task} on VM {vm} is stopped to empty the machine or zone.",
--- a/internal/scheduling/jobcontrol/accounts_test.go
+++ b/internal/scheduling/jobcontrol/accounts_test.go
@@ -28,6 +28,9 @@
 		for _, rn := range vm.lateStarts {
 			late[rn.st]++
 		}
+		if len(vm.lateStarts) > 0 && !ct.lateVMs[vm] {
+			return fmt.Sprintf("the late starts of %s don't count", id)
+		}
 		if !maps.Equal(late, vm.lateOfStep) {
 			return fmt.Sprintf("%s counts late starts of %d steps, there are some of %d", id, len(vm.lateOfStep), len(late))
 		}
@@ -40,6 +43,11 @@
 			return fmt.Sprintf("team %q uses %v of %v", team, used, teams[team])
 		}
 	}
+	for vm := range ct.lateVMs {
+		if len(vm.lateStarts) == 0 || ct.vms[vm.id] != vm {
+			return fmt.Sprintf("%s counts as a VM with late starts, it has none or is gone", vm.id)
+		}
+	}
 	if starts != ct.startsUnderWay {
 		return fmt.Sprintf("%d of %d starts under way", ct.startsUnderWay, starts)
 	}
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -64,7 +64,10 @@
 	zones    map[string]*zone
 	// evacuated holds the zones in which the operators allow no starts.
 	evacuated map[string]bool
-	used      map[string]size.Size
+	// used holds what each team's runs take.
+	used map[string]size.Size
+	// lateVMs holds the VMs with late starts.
+	lateVMs   map[*vmState]bool
 	dirtyJobs []*job
 	outbox    []*workpb.Order
 	advice    []*workpb.AdviceRequest
@@ -104,7 +107,7 @@
 		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*teamshare.Shares{}, sizes: map[string]*sizefairness.History{}, undecided: map[*occurrence]int64{}, choices: map[string]choice{}, loggedChoices: map[string]loggedChoice{}, loggedLevels: map[string]map[string]int32{},
 		pace: taskpace.New(),
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
-		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, unexplainedCrashMS: map[string]int64{}, unplaceable: map[string]*unplaceable{},
+		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, lateVMs: map[*vmState]bool{}, unexplainedCrashMS: map[string]int64{}, unplaceable: map[string]*unplaceable{},
 		startLimit: math.MaxInt, firstPollLimit: math.MaxInt, busyPollMS: busyPollIntervalMS, refusedMS: map[string]int64{},
 	}
 }
--- a/internal/scheduling/jobcontrol/duplicates.go
+++ b/internal/scheduling/jobcontrol/duplicates.go
@@ -9,20 +9,6 @@
 	return tk
 }
 
-// duplicateDone records that one of a task's duplicate runs is done: the first to finish counts, and the other is stopped.
-func (ct *Controller) duplicateDone(name string) {
-	tk := ct.duplicableTask(name)
-	if tk == nil {
-		return
-	}
-	if rn := tk.current; rn != nil {
-		markReplaced(rn, ct.detach(rn))
-		ct.stop(rn)
-	}
-	ct.markDirty(tk.job())
-	ct.taskDone(tk)
-}
-
 // duplicateFailed counts the failure of a duplicate run that this owner detached; failures of an earlier owner's runs may have been counted by that owner.
 func (ct *Controller) duplicateFailed(name string) {
 	if tk := ct.duplicableTask(name); tk != nil {
--- a/internal/scheduling/jobcontrol/latestart.go
+++ b/internal/scheduling/jobcontrol/latestart.go
@@ -1,18 +1,22 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+import (
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+)
 
-// keepLateStart remembers a run that was released though an unanswered copy of its start may still be executed. The VM refuses it as long as it runs on; if it starts again under its id, it has forgotten why.
+// keepLateStart remembers a run that was released though an unanswered copy of its start may still be executed. The VM refuses it as long as it runs on; if it starts again under its id, it has forgotten why. It may have done so before anybody notices, so the start counts for its team's cap all the while.
 func (ct *Controller) keepLateStart(rn *run) {
 	if ct.ck.Now() < rn.mayStartUntilMS {
-		rn.vm.dropLateStart(rn.key)
+		ct.dropLateStart(rn.vm, rn.key)
 		rn.vm.lateStarts[rn.key] = rn
 		rn.vm.lateOfStep[rn.st]++
+		ct.lateVMs[rn.vm] = true
 	}
 }
 
 // dropLateStart forgets a late start.
-func (vm *vmState) dropLateStart(key runKey) {
+func (ct *Controller) dropLateStart(vm *vmState, key runKey) {
 	rn, ok := vm.lateStarts[key]
 	if !ok {
 		return
@@ -21,22 +25,43 @@
 	if vm.lateOfStep[rn.st]--; vm.lateOfStep[rn.st] == 0 {
 		delete(vm.lateOfStep, rn.st)
 	}
+	if len(vm.lateStarts) == 0 {
+		delete(ct.lateVMs, vm)
+	}
 }
 
 // dropLateStarts forgets the starts that can't be executed any more.
-func (vm *vmState) dropLateStarts(nowMS int64) {
+func (ct *Controller) dropLateStarts(vm *vmState, nowMS int64) {
 	for key, rn := range vm.lateStarts {
 		if nowMS >= rn.mayStartUntilMS {
-			vm.dropLateStart(key)
+			ct.dropLateStart(vm, key)
+		}
+	}
+}
+
+// dropAllLateStarts forgets the late starts of a VM that has ended for good.
+func (ct *Controller) dropAllLateStarts(vm *vmState) {
+	for key := range vm.lateStarts {
+		ct.dropLateStart(vm, key)
+	}
+}
+
+// lateUseOf returns what a team's late starts would take on the VM.
+func (vm *vmState) lateUseOf(team string) size.Size {
+	sum := size.Size{}
+	for _, rn := range vm.lateStarts {
+		if rn.team == team {
+			sum = sum.Plus(rn.capUse)
 		}
 	}
+	return sum
 }
 
 // restoreLateStarts lets the late starts of a VM that has restarted, or may have, take their room again, and their waiting tasks wait: its next incarnation may execute them until it has accepted a stop.
 func (ct *Controller) restoreLateStarts(vm *vmState) {
-	vm.dropLateStarts(ct.ck.Now())
+	ct.dropLateStarts(vm, ct.ck.Now())
 	for key, rn := range vm.lateStarts {
-		vm.dropLateStart(key)
+		ct.dropLateStart(vm, key)
 		if vm.runs[key] != nil {
 			continue
 		}
@@ -76,6 +101,6 @@
 	case vd == workpb.Verdict_IN_DOUBT:
 		rn.mayStartUntilMS = ct.ck.Now() + inDoubtMS
 	default:
-		vm.dropLateStart(key)
+		ct.dropLateStart(vm, key)
 	}
 }
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -168,8 +168,7 @@
 
 // endRuns ends all runs of a VM that has ended for good and will execute no order any more.
 func (ct *Controller) endRuns(vm *vmState) {
-	clear(vm.lateStarts)
-	clear(vm.lateOfStep)
+	ct.dropAllLateStarts(vm)
 	for _, rn := range vm.runs {
 		if rn.phase != phasePlanned {
 			rn.mayStartUntilMS = 0
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -125,7 +125,7 @@
 // expireVMs ends the runs on VMs whose leases have certainly expired, and removes VMs that are no longer registered and have no runs.
 func (ct *Controller) expireVMs(nowMS int64) {
 	for id, vm := range ct.vms {
-		vm.dropLateStarts(nowMS)
+		ct.dropLateStarts(vm, nowMS)
 		if nowMS <= vm.leaseUntilMS {
 			continue
 		}
@@ -146,17 +146,23 @@
 	}
 }
 
-// withinCap reports whether a team may use that much more within its cap.
+// withinCap reports whether a team may use that much more within its cap. The late starts of one VM, which may restart at any moment, count beside the team's runs, but don't keep a team from half of its cap.
 func (ct *Controller) withinCap(team string, need size.Size) bool {
 	limit, ok := ct.caps[team]
 	if !ok {
 		return true
 	}
 	sum := ct.used[team].Plus(need)
-	return withinLimit(sum.CoresMilli(), limit.CoresMilli()) &&
-		withinLimit(sum.MemoryMB(), limit.MemoryMB()) &&
-		withinLimit(sum.Accelerators(), limit.Accelerators())
+	if !sum.WithinLimit(limit) {
+		return false
+	}
+	if sum.Plus(sum).WithinLimit(limit) {
+		return true
+	}
+	for vm := range ct.lateVMs {
+		if !sum.Plus(vm.lateUseOf(team)).WithinLimit(limit) {
+			return false
+		}
+	}
+	return true
 }
-
-// withinLimit reports whether a sum is within a limit; a limit of 0 means none.
-func withinLimit(sum, limit int64) bool { return limit == 0 || sum <= limit }
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -312,8 +312,7 @@
 		}
 		switch row.GetEnd() {
 		case workpb.End_END_DONE:
-			ct.duplicateDone(row.GetTask())
-			ct.lastRunDone(key)
+			ct.otherRunDone(key)
 		case workpb.End_END_FAILED:
 			ct.givenUpRunFailed(vm, key)
 		default:
@@ -321,13 +320,19 @@
 	}
 }
 
-// lastRunDone records that a waiting task is done whose last run was given up while its VM couldn't be reached. A gang's tasks run together, so the end of one of them doesn't count.
-func (ct *Controller) lastRunDone(key runKey) {
+// otherRunDone records that a task is done by another run than the one that it has: a duplicate, one that was given up while its VM couldn't be reached, or one whose start was executed late. The first to finish counts, and the run that the task has is stopped. A gang's tasks run together, so the end of one of them doesn't count.
+func (ct *Controller) otherRunDone(key runKey) {
 	tk := ct.openTask(key.task)
-	if tk == nil || tk.current != nil || tk.run != key.run || tk.st.row.GetGang() || tk.st.row.GetLasting() {
+	if tk == nil || tk.st.row.GetGang() || tk.st.row.GetLasting() {
 		return
 	}
-	ct.lg.Info("run-done-late", "task", key.task, "run", key.run)
+	if rn := tk.current; rn != nil {
+		ct.lg.Info("other-run-done", "task", key.task, "run", key.run, "stopped-run", rn.key.run, "vm", rn.vm.id)
+		markReplaced(rn, ct.detach(rn))
+		ct.stop(rn)
+	} else {
+		ct.lg.Info("run-done-late", "task", key.task, "run", key.run)
+	}
 	ct.markDirty(tk.job())
 	ct.taskDone(tk)
 }
--- a/internal/scheduling/size/size.go
+++ b/internal/scheduling/size/size.go
@@ -55,6 +55,13 @@
 	return sz.coresMilli <= free.coresMilli && sz.memoryMB <= free.memoryMB && sz.accelerators <= free.accelerators
 }
 
+// WithinLimit reports whether the size exceeds a limit in no resource; a limit of 0 means none.
+func (sz Size) WithinLimit(limit Size) bool {
+	return within(sz.coresMilli, limit.coresMilli) && within(sz.memoryMB, limit.memoryMB) && within(sz.accelerators, limit.accelerators)
+}
+
+func within(amount, limit int64) bool { return limit == 0 || amount <= limit }
+
 // CopiesIn returns how many amounts of this size the free one holds, at most a given number.
 func (sz Size) CopiesIn(free Size, most int) int {
 	return max(min(most, copiesIn(sz.coresMilli, free.coresMilli, most), copiesIn(sz.memoryMB, free.memoryMB, most), copiesIn(sz.accelerators, free.accelerators, most)), 0)
--- a/internal/scheduling/size/size_test.go
+++ b/internal/scheduling/size/size_test.go
@@ -20,3 +20,19 @@
 		}
 	}
 }
+
+func TestWithinLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		amount size.Size
+		limit  size.Size
+		want   bool
+	}{
+		{"no limit", size.New(9, 9, 9), size.New(0, 0, 0), true},
+		{"at the limit", size.New(4, 5, 6), size.New(4, 5, 6), true},
+		{"too much memory", size.New(4, 6, 6), size.New(4, 5, 6), false},
+		{"only accelerators are limited", size.New(4, 6, 7), size.New(0, 0, 6), false},
+	} {
+		qt.Check(t, tc.amount.WithinLimit(tc.limit), qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
