--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -225,7 +225,7 @@
 		if !ct.mayStartMore() {
 			return
 		}
-		if !ct.withinCap(cd.st.oc.jb.row.GetTeam(), cd.st.capUse()) {
+		if !ct.mayUse(cd.st.oc.jb.row.GetTeam(), cd.st.capUse()) {
 			return
 		}
 		vm := chooseVM(tk, pool)
@@ -252,7 +252,7 @@
 		number = max(number, tk.run)
 		need = need.Plus(st.capUse())
 	}
-	if !ct.withinCap(st.oc.jb.row.GetTeam(), need) {
+	if !ct.mayUse(st.oc.jb.row.GetTeam(), need) {
 		return
 	}
 	planned := make([]*run, 0, len(st.tasks))
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -146,21 +146,23 @@
 	}
 }
 
-// withinCap reports whether a team may use that much more within its cap. The late starts of one VM, which may restart at any moment, count beside the team's runs, but don't keep a team from half of its cap.
+// withinCap reports whether a team's runs may use that much more within its cap.
 func (ct *Controller) withinCap(team string, need size.Size) bool {
 	limit, ok := ct.caps[team]
-	if !ok {
-		return true
-	}
-	sum := ct.used[team].Plus(need)
-	if !sum.WithinLimit(limit) {
+	return !ok || ct.used[team].Plus(need).WithinLimit(limit)
+}
+
+// mayUse reports whether a start of a team that takes that much may be planned. The late starts of one VM, which may restart at any moment, count beside the team's runs, but a team that uses less than half of its cap doesn't wait for them.
+func (ct *Controller) mayUse(team string, need size.Size) bool {
+	if !ct.withinCap(team, need) {
 		return false
 	}
-	if sum.Plus(sum).WithinLimit(limit) {
+	limit, used := ct.caps[team], ct.used[team]
+	if used.BelowHalf(limit) {
 		return true
 	}
 	for vm := range ct.lateVMs {
-		if !sum.Plus(vm.lateUseOf(team)).WithinLimit(limit) {
+		if !used.Plus(need).Plus(vm.lateUseOf(team)).WithinLimit(limit) {
 			return false
 		}
 	}
--- a/internal/scheduling/jobcontrol/secondruns.go
+++ b/internal/scheduling/jobcontrol/secondruns.go
@@ -48,7 +48,7 @@
 // lacksRoom reports whether a step among the candidates has tasks left that wait for room rather than for their team's cap.
 func (ct *Controller) lacksRoom(list []candidate, nowMS int64) bool {
 	return slices.ContainsFunc(list, func(cd candidate) bool {
-		return cd.st.waiting(nowMS) && ct.withinCap(cd.st.oc.jb.row.GetTeam(), cd.st.capUse())
+		return cd.st.waiting(nowMS) && ct.mayUse(cd.st.oc.jb.row.GetTeam(), cd.st.capUse())
 	})
 }
 
@@ -72,7 +72,7 @@
 			return
 		}
 		spareMilli -= sg.rn.need.CoresMilli()
-		if spareMilli < 0 || !ct.withinCap(sg.rn.team, sg.rn.capUse) {
+		if spareMilli < 0 || !ct.mayUse(sg.rn.team, sg.rn.capUse) {
 			continue
 		}
 		if vm := ct.chooseOtherVM(sg.rn, ct.fasterVMs(sg.rn, pools), nowMS); vm != nil {
--- a/internal/scheduling/size/size.go
+++ b/internal/scheduling/size/size.go
@@ -62,6 +62,13 @@
 
 func within(amount, limit int64) bool { return limit == 0 || amount <= limit }
 
+// BelowHalf reports whether the size is below half of a limit in each resource; a limit of 0 means none.
+func (sz Size) BelowHalf(limit Size) bool {
+	return belowHalf(sz.coresMilli, limit.coresMilli) && belowHalf(sz.memoryMB, limit.memoryMB) && belowHalf(sz.accelerators, limit.accelerators)
+}
+
+func belowHalf(amount, limit int64) bool { return limit == 0 || 2*amount < limit }
+
 // CopiesIn returns how many amounts of this size the free one holds, at most a given number.
 func (sz Size) CopiesIn(free Size, most int) int {
 	return max(min(most, copiesIn(sz.coresMilli, free.coresMilli, most), copiesIn(sz.memoryMB, free.memoryMB, most), copiesIn(sz.accelerators, free.accelerators, most)), 0)
--- a/internal/scheduling/size/size_test.go
+++ b/internal/scheduling/size/size_test.go
@@ -36,3 +36,19 @@
 		qt.Check(t, tc.amount.WithinLimit(tc.limit), qt.Equals, tc.want, qt.Commentf(tc.name))
 	}
 }
+
+func TestBelowHalf(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		amount size.Size
+		limit  size.Size
+		want   bool
+	}{
+		{"no limit", size.New(9, 9, 9), size.New(0, 0, 0), true},
+		{"half", size.New(2, 0, 0), size.New(4, 0, 0), false},
+		{"less than half", size.New(1, 1, 1), size.New(4, 3, 3), true},
+		{"half of the memory", size.New(1, 2, 1), size.New(4, 3, 3), false},
+	} {
+		qt.Check(t, tc.amount.BelowHalf(tc.limit), qt.Equals, tc.want, qt.Commentf(tc.name))
+	}
+}
