--- a/internal/scheduling/jobcontrol/choose.go
+++ b/internal/scheduling/jobcontrol/choose.go
@@ -36,8 +36,11 @@
 		ct.choices[service] = choice{atMS: nowMS, deferred: ct.chooseStarts(service, list, nowMS)}
 	}
 	deferred := ct.choices[service].deferred
+	if len(deferred) == 0 {
+		return
+	}
 	for at := range list {
-		if list[at].tier == tierOnTime && !list[at].begun && deferred[list[at].st.oc] {
+		if list[at].tier == tierOnTime && deferred[list[at].st.oc] && !list[at].begun() {
 			list[at].tier = tierDeferred
 		}
 	}
@@ -174,7 +177,7 @@
 
 // deferrable reports whether a step belongs to a job that may be deferred: one that can be in time, of a queue with an objective that isn't public, of which nothing has started.
 func (ct *Controller) deferrable(cd *candidate) bool {
-	return cd.tier == tierOnTime && !cd.begun && jobwork.HasObjective(ct.queueOf(cd.st.oc.jb))
+	return cd.tier == tierOnTime && jobwork.HasObjective(ct.queueOf(cd.st.oc.jb)) && !cd.begun()
 }
 
 // begunCoreMS returns the rest of the work in a service's pool that goes on whatever is chosen: of all jobs that are or can be in time but for those that wait to be chosen, and of the running tasks of others.
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
@@ -48,6 +49,10 @@
 	nextMoveMS int64
 	// nextSecondMS is when second runs are looked for next.
 	nextSecondMS int64
+	// room holds, by service, what its usable VMs have free during the planning pass.
+	room map[string]poolRoom
+	// movedRuns holds the runs that are being stopped to move them to a target, and some that have ended since.
+	movedRuns []*run
 	// pace holds what was learned of the speed of VMs and of the duration of work.
 	pace *taskpace.Pace
 	// unplaceable holds the services with long-running tasks that fit none of their VMs.
@@ -61,7 +66,9 @@
 	// endedIDs holds the ids of ended jobs that Ended hasn't returned yet.
 	endedIDs []string
 	vms      map[string]*vmState
-	zones    map[string]*zone
+	// sortedVMs holds the same VMs in order of their ids.
+	sortedVMs []*vmState
+	zones     map[string]*zone
 	// evacuated holds the zones in which the operators allow no starts.
 	evacuated map[string]bool
 	// used holds what each team's runs take.
@@ -105,7 +112,7 @@
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
 		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*teamshare.Shares{}, sizes: map[string]*sizefairness.History{}, undecided: map[*occurrence]int64{}, choices: map[string]choice{}, loggedChoices: map[string]loggedChoice{}, loggedLevels: map[string]map[string]int32{},
-		pace: taskpace.New(),
+		pace: taskpace.New(), room: map[string]poolRoom{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, lateVMs: map[*vmState]bool{}, unexplainedCrashMS: map[string]int64{}, unplaceable: map[string]*unplaceable{},
 		startLimit: math.MaxInt, firstPollLimit: math.MaxInt, busyPollMS: busyPollIntervalMS, refusedMS: map[string]int64{},
@@ -240,9 +247,22 @@
 	got.firstSeenMS = ct.ck.Now()
 	got.leaseUntilMS = ct.startedMS + RenewalWindowMS + ct.maxLeaseMS()
 	ct.vms[id] = got
+	at, _ := slices.BinarySearchFunc(ct.sortedVMs, id, compareID)
+	ct.sortedVMs = slices.Insert(ct.sortedVMs, at, got)
 	return got
 }
 
+// forgetVM removes a VM that is no longer registered and has no runs.
+func (ct *Controller) forgetVM(vm *vmState) {
+	ct.forgetVMPace(vm.id)
+	delete(ct.vms, vm.id)
+	if at, ok := slices.BinarySearchFunc(ct.sortedVMs, vm.id, compareID); ok {
+		ct.sortedVMs = slices.Delete(ct.sortedVMs, at, at+1)
+	}
+}
+
+func compareID(vm *vmState, id string) int { return strings.Compare(vm.id, id) }
+
 // maxLeaseMS returns how long after a renewal every run on a VM has certainly ended, even if the VM's clock runs slow.
 func (ct *Controller) maxLeaseMS() int64 {
 	return ct.runLeaseMS*fullPercent/minClockRatePercent + leaseMarginMS
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -156,12 +156,16 @@
 
 // queueOf returns the queue of a job, or the queue as it was at acceptance if it has been removed since.
 func (ct *Controller) queueOf(jb *job) *workpb.Queue {
+	if jb.queueRules == ct.rules && ct.rules != nil {
+		return jb.queue
+	}
+	jb.queueRules, jb.queue = ct.rules, jb.row.GetAcceptedUnder()
 	if ct.rules != nil {
 		if qu, ok := ct.rules.Queue(jb.row.GetQueue()); ok {
-			return qu
+			jb.queue = qu
 		}
 	}
-	return jb.row.GetAcceptedUnder()
+	return jb.queue
 }
 
 // HandleVerdict records the outcome of an order.
--- a/internal/scheduling/jobcontrol/evacuate.go
+++ b/internal/scheduling/jobcontrol/evacuate.go
@@ -1,6 +1,10 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+import (
+	"slices"
+
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+)
 
 // handoverMS is how long a new owner waits before it evacuates long-running tasks; stops that an earlier owner ordered take less.
 const handoverMS = 1500
@@ -81,16 +85,21 @@
 // holdRoom holds room for the long-running tasks that are being moved off draining VMs, so that nothing else is placed there before they have been stopped.
 func (ct *Controller) holdRoom() heldRoom {
 	hr := heldRoom{}
-	for _, vm := range ct.vms {
-		for _, rn := range vm.runs {
-			if rn.target != nil && rn.task != nil && !rn.task.job().ended() {
-				hr.hold(rn.target, rn.need)
-			}
+	ct.movedRuns = slices.DeleteFunc(ct.movedRuns, func(rn *run) bool { return rn.vm.runs[rn.key] != rn })
+	for _, rn := range ct.movedRuns {
+		if rn.target != nil && rn.task != nil && !rn.task.job().ended() {
+			hr.hold(rn.target, rn.need)
 		}
 	}
 	return hr
 }
 
+// moveTo records that a run is being stopped so that its task moves to another VM.
+func (ct *Controller) moveTo(rn *run, target *vmState) {
+	rn.target = target
+	ct.movedRuns = append(ct.movedRuns, rn)
+}
+
 // chooseOtherVM returns the VM to which a run's task can be moved, or nil if none has room for it or its team is over its cap.
 func (ct *Controller) chooseOtherVM(rn *run, pools map[string][]*vmState, nowMS int64) *vmState {
 	pool := pools[rn.vm.reg.GetService()]
@@ -116,8 +125,9 @@
 			if !ct.mayEvacuate(rn, max(int(rn.task.st.row.GetDisruptionBudget()), 1)) {
 				continue
 			}
-			if rn.target = ct.chooseOtherVM(rn, pools, nowMS); rn.target != nil {
-				hr.hold(rn.target, rn.need)
+			if target := ct.chooseOtherVM(rn, pools, nowMS); target != nil {
+				ct.moveTo(rn, target)
+				hr.hold(target, rn.need)
 				ct.evacuateRun(rn)
 			}
 		}
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
@@ -18,7 +19,12 @@
 	occurrences []*occurrence
 	// criticalPaths holds for each step the largest sum of estimates along a path of dependent steps from its start to the job's end, in milliseconds.
 	criticalPaths []int64
+	// longestPathMS is the largest of them.
+	longestPathMS int64
 	dirty         bool
+	// queue is the job's queue under queueRules.
+	queue      *workpb.Queue
+	queueRules *rulesindex.Index
 }
 
 // occurrence is one execution of a job's steps; a scheduled job may have several.
@@ -87,6 +93,9 @@
 func newJob(row *workpb.Job) *job {
 	jb := &job{row: row, state: workpb.State_QUEUED}
 	jb.criticalPaths = jobwork.CriticalPaths(row.GetSteps())
+	for _, pathMS := range jb.criticalPaths {
+		jb.longestPathMS = max(jb.longestPathMS, pathMS)
+	}
 	return jb
 }
 
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -1,8 +1,9 @@
 package jobcontrol
 
 import (
+	"cmp"
 	"slices"
-	"sort"
+	"strings"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
@@ -19,10 +20,11 @@
 	objectiveMS int64
 	// level is how far the job's team is above its fair share; work of a lower level goes first.
 	level int32
-	// begun is set while a task of the job's occurrence has a run or is done.
-	begun bool
 }
 
+// begun reports whether a task of the job's occurrence has a run or is done.
+func (cd candidate) begun() bool { return cd.st.oc.started() }
+
 // Tiers of steps, in the order in which they are placed.
 const (
 	// tierLasting: long-running tasks, which serve users all the time; a missing one costs from the first second.
@@ -62,7 +64,7 @@
 	ct.placeSecondRuns(bt, ready, pools, nowMS)
 }
 
-// rankedCandidates returns the steps with tasks that may start, in order of their rank, for each service with usable VMs.
+// rankedCandidates returns the steps with tasks that may start for each service with usable VMs: those that may find room in order of their rank, then the others.
 func (ct *Controller) rankedCandidates(pools map[string][]*vmState, nowMS int64) map[string][]candidate {
 	out := ct.candidates(nowMS)
 	ct.endChoices(out, nowMS)
@@ -74,7 +76,7 @@
 		}
 		ct.rankTeams(service, list, nowMS)
 		ct.deferStarts(service, list, nowMS)
-		sortCandidates(list)
+		sortCandidates(list[:ct.fittingFirst(service, list)])
 	}
 	return out
 }
@@ -113,20 +115,60 @@
 // pools returns the usable VMs of each service, without those in a zone that is evacuated or cut off, and clears what the pass before left on them.
 func (ct *Controller) pools(nowMS int64) map[string][]*vmState {
 	pools := map[string][]*vmState{}
-	for _, vm := range ct.vms {
+	clear(ct.room)
+	for _, vm := range ct.sortedVMs {
 		vm.reserved, vm.lastingSum = false, nil
 		vm.heldForProbation = nowMS < vm.heldUntilMS
 		vm.slow, vm.trialDue = ct.pace.VMSlow(vm.id), ct.pace.TrialDue(vm.id, nowMS)
 		if vm.usable(nowMS) && !ct.ZoneClosed(vm.reg.GetZone()) {
-			pools[vm.reg.GetService()] = append(pools[vm.reg.GetService()], vm)
+			service := vm.reg.GetService()
+			pools[service] = append(pools[service], vm)
+			ct.room[service] = poolRoom{most: ct.room[service].most.Max(vm.free())}
 		}
 	}
-	for _, pool := range pools {
-		sort.Slice(pool, func(i, j int) bool { return pool[i].id < pool[j].id })
-	}
 	return pools
 }
 
+// poolRoom bounds what the usable VMs of a service have free during a planning pass.
+type poolRoom struct {
+	// most is no less than what any of them has free.
+	most size.Size
+	// shrunk is set once a start was planned since most was computed.
+	shrunk bool
+}
+
+// measureRoom computes again what the VMs of a service have free at most, if starts have been planned meanwhile.
+func (ct *Controller) measureRoom(service string, pool []*vmState) {
+	if !ct.room[service].shrunk {
+		return
+	}
+	most := size.Size{}
+	for _, vm := range pool {
+		most = most.Max(vm.free())
+	}
+	ct.room[service] = poolRoom{most: most}
+}
+
+// fitsNone reports whether no VM of a service has room for a task of the candidate, as far as is known without a look at each, and nothing but a start would come of that look.
+func (ct *Controller) fitsNone(service string, cd candidate) bool {
+	if cd.lasting() || cd.st.need().Fits(ct.room[service].most) || ct.queueOf(cd.st.oc.jb).GetAdvised() {
+		return false
+	}
+	return !slices.ContainsFunc(cd.st.tasks, func(tk *task) bool { return tk.crashes.probation })
+}
+
+// fittingFirst moves the candidates for which a VM may have room to the front, and returns their number.
+func (ct *Controller) fittingFirst(service string, list []candidate) int {
+	count := 0
+	for at := range list {
+		if !ct.fitsNone(service, list[at]) {
+			list[at], list[count] = list[count], list[at]
+			count++
+		}
+	}
+	return count
+}
+
 func (ct *Controller) candidates(nowMS int64) map[string][]candidate {
 	out := map[string][]candidate{}
 	for _, jb := range ct.active {
@@ -164,17 +206,11 @@
 	if st.row.GetLasting() {
 		return candidate{st: st, tier: tierLasting, latestMS: st.oc.dueMS}
 	}
-	criticalPath := slices.Max(st.oc.jb.criticalPaths)
-	objective := jobwork.ObjectiveMS(qu, criticalPath)
+	objective := jobwork.ObjectiveMS(qu, st.oc.jb.longestPathMS)
 	latest := st.oc.dueMS + objective - st.criticalPathMS()
 	cd := candidate{st: st, latestMS: latest, objectiveMS: objective}
-	graceMS := int64(onTimeSlackMS)
-	cd.begun = st.oc.started()
-	if !cd.begun {
-		graceMS = -firstStartMarginMS
-	}
 	switch {
-	case latest+graceMS >= nowMS:
+	case latest-firstStartMarginMS >= nowMS || (latest+onTimeSlackMS >= nowMS && cd.begun()):
 		cd.tier = tierOnTime
 	case latest+(lateFactor-1)*objective >= nowMS:
 		cd.tier = tierLate
@@ -190,25 +226,22 @@
 }
 
 func sortCandidates(list []candidate) {
-	sort.Slice(list, func(i, j int) bool {
-		one, other := list[i], list[j]
-		if one.tier != other.tier {
-			return one.tier < other.tier
-		}
-		if one.level != other.level {
-			return one.level < other.level
+	slices.SortFunc(list, func(one, other candidate) int {
+		if order := cmp.Or(cmp.Compare(one.tier, other.tier), cmp.Compare(one.level, other.level)); order != 0 {
+			return order
 		}
 		if one.tier == tierLate && one.st.criticalPathMS() != other.st.criticalPathMS() {
-			return one.st.criticalPathMS() < other.st.criticalPathMS()
+			return cmp.Compare(one.st.criticalPathMS(), other.st.criticalPathMS())
 		}
-		if one.latestMS != other.latestMS {
-			return one.latestMS < other.latestMS
-		}
-		return one.st.oc.jb.row.GetId() < other.st.oc.jb.row.GetId()
+		return cmp.Or(cmp.Compare(one.latestMS, other.latestMS), strings.Compare(one.st.oc.jb.row.GetId(), other.st.oc.jb.row.GetId()))
 	})
 }
 
 func (ct *Controller) placeStep(bt *Batch, cd candidate, all []*vmState, nowMS int64) {
+	service := ct.queueOf(cd.st.oc.jb).GetService()
+	if ct.fitsNone(service, cd) {
+		return
+	}
 	pool := all
 	cd.st.paced = ct.paced(cd.st)
 	if ct.queueOf(cd.st.oc.jb).GetAdvised() {
@@ -229,6 +262,9 @@
 			return
 		}
 		vm := chooseVM(tk, pool)
+		if vm == nil {
+			ct.measureRoom(service, all)
+		}
 		if vm == nil && tk.crashes.probation {
 			ct.holdForProbation(tk, pool, nowMS)
 			continue
@@ -281,6 +317,9 @@
 func (ct *Controller) planStart(bt *Batch, vm *vmState, tk *task, number int64) {
 	tk.run = number
 	vm.lastingSum = nil
+	if service := vm.reg.GetService(); !ct.room[service].shrunk {
+		ct.room[service] = poolRoom{most: ct.room[service].most, shrunk: true}
+	}
 	ct.beginTrial(vm)
 	bt.starts = append(bt.starts, ct.allocate(vm, tk, phasePlanned))
 	ct.markDirty(tk.job())
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -124,7 +124,7 @@
 
 // expireVMs ends the runs on VMs whose leases have certainly expired, and removes VMs that are no longer registered and have no runs.
 func (ct *Controller) expireVMs(nowMS int64) {
-	for id, vm := range ct.vms {
+	for _, vm := range ct.vms {
 		ct.dropLateStarts(vm, nowMS)
 		if nowMS <= vm.leaseUntilMS {
 			continue
@@ -134,8 +134,7 @@
 			ct.expireRuns(vm)
 		}
 		if !vm.registered && len(vm.runs) == 0 && len(vm.lateStarts) == 0 && !vm.polling {
-			ct.forgetVMPace(id)
-			delete(ct.vms, id)
+			ct.forgetVM(vm)
 		}
 	}
 }
--- a/internal/scheduling/jobcontrol/secondruns.go
+++ b/internal/scheduling/jobcontrol/secondruns.go
@@ -15,6 +15,9 @@
 
 // first returns the run of a task that goes on beside its second run, or nil. It was detached from the task, like a run on a silent VM, but isn't to be stopped before one of the two is done.
 func (tk *task) first() *run {
+	if len(tk.replaced) == 0 {
+		return nil
+	}
 	for _, rn := range tk.replaced {
 		if rn.phase == phaseRunning {
 			return rn
--- a/internal/scheduling/jobcontrol/shares.go
+++ b/internal/scheduling/jobcontrol/shares.go
@@ -75,12 +75,13 @@
 	}
 	sh := ct.sharesOf(service, nowMS)
 	sh.Rank(ct.weights, waiting)
+	levels := sh.Levels()
 	for at := range list {
 		cd := &list[at]
-		if cd.lasting() {
+		if cd.lasting() || len(levels) == 0 {
 			continue
 		}
-		cd.level = sh.Level(cd.team())
+		cd.level = levels[cd.team()]
 		if !jobwork.HasObjective(ct.queueOf(cd.st.oc.jb)) {
 			cd.level = min(cd.level, anyLevelAbove)
 		}
--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -235,7 +235,7 @@
 			ct.planStart(bt, vm, tk, tk.run+1)
 			continue
 		}
-		sg.rn.target = vm
+		ct.moveTo(sg.rn, vm)
 		hr.hold(vm, sg.rn.need)
 	}
 }
--- a/internal/scheduling/taskpace/queuetimes.go
+++ b/internal/scheduling/taskpace/queuetimes.go
@@ -15,8 +15,9 @@
 type queueTimes struct {
 	recent []taskTime
 	next   int
-	// usualRatio is the ratio of duration to estimate that tasks on VMs of normal speed rarely exceed, 0 if too few have ended; it is computed when a task has ended, since runs are compared far more often.
+	// usualRatio is the ratio of duration to estimate that tasks on VMs of normal speed rarely exceed, 0 if too few have ended; usualKnown is set once it was computed from the most recent ones.
 	usualRatio float64
+	usualKnown bool
 }
 
 type taskTime struct {
@@ -32,7 +33,7 @@
 		qt.recent[qt.next] = tt
 		qt.next = (qt.next + 1) % recentQueueTasks
 	}
-	qt.usualRatio = qt.findUsualRatio()
+	qt.usualKnown = false
 }
 
 func (qt *queueTimes) factor() float64 {
@@ -49,6 +50,9 @@
 
 // usualMS returns the duration that tasks of an estimate rarely exceed on VMs of normal speed. Where estimates are rough, that is much longer than the average, so that single tasks aren't taken for slow.
 func (qt *queueTimes) usualMS(estimateMS int64) (int64, bool) {
+	if !qt.usualKnown {
+		qt.usualRatio, qt.usualKnown = qt.findUsualRatio(), true
+	}
 	return int64(qt.usualRatio * float64(estimateMS)), qt.usualRatio > 0
 }
 
--- a/internal/scheduling/taskpace/taskpace.go
+++ b/internal/scheduling/taskpace/taskpace.go
@@ -10,6 +10,8 @@
 	queues map[string]*queueTimes
 	steps  map[string]map[int]sibling
 	vms    map[string]*vmPace
+	// slow holds those of the VMs that count as slow.
+	slow map[string]*vmPace
 	// retries holds, by queue, whether further runs of tasks that were long on sound VMs helped.
 	retries map[string]*retries
 }
@@ -31,7 +33,7 @@
 
 // New returns a pace without observations.
 func New() *Pace {
-	return &Pace{queues: map[string]*queueTimes{}, steps: map[string]map[int]sibling{}, vms: map[string]*vmPace{}, retries: map[string]*retries{}}
+	return &Pace{queues: map[string]*queueTimes{}, steps: map[string]map[int]sibling{}, vms: map[string]*vmPace{}, slow: map[string]*vmPace{}, retries: map[string]*retries{}}
 }
 
 // RecordProgress records the projected duration of a task's run, which began at startMS, on a VM, and reports whether the VM has become slow or has recovered.
@@ -73,7 +75,10 @@
 func (pc *Pace) ForgetStep(step string) { delete(pc.steps, step) }
 
 // ForgetVM removes what was learned of a VM, which has restarted or ended.
-func (pc *Pace) ForgetVM(vm string) { delete(pc.vms, vm) }
+func (pc *Pace) ForgetVM(vm string) {
+	delete(pc.vms, vm)
+	delete(pc.slow, vm)
+}
 
 // TrialBegun records that a slow VM was given a task to see whether it has recovered.
 func (pc *Pace) TrialBegun(vm string, nowMS int64) {
@@ -123,13 +128,19 @@
 		vp = newVMPace()
 		pc.vms[vm] = vp
 	}
-	return vp.record(taskKey{step, index}, float64(tookMS)/float64(expectedMS), startMS, nowMS)
+	changed := vp.record(taskKey{step, index}, float64(tookMS)/float64(expectedMS), startMS, nowMS)
+	if vp.verdict == verdictSlow {
+		pc.slow[vm] = vp
+	} else {
+		delete(pc.slow, vm)
+	}
+	return changed
 }
 
 // VMSlow reports whether a VM counts as slow.
 func (pc *Pace) VMSlow(vm string) bool {
-	vp, ok := pc.vms[vm]
-	return ok && vp.verdict == verdictSlow
+	_, ok := pc.slow[vm]
+	return ok
 }
 
 // VMSound reports whether a VM is known to run its tasks at normal speed, whatever one of them takes.
@@ -140,8 +151,8 @@
 
 // TrialDue reports whether a slow VM should get one task again to see whether it has recovered.
 func (pc *Pace) TrialDue(vm string, nowMS int64) bool {
-	vp, ok := pc.vms[vm]
-	return ok && vp.verdict == verdictSlow && nowMS-vp.seenMS >= vp.trialMS
+	vp, ok := pc.slow[vm]
+	return ok && nowMS-vp.seenMS >= vp.trialMS
 }
 
 // SlowPercent returns how long tasks take on a VM relative to others, in percent; 100 if nothing is known.
@@ -154,13 +165,7 @@
 
 // SlowVMs returns the VMs that count as slow, in order.
 func (pc *Pace) SlowVMs() []string {
-	var out []string
-	for _, vm := range slices.Sorted(maps.Keys(pc.vms)) {
-		if pc.VMSlow(vm) {
-			out = append(out, vm)
-		}
-	}
-	return out
+	return slices.Sorted(maps.Keys(pc.slow))
 }
 
 func lowerMedian(list []int64) int64 {
