An owner short of processor time notices it: others make its calls, passes keep their part

At the limit of the processor answers are read late, starts are given up as in doubt and repeated, and the start window shrinks to 8: 34 to 160 jobs of a peak fail.

Now the owner measures how late its loop runs (ownerload). Planning passes are spaced so that they take a sixth of the time (planpace), and withdrawn starts are found by what has changed.

--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -84,6 +84,8 @@
 	// startLimit is how many starts may be under way, startsUnderWay how many are.
 	startLimit     int
 	startsUnderWay int
+	// startsOver holds the runs whose starts are no longer under way, for EachStartOver.
+	startsOver []*run
 	// idlePolls is the number of polls under way of VMs without runs that answer or are new, unresponsivePolls that of those that don't answer.
 	idlePolls         int
 	unresponsivePolls int
@@ -288,7 +290,7 @@
 // setPhase changes the phase of a run and keeps count of the starts under way.
 func (ct *Controller) setPhase(rn *run, ph phase) {
 	if rn.phase.startUnderWay() {
-		ct.startsUnderWay--
+		ct.startOver(rn)
 	}
 	rn.phase = ph
 	if rn.phase.startUnderWay() {
@@ -315,7 +317,7 @@
 		return nil
 	}
 	if rn.phase.startUnderWay() {
-		ct.startsUnderWay--
+		ct.startOver(rn)
 	}
 	if rn.st == nil {
 		rn.vm.unknownRuns--
--- a/internal/scheduling/jobcontrol/startwanted.go
+++ b/internal/scheduling/jobcontrol/startwanted.go
@@ -7,3 +7,18 @@
 	rn := ct.runOf(od)
 	return rn != nil && rn.phase == phaseOrdered
 }
+
+// EachStartOver calls fn for each run whose start has been under way and no longer is, since the last call of EachStartOver.
+func (ct *Controller) EachStartOver(fn func(vm, task string, run int64)) {
+	list := ct.startsOver
+	ct.startsOver = nil
+	for _, rn := range list {
+		fn(rn.vm.id, rn.key.task, rn.key.run)
+	}
+}
+
+// startOver records that the start of a run is no longer under way.
+func (ct *Controller) startOver(rn *run) {
+	ct.startsUnderWay--
+	ct.startsOver = append(ct.startsOver, rn)
+}
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -13,6 +13,8 @@
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/ownerload"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/planpace"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/pollpace"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/relay"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startretry"
@@ -90,6 +92,8 @@
 	cleaner       *rowCleaner
 	levels        *levelGauges
 	lag           *lag.Lag
+	load          *ownerload.Load
+	planPace      *planpace.Pace
 	starts        *startwindow.Window
 	startRetry    *startretry.Delay
 	pollRetry     *startretry.Delay
@@ -111,8 +115,6 @@
 
 const (
 	eventBuffer = 4096
-	// planIntervalMS is the minimum time between planning passes, so that jobs and run ends that arrive together share a commit.
-	planIntervalMS = 15
 	// tickIntervalMS is how often due polls and timeouts are checked without an event.
 	tickIntervalMS = 30
 	// pollScanIntervalMS is the minimum time between two searches for polls that are due, which visit each VM.
@@ -140,7 +142,7 @@
 		deps: deps, ck: ck, lg: lg, ow: ow,
 		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
 		events: make(chan func(), eventBuffer), orderQueues: map[string]*orderQueue{}, openStarts: map[startKey]*queuedOrder{},
-		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), starts: startwindow.New(), startRetry: startretry.New(), pollRetry: startretry.New(),
+		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), load: ownerload.New(), planPace: planpace.New(), starts: startwindow.New(), startRetry: startretry.New(), pollRetry: startretry.New(),
 	}
 	rn.pollPace = pollpace.New(deps.LinkBytesPerS)
 	rn.bulk = rn.newBulkReader(deps.LinkBytesPerS)
@@ -159,7 +161,7 @@
 	// The ownership isn't safe for concurrent use, so a commit in flight must end before it is released or polled.
 	defer rn.commits.Wait()
 	defer cancel()
-	defer rn.deps.Relays.Update(nil)
+	defer rn.deps.Relays.Update(nil, false)
 	rn.applyRules()
 	if err := rn.restore(ctx, stop); err != nil {
 		return err
@@ -182,6 +184,7 @@
 			fn()
 			rn.drainEvents()
 		case <-tick.C:
+			rn.recordTick()
 		}
 		if rn.handoverDue() {
 			return rn.finish()
@@ -350,7 +353,7 @@
 // plan makes a planning pass and commits its result; at most one commit is in flight.
 func (rn *Runner) plan(ctx context.Context) {
 	nowMS := rn.ck.Now()
-	if rn.committing || nowMS-rn.lastPlanMS < planIntervalMS {
+	if rn.committing || nowMS-rn.lastPlanMS < rn.planPace.IntervalMS() {
 		return
 	}
 	renew := nowMS-rn.lastCommitMS >= renewIntervalMS
@@ -361,6 +364,7 @@
 	rn.lastPlanMS = nowMS
 	rn.ct.LimitStarts(rn.startLimit())
 	bt := rn.ct.Plan(rn.ow.Held())
+	rn.planPace.Record(rn.ck.Now() - nowMS)
 	counts := rn.pendingCounts(nowMS)
 	estimate := rn.waits.dueRow(nowMS)
 	waveRows := rn.waves.changedRows()
--- a/internal/scheduling/jobrunner/linklimits.go
+++ b/internal/scheduling/jobrunner/linklimits.go
@@ -27,7 +27,7 @@
 )
 
 // linkLimited reports whether this entry's link doesn't carry the calls to all VMs.
-func (rn *Runner) linkLimited() bool { return rn.deps.Relays.Needed(len(rn.ct.VMs())) }
+func (rn *Runner) linkLimited() bool { return rn.deps.Relays.LinkLimited(len(rn.ct.VMs())) }
 
 // startLimit returns how many starts may be under way, by how fast VMs answer and by the link.
 func (rn *Runner) startLimit() int {
--- a/internal/scheduling/jobrunner/orderqueue.go
+++ b/internal/scheduling/jobrunner/orderqueue.go
@@ -85,11 +85,11 @@
 
 // withdrawUnwantedStarts withdraws the starts of runs that have begun, have ended or are to be stopped, whether or not a stop is sent.
 func (rn *Runner) withdrawUnwantedStarts() {
-	for _, qo := range rn.openStarts {
-		if !rn.ct.StartWanted(qo.od) {
+	rn.ct.EachStartOver(func(vm, task string, run int64) {
+		if qo, ok := rn.openStarts[startKey{vm, task, run}]; ok && !rn.ct.StartWanted(qo.od) {
 			rn.withdrawStart(qo.od)
 		}
-	}
+	})
 }
 
 // sameRun reports whether two orders concern the same run.
--- a/internal/scheduling/jobrunner/relays.go
+++ b/internal/scheduling/jobrunner/relays.go
@@ -20,7 +20,7 @@
 		rn.lg.Fail("relays-unread", err)
 		return
 	}
-	rn.deps.Relays.Update(zoneOf)
+	rn.deps.Relays.Update(zoneOf, !rn.linkLimited())
 	for len(zoneOf) > 0 && !rn.deps.Relays.Ready() {
 		if rn.ck.Sleep(limited, relaysCheckMS) != nil {
 			return
@@ -28,10 +28,19 @@
 	}
 }
 
-// updateRelays tells the relay which entries may carry calls, if the fleet is too large for this entry's own link.
+// recordTick records a tick of the loop, and logs that the processor doesn't suffice when that shows for the first time.
+func (rn *Runner) recordTick() {
+	wasShort := rn.load.Short()
+	rn.load.RecordTick(rn.ck.Now(), tickIntervalMS)
+	if rn.load.Short() && !wasShort {
+		rn.lg.Info("owner-short-of-processor", "token", rn.ow.Token(), "late-ms", rn.load.MeanLateMS(), "vms", len(rn.ct.VMs()), "busy-vms", rn.ct.BusyVMs())
+	}
+}
+
+// updateRelays tells the relay which entries may carry calls, if the fleet is too large for this entry's own link or its processor has been short.
 func (rn *Runner) updateRelays(ctx context.Context) {
 	nowMS := rn.ck.Now()
-	if nowMS < rn.nextRelaysMS || !rn.linkLimited() {
+	if nowMS < rn.nextRelaysMS || !(rn.linkLimited() || rn.load.Short()) {
 		return
 	}
 	rn.nextRelaysMS = nowMS + relaysIntervalMS
@@ -42,7 +51,7 @@
 				rn.lg.Fail("relays-unread", err)
 				return
 			}
-			rn.deps.Relays.Update(zoneOf)
+			rn.deps.Relays.Update(zoneOf, !rn.linkLimited())
 		})
 	}()
 }
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -125,7 +125,7 @@
 	})
 	read(func(ctx context.Context) (err error) {
 		sn.registry, sn.registryVersion, err = rn.readRegistry(ctx)
-		if err == nil && rn.deps.Relays.Needed(len(sn.registry)) {
+		if err == nil && rn.deps.Relays.LinkLimited(len(sn.registry)) {
 			rn.openRelays(ctx)
 		}
 		return err
--- a/internal/scheduling/relay/relay.go
+++ b/internal/scheduling/relay/relay.go
@@ -28,6 +28,8 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	// withPayloads is set while this entry's link suffices to pass starts on with their payload, which the other entry would have to read from the store.
+	withPayloads bool
 	// zones holds the links of each availability zone, in the order of preference.
 	zones map[string][]*link
 }
@@ -47,15 +49,16 @@
 	return &Relay{ck: ck, lg: lg, linkBytesPerS: linkBytesPerS, links: map[string]*link{}, zones: map[string][]*link{}}
 }
 
-// Needed reports whether a fleet of so many VMs needs more than this entry's own link.
-func (re *Relay) Needed(vms int) bool {
+// LinkLimited reports whether a fleet of so many VMs needs more than this entry's own link.
+func (re *Relay) LinkLimited(vms int) bool {
 	return re.linkBytesPerS > 0 && int64(vms)*minBytesPerVM > re.linkBytesPerS
 }
 
-// Update sets the entries that may carry calls, with their availability zones by address; links to other entries are closed.
-func (re *Relay) Update(zoneOf map[string]string) {
+// Update sets the entries that may carry calls, with their availability zones by address; links to other entries are closed. With withPayloads set, starts are passed on with their payload.
+func (re *Relay) Update(zoneOf map[string]string, withPayloads bool) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
+	re.withPayloads = withPayloads
 	byZone := map[string][]string{}
 	for address, zone := range zoneOf {
 		byZone[zone] = append(byZone[zone], address)
@@ -98,6 +101,16 @@
 	return all
 }
 
+// callOf returns the call that passes an order on.
+func (re *Relay) callOf(od *workpb.Order) *relaypb.Call {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if re.withPayloads {
+		return &relaypb.Call{Order: od}
+	}
+	return shortCall(od)
+}
+
 // linkTo returns the link that carries the calls to a VM, or nil if they must be made directly. A VM's calls take the same link as long as it is up, so that few connections to VMs are needed.
 func (re *Relay) linkTo(vm, zone string) *link {
 	re.mu.Lock()
@@ -115,7 +128,7 @@
 	return best
 }
 
-// SendOrder sends an order to a VM. Orders that start a run are passed on without their payload, which the other entry reads from the store. An order that the other entry certainly didn't send is sent directly, since the fault may be that entry's. No call is sent on once this entry doesn't wait for it any more.
+// SendOrder sends an order to a VM. Where this entry's link is short, orders that start a run are passed on without their payload, which the other entry reads from the store. An order that the other entry certainly didn't send is sent directly, since the fault may be that entry's. No call is sent on once this entry doesn't wait for it any more.
 func (re *Relay) SendOrder(ctx context.Context, od *workpb.Order) workpb.Verdict {
 	lk := re.linkTo(od.GetVm(), od.GetZone())
 	if lk == nil {
@@ -125,7 +138,7 @@
 	if !ok && od.GetVerb() == workpb.Verb_START {
 		return re.Order(ctx, od)
 	}
-	ca := orderCall(od)
+	ca := re.callOf(od)
 	ca.LatestMs = latestMS
 	limited, cancel := re.ck.WithTimeout(ctx, orderTimeoutMS)
 	defer cancel()
@@ -140,8 +153,8 @@
 	}
 }
 
-// orderCall returns the call that passes an order on, without the payload of a start if the name of its job is known.
-func orderCall(od *workpb.Order) *relaypb.Call {
+// shortCall returns the call that passes an order on without the payload of a start if the name of its job is known.
+func shortCall(od *workpb.Order) *relaypb.Call {
 	nm, err := taskname.Parse(od.GetTask())
 	if err != nil || od.GetVerb() != workpb.Verb_START {
 		return &relaypb.Call{Order: od}
--- a/internal/scheduling/relay/relay_test.go
+++ b/internal/scheduling/relay/relay_test.go
@@ -119,7 +119,7 @@
 	fl.re = relay.New(clock.New(), event.Discard(), 250_000)
 	fl.re.Order, fl.re.Poll = fl.orderFrom(directCaller), fl.pollFrom(directCaller)
 	fl.re.Dial = fl.dial
-	fl.re.Update(entries)
+	fl.re.Update(entries, false)
 	return fl
 }
 
@@ -202,7 +202,7 @@
 		time.Sleep(time.Second)
 		fl.callers = map[string][]string{}
 		run(fl)
-		fl.re.Update(nil)
+		fl.re.Update(nil, false)
 		time.Sleep(time.Minute)
 	})
 }
@@ -233,8 +233,8 @@
 		// maxInDoubt is how many orders may get no answer before the fault is noticed.
 		maxInDoubt int
 	}{
-		{"entries removed", func(fl *fleet) { fl.re.Update(map[string]string{"b1": "b"}) }, 0},
-		{"one entry left", func(fl *fleet) { fl.re.Update(map[string]string{"a2": "a"}) }, 0},
+		{"entries removed", func(fl *fleet) { fl.re.Update(map[string]string{"b1": "b"}, false) }, 0},
+		{"one entry left", func(fl *fleet) { fl.re.Update(map[string]string{"a2": "a"}, false) }, 0},
 		{"entries frozen", func(fl *fleet) { close(fl.frozen["a1"]); close(fl.frozen["a2"]) }, 6},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -331,7 +331,7 @@
 	})
 }
 
-func TestNeededForFleetsBeyondTheLink(t *testing.T) {
+func TestFleetsBeyondTheLinkAreLinkLimited(t *testing.T) {
 	for _, tc := range []struct {
 		linkBytesPerS int64
 		vms           int
@@ -344,7 +344,7 @@
 		{0, 3000, false},
 	} {
 		re := relay.New(clock.New(), event.Discard(), tc.linkBytesPerS)
-		qt.Check(t, re.Needed(tc.vms), qt.Equals, tc.want, qt.Commentf("%d bytes a second, %d VMs", tc.linkBytesPerS, tc.vms))
+		qt.Check(t, re.LinkLimited(tc.vms), qt.Equals, tc.want, qt.Commentf("%d bytes a second, %d VMs", tc.linkBytesPerS, tc.vms))
 	}
 }
 
@@ -376,7 +376,7 @@
 			qt.Check(t, fl.start("vm-"+zone, zone), qt.Equals, workpb.Verdict_ACCEPTED)
 		}
 		qt.Check(t, fl.callers, qt.DeepEquals, map[string][]string{"vm-a": {"a2"}, "vm-b": {"b1"}})
-		fl.re.Update(nil)
+		fl.re.Update(nil, false)
 		qt.Check(t, fl.re.Ready(), qt.IsFalse)
 		time.Sleep(time.Second)
 	})
@@ -392,3 +392,16 @@
 		qt.Check(t, fl.callers["vm-a"], qt.HasLen, 2)
 	})
 }
+
+// An owner whose link suffices must not let other entries read the payload of each start from the store.
+func TestStartIsPassedOnWithItsPayloadWhereTheLinkSuffices(t *testing.T) {
+	play(t, func(fl *fleet) {
+		fl.re.Update(map[string]string{"a1": "a", "a2": "a", "b1": "b"}, true)
+		fl.mu.Lock()
+		fl.storeAway["b1"] = true
+		fl.mu.Unlock()
+		qt.Check(t, fl.start("vm-b", "b"), qt.Equals, workpb.Verdict_ACCEPTED)
+		qt.Check(t, fl.callers["vm-b"], qt.DeepEquals, []string{"b1"})
+		qt.Check(t, fl.payloads[len(fl.payloads)-1], qt.Equals, "payload of 00000000000000aa")
+	})
+}
