--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -201,6 +201,11 @@
 
 // startOn starts an entry of some strength whose calls take a link.
 func (si *simulation) startOn(name string, link *pacedLink, strength int64) {
+	si.startWith(name, link, strength, func(*jobrunner.Dependencies, *ownership.Ownership) {})
+}
+
+// startWith does so with changes to its dependencies and ownership.
+func (si *simulation) startWith(name string, link *pacedLink, strength int64, change func(*jobrunner.Dependencies, *ownership.Ownership)) {
 	ctx, cancel := context.WithCancel(si.t.Context())
 	en := &entry{cancel: cancel, ended: make(chan struct{}), link: link}
 	si.entries[name] = en
@@ -234,6 +239,7 @@
 	}
 	deps.MaxHandoverDelayMS = maxHandoverDelayMS
 	deps.Relays = relay.New(si.ck, event.Discard(), link.rate())
+	change(deps, ow)
 	sc := jobrunner.NewScheduler(deps, si.ck, si.lg, ow, 0, si.retentionMS)
 	go func() {
 		sc.Run(ctx)
