Recognize a peak by the arrivals of the last 300 ms

The rate of a peak is still taken from the smoothed one.

Red before: TestPeakIsRecognizedSoonAfterTheOneBeforeIt (1,000 ms).

--- a/internal/scheduling/peakforecast/peakforecast.go
+++ b/internal/scheduling/peakforecast/peakforecast.go
@@ -13,10 +13,11 @@
 	onsets []onset
 }
 
-// series holds the arrival statistics of one service; mean and smooth are moving averages over a long and a short window.
+// series holds the arrival statistics of one service; mean, smooth and latest are moving averages over a long, a short and a very short window.
 type series struct {
 	mean   float64
 	smooth float64
+	latest float64
 	// peak is the highest rate of the current or last peak, previousPeak that of the one before.
 	peak         int64
 	previousPeak int64
@@ -40,9 +41,10 @@
 	confirmJobs = 3
 	// rampUpMS is how long after its onset a peak may still be rising.
 	rampUpMS = 2500
-	// meanWindowMS and smoothWindowMS are the windows of the moving averages for the mean and the current rate.
+	// meanWindowMS, smoothWindowMS and latestWindowMS are the windows of the moving averages for the mean, for the rate at a peak and for what shows that another peak begins while the last one's rate falls off.
 	meanWindowMS   = 20000
 	smoothWindowMS = 700
+	latestWindowMS = 300
 	// intervalTolerance divides the sum of the last two intervals between peaks; they are regular if they differ by no more than that.
 	intervalTolerance = 12
 	// leadTimeMS is how long before a peak its machines should start to move: the time of a move and of the VM's registration.
@@ -64,8 +66,9 @@
 		se := fc.series(service)
 		se.mean = movingAverage(se.mean, rate, elapsedMS, meanWindowMS)
 		se.smooth = movingAverage(se.smooth, rate, elapsedMS, smoothWindowMS)
-		total += se.smooth
-		if top == "" || se.smooth > fc.services[top].smooth || (se.smooth == fc.services[top].smooth && service < top) {
+		se.latest = movingAverage(se.latest, rate, elapsedMS, latestWindowMS)
+		total += se.latest
+		if top == "" || se.latest > fc.services[top].latest || (se.latest == fc.services[top].latest && service < top) {
 			top = service
 		}
 	}
@@ -73,7 +76,7 @@
 		return
 	}
 	se := fc.services[top]
-	if se.smooth < minShare*total || (se.smooth < peakFactor*se.mean && len(fc.onsets) > 0) {
+	if se.latest < minShare*total || (se.latest < peakFactor*se.mean && len(fc.onsets) > 0) {
 		fc.candidate = ""
 		return
 	}
--- a/internal/scheduling/peakforecast/peakforecast_test.go
+++ b/internal/scheduling/peakforecast/peakforecast_test.go
@@ -105,3 +105,18 @@
 	}
 	qt.Assert(t, fc.HasPeaked("b"), qt.IsFalse)
 }
+
+// Guards against machines that are ordered a second after the onset of a peak, since the peak before it still seems to go on.
+func TestPeakIsRecognizedSoonAfterTheOneBeforeIt(t *testing.T) {
+	const onsetMS = 4000
+	fc := peakforecast.New()
+	observePeaks(fc, onsetMS, onsetMS)
+	service := ""
+	nowMS := int64(onsetMS)
+	for ; service != "b" && nowMS < 2*onsetMS; nowMS += tickMS {
+		rates := map[string]int64{"a": 10_000, "b": 400_000, "c": 10_000, "d": 10_000}
+		fc.Observe(nowMS, tickMS, rates, jobs(rates))
+		service, _, _ = fc.Rising(nowMS)
+	}
+	qt.Assert(t, nowMS-onsetMS <= 800, qt.IsTrue, qt.Commentf("recognized %d ms after its onset", nowMS-onsetMS))
+}
