--- a/scripts/ablation/main.go
+++ b/scripts/ablation/main.go
@@ -36,7 +36,7 @@
 	{"worth", regexp.MustCompile(`(?m)^\S+ +\d+/\d+ +\S+ +(\S+)`)},
 	{"served", regexp.MustCompile(`(?m)^\S+ +\d+/\d+ +\S+ +\S+ +(\S+)`)},
 	{"failed", regexp.MustCompile(`(?m)^\S+ +\d+/\d+ +\S+ +\S+ +\S+ +\S+ +(\S+)`)},
-	{"pool-seconds", regexp.MustCompile(`(\S+) seconds of machines in pools`)},
+	{"pool-seconds", regexp.MustCompile(`([\d.]+) seconds of machines in pools`)},
 }
 
 // play is one day with one seed.
