--- a/internal/scheduling/jobcontrol/lateend_test.go
+++ b/internal/scheduling/jobcontrol/lateend_test.go
@@ -15,14 +15,20 @@
 	return rules
 }
 
-// Guards against a team above its cap: a start in doubt that a stop has ended is executed by the VM's next incarnation, beside all that the team has started since (random history 902041).
-func TestReleasedStartCountsForItsTeamsCapWhileItMayBegin(t *testing.T) {
+// startInDoubt returns a fleet on which a start of the team got no answer and its run was stopped, with that start, and submits a second job.
+func startInDoubt(t *testing.T) (*fleet, *workpb.Order) {
 	fl := newLimitFleet(t, vmOf("a"), vmOf("b"))
 	fl.setRules(smallCapRules())
 	od := fl.holdStart(jobOf("j1", onePerVM(1)))
 	fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
 	fl.run(1000)
 	fl.submit(jobOf("j2", onePerVM(1)))
+	return fl, od
+}
+
+// Guards against a team above its cap: a start in doubt that a stop has ended is executed by the VM's next incarnation, beside all that the team has started since (random history 902041).
+func TestReleasedStartCountsForItsTeamsCapWhileItMayBegin(t *testing.T) {
+	fl, od := startInDoubt(t)
 	fl.submit(jobOf("j3", onePerVM(1)))
 	fl.run(2000)
 	fl.workers[od.GetVm()].Restart()
@@ -36,12 +42,7 @@
 
 // Guards against a team that waits for good, or for a long time, because of a start that can't begin any more.
 func TestReleasedStartNoLongerCountsOnceItCannotBegin(t *testing.T) {
-	fl := newLimitFleet(t, vmOf("a"), vmOf("b"))
-	fl.setRules(smallCapRules())
-	od := fl.holdStart(jobOf("j1", onePerVM(1)))
-	fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
-	fl.run(1000)
-	fl.submit(jobOf("j2", onePerVM(1)))
+	fl, _ := startInDoubt(t)
 	fl.run(14_000)
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
 	qt.Assert(t, fl.starts["j2.0.0.0"], qt.Equals, 1)
