--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,183 @@
+//go:build review
+
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitUnable = 2
+)
+
+// deployment is a small deployment of the project on loopback addresses.
+type deployment struct {
+	rc      *recorder
+	st      *store
+	fl      *fleet
+	cl      *client
+	entries []*entry
+	trouble bool
+}
+
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+const service = "gallery"
+
+func listen(handler http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = http.Serve(ln, handler) }()
+	return ln.Addr().String(), nil
+}
+
+// newDeployment starts the platform, its minions and the entries, and waits until the entries are ready.
+func newDeployment(rc *recorder, program, dir string, minions, entries int, trouble bool) (*deployment, error) {
+	dp := &deployment{rc: rc, st: newStore(rc), cl: newClient(rc), trouble: trouble}
+	dp.fl = newFleet(rc, dp.st)
+	storeAddress, err := listen(dp.st)
+	if err != nil {
+		return nil, err
+	}
+	machinesAddress, err := listen(dp.fl)
+	if err != nil {
+		return nil, err
+	}
+	dp.configure(1)
+	if err := dp.fl.add(service, minions, zones); err != nil {
+		return nil, err
+	}
+	for number := range entries {
+		en, err := newEntry(rc, dir, fmt.Sprintf("edge-%d", number), fmt.Sprintf("127.1.0.%d", number+1), zones[number%len(zones)], storeAddress, machinesAddress)
+		if err != nil {
+			return nil, err
+		}
+		if err := en.run(program); err != nil {
+			return nil, err
+		}
+		dp.entries = append(dp.entries, en)
+	}
+	for deadline := time.Now().Add(10 * time.Second); ; {
+		ready := 0
+		for _, en := range dp.entries {
+			if rsp, err := http.Get("http://" + en.ready + "/readyz"); err == nil {
+				if rsp.StatusCode == http.StatusOK {
+					ready++
+				}
+				_ = rsp.Body.Close()
+			}
+		}
+		if ready == len(dp.entries) {
+			return dp, nil
+		}
+		if time.Now().After(deadline) {
+			return nil, fmt.Errorf("%d of %d entries are ready", ready, len(dp.entries))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// configure writes a version of the operator's configuration.
+func (dp *deployment) configure(version int) {
+	dp.st.put("op", "config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "thumb-render", "host": queueHost, "prefix": queuePrefix, "service": service, "priority": 0,
+			"max_attempts": 3, "stretch": 2.2, "target_duration_ms": 600,
+		}},
+		"services": []map[string]any{{"name": service, "admission_control": false}},
+		"limits":   map[string]any{"max_body_bytes": 262144},
+		"tenants":  []map[string]any{{"name": "tenant-1", "api_keys": []string{tenantKey}, "weight": 1.0, "cap": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}},
+	})
+}
+
+func (dp *deployment) close() {
+	for _, en := range dp.entries {
+		en.stop()
+	}
+}
+
+// owner returns the name of the entry that owns scheduling by the store's row, as the token of its last start tells.
+func (dp *deployment) owner() *entry {
+	raw := dp.st.get("ownership", "scheduling", "owner")
+	for _, en := range dp.entries {
+		if len(raw) > 0 && containsName(raw, en.name) {
+			return en
+		}
+	}
+	return nil
+}
+
+func containsName(raw []byte, name string) bool {
+	for at := 0; at+len(name) <= len(raw); at++ {
+		if string(raw[at:at+len(name)]) == name {
+			return true
+		}
+	}
+	return false
+}
+
+var cases = map[string]func(rc *recorder, program, dir string, trouble bool) (broken []string, err error){
+	"large-job": largeJob,
+}
+
+func main() {
+	program := flag.String("program", "target/fulmarloft", "the project's program")
+	name := flag.String("case", "", "the case to play")
+	folder := flag.String("record", ".", "the folder of record.txt")
+	flag.Parse()
+	play, ok := cases[*name]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "unknown case "+*name)
+		os.Exit(exitUnable)
+	}
+	os.Exit(playCase(play, *program, *folder))
+}
+
+func playCase(play func(*recorder, string, string, bool) ([]string, error), program, folder string) int {
+	program, err := filepath.Abs(program)
+	if err != nil {
+		return exitUnable
+	}
+	rc, err := newRecorder(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUnable
+	}
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUnable
+	}
+	if os.Getenv("KEEP") == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	} else {
+		fmt.Println("logs in " + dir)
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	rc.say("trouble: %v", trouble)
+	broken, err := play(rc, program, dir, trouble)
+	if err != nil {
+		rc.say("the case couldn't run: %v", err)
+		return exitUnable
+	}
+	for _, text := range broken {
+		rc.say("BROKEN: %s", text)
+	}
+	if len(broken) > 0 {
+		return exitBroken
+	}
+	rc.say("the rule held")
+	return exitHeld
+}
