--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -27,6 +27,8 @@
 	EstimatedMS int   `json:"estimated_ms"`
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"long_running,omitempty"`
+	Checkpoints bool  `json:"checkpointing,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
 }
 
 type jobJSON struct {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -129,7 +129,8 @@
 }
 
 var cases = map[string]func(rc *recorder, program, dir string, trouble bool) (broken []string, err error){
-	"large-job": largeJob,
+	"large-job":       largeJob,
+	"gang-checkpoint": gangCheckpoint,
 }
 
 func main() {
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -27,6 +27,7 @@
 	minionMemoryMB  = 65_536
 	minionsInARack  = 4
 	checkpointEvery = time.Second
+	gangTimeout     = 3 * time.Second
 )
 
 type minionRun struct {
@@ -40,6 +41,42 @@
 	fails   bool
 	// saved is what the start's checkpoint saved of the work.
 	saved time.Duration
+	// checkpoints is set for a task that saves its progress.
+	checkpoints bool
+	// gangSize is the number of tasks that work only together, 0 for a task that works alone.
+	gangSize int
+	gang     *gang
+}
+
+// gang is one run of the tasks that work only together.
+type gang struct {
+	members  map[string]bool
+	complete time.Time
+	broken   bool
+}
+
+// worked returns the work that the run has done, with what was saved before.
+func (rn *minionRun) worked() time.Duration {
+	switch {
+	case rn.gang == nil:
+		return rn.saved + time.Since(rn.begun)
+	case rn.gang.complete.IsZero():
+		return rn.saved
+	default:
+		return rn.saved + time.Since(rn.gang.complete)
+	}
+}
+
+// checkpoint returns the value that holds the progress; the last one is made at the end of the run.
+func (rn *minionRun) checkpoint(last bool) string {
+	worked := rn.worked()
+	if !last {
+		worked = worked / checkpointEvery * checkpointEvery
+	}
+	if !rn.checkpoints || worked <= 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", worked.Milliseconds())
 }
 
 type minionEnd struct {
@@ -201,9 +238,16 @@
 		switch {
 		case lapsed:
 			how = "lapsed"
+		case rn.gang != nil && mn.fl.gangBroken(rn):
+			how = "broken"
+		case rn.gang != nil && rn.gang.complete.IsZero():
+			if now.Sub(rn.begun) < gangTimeout {
+				continue
+			}
+			how = "alone"
 		case !rn.stopAt.IsZero() && now.After(rn.stopAt):
 			how = "stopped"
-		case !rn.lasting && now.Sub(rn.begun)+rn.saved >= rn.work && rn.stopAt.IsZero():
+		case !rn.lasting && rn.worked() >= rn.work && rn.stopAt.IsZero():
 			how = "done"
 			if rn.fails {
 				how = "failed"
@@ -214,7 +258,7 @@
 		delete(lf.running, name)
 		lf.lastEnd++
 		lf.highest[rn.task] = max(lf.highest[rn.task], rn.run)
-		lf.ends = append(lf.ends, minionEnd{lf.lastEnd, rn.task, rn.run, how, ""})
+		lf.ends = append(lf.ends, minionEnd{lf.lastEnd, rn.task, rn.run, how, rn.checkpoint(true)})
 		mn.fl.runEnded(mn, rn, how, lf.lastEnd)
 		ended = true
 	}
@@ -367,9 +411,9 @@
 			percent = 0
 		}
 		if !rn.lasting {
-			percent = min(int64((age+rn.saved)*100/max(rn.work, 1)), 99)
+			percent = min(int64(rn.worked()*100/max(rn.work, 1)), 99)
 		}
-		running = append(running, []any{rn.task, rn.run, "", percent, rn.cpu})
+		running = append(running, []any{rn.task, rn.run, rn.checkpoint(false), percent, rn.cpu})
 	}
 	for _, end := range lf.ends[:min(len(lf.ends), maxListedEnds)] {
 		finished = append(finished, []any{end.number, end.task, end.run, end.how, end.saved})
@@ -393,6 +437,9 @@
 	// lastRun is when each job last had something running.
 	lastRun map[string]time.Time
 	starts  map[string]int
+	gangs   map[string]*gang
+	// orders holds the starts that were carried out, in order.
+	orders []orderJSON
 	// quiet keeps the runs of jobs whose ids begin so out of the record.
 	quiet      string
 	violations []string
@@ -400,7 +447,7 @@
 }
 
 func newFleet(rc *recorder, st *store) *fleet {
-	return &fleet{rc: rc, st: st, runningOn: map[string]map[string]string{}, noted: map[string]time.Time{}, ended: map[string]bool{}, lastRun: map[string]time.Time{}, starts: map[string]int{}, quiet: "-"}
+	return &fleet{rc: rc, st: st, runningOn: map[string]map[string]string{}, noted: map[string]time.Time{}, ended: map[string]bool{}, lastRun: map[string]time.Time{}, starts: map[string]int{}, gangs: map[string]*gang{}, quiet: "-"}
 }
 
 // add starts minions of a service, spread over zones.
@@ -432,11 +479,48 @@
 			rn.lasting = true
 		case "cpu":
 			rn.cpu = number
+		case "checkpoints":
+			rn.checkpoints = true
+		case "gang":
+			rn.gangSize = int(number)
 		}
 	}
+	if ms, err := strconv.ParseInt(od.Checkpoint, 16, 64); err == nil {
+		rn.saved = time.Duration(ms) * time.Millisecond
+	}
+	if rn.gangSize > 0 {
+		fl.joinGang(rn)
+	}
 	return rn
 }
 
+// gangName names one run of a step, without the task's index.
+func gangName(task string, run int64) string {
+	return runName(task[:strings.LastIndexByte(task, '.')], run)
+}
+
+// joinGang adds a run to its gang, which works from the moment when all of its members are present.
+func (fl *fleet) joinGang(rn *minionRun) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	name := gangName(rn.task, rn.run)
+	if fl.gangs[name] == nil {
+		fl.gangs[name] = &gang{members: map[string]bool{}}
+	}
+	rn.gang = fl.gangs[name]
+	rn.gang.members[rn.task] = true
+	if len(rn.gang.members) == rn.gangSize && !rn.gang.broken {
+		rn.gang.complete = time.Now()
+	}
+}
+
+// gangBroken reports whether another member of the run's gang has ended in another way than done.
+func (fl *fleet) gangBroken(rn *minionRun) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return rn.gang.broken
+}
+
 func jobOf(task string) string {
 	id, _, _ := strings.Cut(task, ".")
 	return id
@@ -452,7 +536,8 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	if !strings.HasPrefix(rn.task, fl.quiet) {
-		fl.rc.line("run begins: %s run %d on %s under token %d", rn.task, rn.run, mn.id, od.Token)
+		fl.rc.line("run begins: %s run %d on %s under token %d, checkpoint %q", rn.task, rn.run, mn.id, od.Token, od.Checkpoint)
+		fl.orders = append(fl.orders, *od)
 	}
 	for where, other := range fl.runningOn[rn.task] {
 		fl.violation("TWICE: %s run %d begins on %s while %s goes on on %s", rn.task, rn.run, mn.id, other, where)
@@ -476,6 +561,9 @@
 		fl.rc.line("run ends: %s run %d on %s: %s, end no. %d", rn.task, rn.run, mn.id, how, number)
 	}
 	delete(fl.runningOn[rn.task], mn.id)
+	if rn.gang != nil && how != "done" {
+		rn.gang.broken = true
+	}
 	if how == "done" {
 		fl.ended[rn.task] = true
 	}
