--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -21,14 +21,16 @@
 )
 
 type stepJSON struct {
-	Count       int   `json:"count"`
-	CPU         int   `json:"cpu"`
-	Memory      int   `json:"mem_mb"`
-	EstimatedMS int   `json:"estimated_ms"`
-	After       []int `json:"after,omitempty"`
-	LongRunning bool  `json:"long_running,omitempty"`
-	Checkpoints bool  `json:"checkpointing,omitempty"`
-	Gang        bool  `json:"gang,omitempty"`
+	Count         int   `json:"count"`
+	CPU           int   `json:"cpu"`
+	Memory        int   `json:"mem_mb"`
+	EstimatedMS   int   `json:"estimated_ms"`
+	After         []int `json:"after,omitempty"`
+	LongRunning   bool  `json:"long_running,omitempty"`
+	Checkpoints   bool  `json:"checkpointing,omitempty"`
+	MissAllowance int   `json:"miss_allowance,omitempty"`
+	Gang          bool  `json:"gang,omitempty"`
+	AntiAffinity  int   `json:"anti_affinity,omitempty"`
 }
 
 type jobJSON struct {
--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -88,14 +88,20 @@
   duty_per_s: 64.0
 `
 
-// freePort returns a port that is free at an address now.
+// freePort returns a port that is free at an address now, and the next one with it.
 func freePort(ip string) (int, error) {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+	for {
+		ln, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return 0, err
+		}
+		port := ln.Addr().(*net.TCPAddr).Port
+		next, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port+1))
+		_ = ln.Close()
+		if err == nil {
+			return port, next.Close()
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().(*net.TCPAddr).Port, nil
 }
 
 func newEntry(rc *recorder, dir, name, ip, zone, storeAddress, machinesAddress string) (*entry, error) {
--- a/review/standin/largejob.go
+++ b/review/standin/largejob.go
@@ -25,7 +25,6 @@
 	}
 	defer dp.close()
 	dp.fl.quiet = largeID
-	small := &jobJSON{Spec: "work-ms=300 cpu=1000", Steps: []stepJSON{{Count: 6, CPU: 1000, Memory: 100, EstimatedMS: 300}}}
 	large := &jobJSON{Spec: "work-ms=100 cpu=100", Steps: []stepJSON{{Count: largeTasks, CPU: 100, Memory: 10, EstimatedMS: 100}}}
 	accepted := map[string]time.Time{}
 	begin := time.Now()
@@ -35,8 +34,8 @@
 			largeSent = true
 			rc.say("large job of %d tasks accepted: %v", largeTasks, dp.cl.submit(dp.entries, largeID, large))
 		}
-		id := fmt.Sprintf("%016x", 0x5c0e7a2100000000+number)
-		if dp.cl.submit(dp.entries, id, small) {
+		id := smallJobID(number)
+		if dp.cl.submit(dp.entries, id, smallJob) {
 			accepted[id] = time.Now()
 		}
 		time.Sleep(interval)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,12 @@
 
 const service = "gallery"
 
+// loopbackAddress returns a loopback address of this process's own, so that cases can run at the same time.
+func loopbackAddress(kind, number int) string {
+	const subnets = 200
+	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%subnets, kind, number)
+}
+
 func listen(handler http.Handler) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -59,7 +65,7 @@
 		return nil, err
 	}
 	for number := range entries {
-		en, err := newEntry(rc, dir, fmt.Sprintf("edge-%d", number), fmt.Sprintf("127.1.0.%d", number+1), zones[number%len(zones)], storeAddress, machinesAddress)
+		en, err := newEntry(rc, dir, fmt.Sprintf("edge-%d", number), loopbackAddress(1, number+1), zones[number%len(zones)], storeAddress, machinesAddress)
 		if err != nil {
 			return nil, err
 		}
@@ -102,6 +108,31 @@
 	})
 }
 
+// smallJob is a job like the most frequent ones of a small deployment.
+var smallJob = &jobJSON{Spec: "work-ms=300 cpu=1000", Steps: []stepJSON{{Count: 6, CPU: 1000, Memory: 100, EstimatedMS: 300}}}
+
+func smallJobID(number int) string { return fmt.Sprintf("%016x", 0x5c0e7a2100000000+number) }
+
+// sendSmallJobs submits small jobs at an interval until the function that it returns is called.
+func (dp *deployment) sendSmallJobs(interval time.Duration) (stop func()) {
+	ended, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for number := 0; ; number++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(interval):
+				dp.cl.submit(dp.entries, smallJobID(number), smallJob)
+			}
+		}
+	}()
+	return func() {
+		close(ended)
+		<-done
+	}
+}
+
 func (dp *deployment) close() {
 	for _, en := range dp.entries {
 		en.stop()
@@ -131,6 +162,8 @@
 var cases = map[string]func(rc *recorder, program, dir string, trouble bool) (broken []string, err error){
 	"large-job":       largeJob,
 	"gang-checkpoint": gangCheckpoint,
+	"late-start":      lateStart,
+	"crashes":         crashes,
 }
 
 func main() {
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -364,6 +365,7 @@
 		lf.highest[od.Task] = max(lf.highest[od.Task], od.Run)
 		if rn, ok := lf.running[runName(od.Task, od.Run)]; ok && rn.stopAt.IsZero() {
 			rn.stopAt = time.Now().Add(stopTime)
+			mn.fl.recordStop(rn)
 		}
 		return http.StatusOK, body
 	case "/pace":
@@ -437,7 +439,11 @@
 	// lastRun is when each job last had something running.
 	lastRun map[string]time.Time
 	starts  map[string]int
-	gangs   map[string]*gang
+	// stops holds the stops of lasting tasks that were at work.
+	stops []stopped
+	// failed counts the runs of each job that ended as failed.
+	failed map[string]int
+	gangs  map[string]*gang
 	// orders holds the starts that were carried out, in order.
 	orders []orderJSON
 	// quiet keeps the runs of jobs whose ids begin so out of the record.
@@ -447,7 +453,7 @@
 }
 
 func newFleet(rc *recorder, st *store) *fleet {
-	return &fleet{rc: rc, st: st, runningOn: map[string]map[string]string{}, noted: map[string]time.Time{}, ended: map[string]bool{}, lastRun: map[string]time.Time{}, starts: map[string]int{}, gangs: map[string]*gang{}, quiet: "-"}
+	return &fleet{rc: rc, st: st, runningOn: map[string]map[string]string{}, noted: map[string]time.Time{}, ended: map[string]bool{}, lastRun: map[string]time.Time{}, starts: map[string]int{}, failed: map[string]int{}, gangs: map[string]*gang{}, quiet: "-"}
 }
 
 // add starts minions of a service, spread over zones.
@@ -459,7 +465,7 @@
 			zone: zones[number%len(zones)], rack: fmt.Sprintf("r%d", at/minionsInARack),
 		}
 		fl.minions = append(fl.minions, mn)
-		if err := mn.start(fmt.Sprintf("127.2.0.%d", at+1)); err != nil {
+		if err := mn.start(loopbackAddress(2, at+1)); err != nil {
 			return err
 		}
 	}
@@ -550,6 +556,7 @@
 	}
 	fl.runningOn[rn.task][mn.id] = runName(rn.task, rn.run)
 	fl.starts[jobOf(rn.task)]++
+	fl.stops = slices.DeleteFunc(fl.stops, func(st stopped) bool { return st.task == rn.task && len(st.away) == 0 })
 	fl.cpu += rn.cpu
 	fl.lastRun[jobOf(rn.task)] = time.Now()
 }
@@ -567,6 +574,9 @@
 	if how == "done" {
 		fl.ended[rn.task] = true
 	}
+	if how == "failed" {
+		fl.failed[jobOf(rn.task)]++
+	}
 	fl.cpu -= rn.cpu
 	fl.lastRun[jobOf(rn.task)] = time.Now()
 }
