--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -104,7 +104,7 @@
 	}
 }
 
-func newEntry(rc *recorder, dir, name, ip, zone, storeAddress, machinesAddress string) (*entry, error) {
+func newEntry(rc *recorder, dir, name, ip, zone, storeAddress, machinesAddress, adviceAddress string) (*entry, error) {
 	var ports [3]int
 	for at := range ports {
 		port, err := freePort(ip)
@@ -116,6 +116,9 @@
 	en := &entry{rc: rc, name: name, ip: ip, settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	en.callers, en.ready = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
 	text := fmt.Sprintf(settingsText, name, ip, zone, en.callers, en.ready, ports[2], ports[2]+15, storeAddress, machinesAddress)
+	if adviceAddress != "" {
+		text += fmt.Sprintf("advice: %q\n", adviceAddress)
+	}
 	return en, os.WriteFile(en.settings, []byte(text), 0o600)
 }
 
--- a/review/standin/largejob.go
+++ b/review/standin/largejob.go
@@ -26,7 +26,7 @@
 	defer dp.close()
 	dp.fl.quiet = largeID
 	large := &jobJSON{Spec: "work-ms=100 cpu=100", Steps: []stepJSON{{Count: largeTasks, CPU: 100, Memory: 10, EstimatedMS: 100}}}
-	accepted := map[string]time.Time{}
+	var accepted []string
 	begin := time.Now()
 	largeSent := false
 	for number := 0; time.Since(begin) < trafficFor; number++ {
@@ -36,7 +36,7 @@
 		}
 		id := smallJobID(number)
 		if dp.cl.submit(dp.entries, id, smallJob) {
-			accepted[id] = time.Now()
+			accepted = append(accepted, id)
 		}
 		time.Sleep(interval)
 	}
@@ -48,26 +48,29 @@
 	if inUse*2 >= capacity {
 		return nil, fmt.Errorf("half of the service is in use")
 	}
+	return dp.idleJobs(accepted, idleLimit), nil
+}
+
+// idleJobs returns the jobs that aren't completed and have had nothing running for some time, the first ones by name.
+func (dp *deployment) idleJobs(accepted []string, idleLimit time.Duration) []string {
+	const named = 5
 	var broken []string
 	idle := 0
-	for id, at := range accepted {
+	for _, id := range accepted {
 		state := dp.cl.state(dp.entries, id)
-		if state == "completed" {
-			continue
-		}
 		dp.fl.mu.Lock()
 		last, began := dp.fl.lastRun[id]
 		dp.fl.mu.Unlock()
-		if dp.fl.runningOf(id) > 0 || (began && time.Since(last) < idleLimit) {
+		if state == "completed" || dp.fl.runningOf(id) > 0 || (began && time.Since(last) < idleLimit) {
 			continue
 		}
 		idle++
-		if idle <= 5 {
-			broken = append(broken, fmt.Sprintf("LOST: job %s, accepted %d ms ago, is %q and has had nothing running for over 3 s", id, time.Since(at).Milliseconds(), state))
+		if idle <= named {
+			broken = append(broken, fmt.Sprintf("LOST: accepted job %s is %q and has had nothing running for over %v", id, state, idleLimit))
 		}
 	}
 	if idle > 0 {
-		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted small jobs have nothing running", idle, len(accepted)))
+		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted jobs have nothing running", idle, len(accepted)))
 	}
-	return broken, nil
+	return broken
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,8 @@
 	cl      *client
 	entries []*entry
 	trouble bool
+	// advised is set if the queue needs advice.
+	advised bool
 }
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
@@ -48,8 +50,13 @@
 	return ln.Addr().String(), nil
 }
 
-// newDeployment starts the platform, its minions and the entries, and waits until the entries are ready.
+// newDeployment starts a deployment whose queue needs no advice.
 func newDeployment(rc *recorder, program, dir string, minions, entries int, trouble bool) (*deployment, error) {
+	return newAdvisedDeployment(rc, program, dir, minions, entries, trouble, nil)
+}
+
+// newAdvisedDeployment starts the platform, its minions and the entries, and waits until the entries are ready; without an adviser its queue needs no advice.
+func newAdvisedDeployment(rc *recorder, program, dir string, minions, entries int, trouble bool, ad *adviser) (*deployment, error) {
 	dp := &deployment{rc: rc, st: newStore(rc), cl: newClient(rc), trouble: trouble}
 	dp.fl = newFleet(rc, dp.st)
 	storeAddress, err := listen(dp.st)
@@ -60,12 +67,19 @@
 	if err != nil {
 		return nil, err
 	}
+	adviceAddress := ""
+	if ad != nil {
+		dp.advised = true
+		if adviceAddress, err = listen(ad); err != nil {
+			return nil, err
+		}
+	}
 	dp.configure(1)
 	if err := dp.fl.add(service, minions, zones); err != nil {
 		return nil, err
 	}
 	for number := range entries {
-		en, err := newEntry(rc, dir, fmt.Sprintf("edge-%d", number), loopbackAddress(1, number+1), zones[number%len(zones)], storeAddress, machinesAddress)
+		en, err := newEntry(rc, dir, fmt.Sprintf("edge-%d", number), loopbackAddress(1, number+1), zones[number%len(zones)], storeAddress, machinesAddress, adviceAddress)
 		if err != nil {
 			return nil, err
 		}
@@ -96,12 +110,16 @@
 
 // configure writes a version of the operator's configuration.
 func (dp *deployment) configure(version int) {
+	route := map[string]any{
+		"name": "thumb-render", "host": queueHost, "prefix": queuePrefix, "service": service, "priority": 0,
+		"max_attempts": 3, "stretch": 2.2, "target_duration_ms": 600,
+	}
+	if dp.advised {
+		route["advice"] = map[string]int{"decision_ms": 100, "period_ms": 5, "validity_ms": 3000}
+	}
 	dp.st.put("op", "config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "thumb-render", "host": queueHost, "prefix": queuePrefix, "service": service, "priority": 0,
-			"max_attempts": 3, "stretch": 2.2, "target_duration_ms": 600,
-		}},
+		"version":  version,
+		"routes":   []map[string]any{route},
 		"services": []map[string]any{{"name": service, "admission_control": false}},
 		"limits":   map[string]any{"max_body_bytes": 262144},
 		"tenants":  []map[string]any{{"name": "tenant-1", "api_keys": []string{tenantKey}, "weight": 1.0, "cap": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}},
@@ -164,6 +182,7 @@
 	"gang-checkpoint": gangCheckpoint,
 	"late-start":      lateStart,
 	"crashes":         crashes,
+	"advice-burst":    adviceBurst,
 }
 
 func main() {
