--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -133,6 +133,11 @@
 
 // sendSmallJobs submits small jobs at an interval until the function that it returns is called.
 func (dp *deployment) sendSmallJobs(interval time.Duration) (stop func()) {
+	return dp.sendJobs(smallJob, interval)
+}
+
+// sendJobs submits jobs at an interval until the function that it returns is called.
+func (dp *deployment) sendJobs(jb *jobJSON, interval time.Duration) (stop func()) {
 	ended, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
@@ -141,7 +146,7 @@
 			case <-ended:
 				return
 			case <-time.After(interval):
-				dp.cl.submit(dp.entries, smallJobID(number), smallJob)
+				dp.cl.submit(dp.entries, smallJobID(number), jb)
 			}
 		}
 	}()
@@ -178,11 +183,13 @@
 }
 
 var cases = map[string]func(rc *recorder, program, dir string, trouble bool) (broken []string, err error){
-	"large-job":       largeJob,
-	"gang-checkpoint": gangCheckpoint,
-	"late-start":      lateStart,
-	"crashes":         crashes,
-	"advice-burst":    adviceBurst,
+	"large-job":         largeJob,
+	"gang-checkpoint":   gangCheckpoint,
+	"late-start":        lateStart,
+	"crashes":           crashes,
+	"late-poll":         latePoll,
+	"silent-late-start": silentLateStart,
+	"advice-burst":      adviceBurst,
 }
 
 func main() {
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -292,7 +292,7 @@
 	if ft.late > 0 {
 		time.AfterFunc(ft.late, func() {
 			status, _ := mn.execute(rq.URL.Path, rq.Header.Get("X-Expected-Instance"), od)
-			mn.fl.rc.line("minion %s: late %s %s run %d executed: %d", mn.id, rq.URL.Path, od.Task, od.Run, status)
+			mn.fl.rc.line("minion %s: %s is carried out %d ms late, last_seen %d: %d", mn.id, rq.URL.Path, ft.late.Milliseconds(), od.LastSeen, status)
 		})
 		<-rq.Context().Done()
 		panic(http.ErrAbortHandler)
