--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -26,6 +26,8 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	stopped bool
+	// downFor is how long the process stays away after its next end, 0 for the usual time.
+	downFor time.Duration
 	done    chan struct{}
 }
 
@@ -147,13 +149,14 @@
 		err := cmd.Wait()
 		en.rc.line("process: %s ended: %v", en.name, err)
 		en.mu.Lock()
-		stopped := en.stopped
+		stopped, delay := en.stopped, max(en.downFor, restartDelay)
+		en.downFor = 0
 		en.mu.Unlock()
 		if stopped {
 			close(en.done)
 			return
 		}
-		time.Sleep(restartDelay)
+		time.Sleep(delay)
 		if err := en.run(program); err != nil {
 			en.rc.line("process: cannot start %s again: %v", en.name, err)
 		}
@@ -169,6 +172,14 @@
 	_ = en.cmd.Process.Signal(sig)
 }
 
+// kill kills the process and starts it again after some time.
+func (en *entry) kill(downFor time.Duration) {
+	en.mu.Lock()
+	en.downFor = downFor
+	en.mu.Unlock()
+	en.signal(syscall.SIGKILL)
+}
+
 // stop ends the process for good.
 func (en *entry) stop() {
 	en.mu.Lock()
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -40,6 +40,8 @@
 	stopAt  time.Time
 	cpu     int64
 	fails   bool
+	// failsAfter is how long after its start the run fails, 0 if it doesn't.
+	failsAfter time.Duration
 	// saved is what the start's checkpoint saved of the work.
 	saved time.Duration
 	// checkpoints is set for a task that saves its progress.
@@ -86,6 +88,17 @@
 	run    int64
 	how    string
 	saved  string
+	// at is when the run ended, on the clock of its life, and wall the time of day then.
+	at   time.Duration
+	wall time.Time
+}
+
+// startedAgain is a start of a task after one of its runs had ended as done.
+type startedAgain struct {
+	run    int64
+	minion string
+	at     time.Time
+	atMS   int64
 }
 
 // life is one incarnation of a minion.
@@ -99,6 +112,8 @@
 	lastEnd  int64
 	highest  map[string]int64
 	changed  chan struct{}
+	// lapsedAt is when a lease was last found expired, on the clock of the life.
+	lapsedAt time.Duration
 }
 
 // minion is one machine with its minion.
@@ -118,6 +133,8 @@
 	sequence int64
 	// judge decides the fate of a call; nil serves all.
 	judge func(path string, rq *orderJSON) fate
+	// roundTrip delays each answer.
+	roundTrip time.Duration
 }
 
 type orderJSON struct {
@@ -227,6 +244,9 @@
 		return
 	}
 	lapsed := lf.clock() >= lf.deadline
+	if lapsed {
+		lf.lapsedAt = lf.clock()
+	}
 	names := make([]string, 0, len(lf.running))
 	for name := range lf.running {
 		names = append(names, name)
@@ -248,6 +268,8 @@
 			how = "alone"
 		case !rn.stopAt.IsZero() && now.After(rn.stopAt):
 			how = "stopped"
+		case rn.failsAfter > 0 && now.Sub(rn.begun) >= rn.failsAfter:
+			how = "failed"
 		case !rn.lasting && rn.worked() >= rn.work && rn.stopAt.IsZero():
 			how = "done"
 			if rn.fails {
@@ -259,7 +281,7 @@
 		delete(lf.running, name)
 		lf.lastEnd++
 		lf.highest[rn.task] = max(lf.highest[rn.task], rn.run)
-		lf.ends = append(lf.ends, minionEnd{lf.lastEnd, rn.task, rn.run, how, rn.checkpoint(true)})
+		lf.ends = append(lf.ends, minionEnd{lf.lastEnd, rn.task, rn.run, how, rn.checkpoint(true), lf.clock(), now})
 		mn.fl.runEnded(mn, rn, how, lf.lastEnd)
 		ended = true
 	}
@@ -279,8 +301,9 @@
 		return
 	}
 	mn.mu.Lock()
-	judge, down, lf := mn.judge, mn.down, mn.lf
+	judge, down, lf, roundTrip := mn.judge, mn.down, mn.lf, mn.roundTrip
 	mn.mu.Unlock()
+	time.Sleep(roundTrip)
 	if down {
 		<-rq.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -360,6 +383,7 @@
 		lf.extend(od.DeadlineMS)
 		mn.acknowledge(od.LastSeen)
 		body["running"], body["finished"] = lf.lists()
+		mn.fl.countEnds(len(lf.ends))
 		return http.StatusOK, body
 	case "/run-stop":
 		lf.highest[od.Task] = max(lf.highest[od.Task], od.Run)
@@ -399,7 +423,7 @@
 	lf := mn.lf
 	at := sort.Search(len(lf.ends), func(i int) bool { return lf.ends[i].number > number })
 	for _, end := range lf.ends[:at] {
-		mn.fl.endNoted(mn, end)
+		mn.fl.endNoted(mn, end, lf.lapsedAt >= end.at)
 	}
 	lf.ends = lf.ends[at:]
 }
@@ -436,9 +460,13 @@
 	noted map[string]time.Time
 	// ended holds the tasks that have ended as done on a minion.
 	ended map[string]bool
+	// again holds the starts of tasks after such an end that wasn't taken note of yet.
+	again map[string][]startedAgain
 	// lastRun is when each job last had something running.
 	lastRun map[string]time.Time
 	starts  map[string]int
+	// lastEnd is when a run of each task last ended.
+	lastEnd map[string]time.Time
 	// stops holds the stops of lasting tasks that were at work.
 	stops []stopped
 	// failed counts the runs of each job that ended as failed.
@@ -447,13 +475,15 @@
 	// orders holds the starts that were carried out, in order.
 	orders []orderJSON
 	// quiet keeps the runs of jobs whose ids begin so out of the record.
-	quiet      string
+	quiet string
+	// mostEnds is the largest number of ends that waited on a minion when it was asked for them.
+	mostEnds   int
 	violations []string
 	cpu        int64
 }
 
 func newFleet(rc *recorder, st *store) *fleet {
-	return &fleet{rc: rc, st: st, runningOn: map[string]map[string]string{}, noted: map[string]time.Time{}, ended: map[string]bool{}, lastRun: map[string]time.Time{}, starts: map[string]int{}, failed: map[string]int{}, gangs: map[string]*gang{}, quiet: "-"}
+	return &fleet{rc: rc, st: st, runningOn: map[string]map[string]string{}, noted: map[string]time.Time{}, ended: map[string]bool{}, again: map[string][]startedAgain{}, lastRun: map[string]time.Time{}, starts: map[string]int{}, lastEnd: map[string]time.Time{}, failed: map[string]int{}, gangs: map[string]*gang{}, quiet: "-"}
 }
 
 // add starts minions of a service, spread over zones.
@@ -474,7 +504,7 @@
 
 // newRun reads from a start's spec how the run behaves: words like work-ms=300, lasts, cpu=100.
 func (fl *fleet) newRun(od *orderJSON) *minionRun {
-	rn := &minionRun{task: od.Task, run: od.Run, begun: time.Now(), work: 300 * time.Millisecond}
+	rn := &minionRun{task: od.Task, run: od.Run, begun: time.Now(), work: 300 * time.Millisecond, failsAfter: failsAfter(od.Spec)}
 	for _, word := range strings.Fields(od.Spec) {
 		name, value, _ := strings.Cut(word, "=")
 		number, _ := strconv.ParseInt(value, 10, 64)
@@ -551,6 +581,9 @@
 	if at, ok := fl.noted[rn.task]; ok && !rn.lasting {
 		fl.violation("TWICE: %s run %d begins on %s, %d ms after its end was taken note of", rn.task, rn.run, mn.id, time.Since(at).Milliseconds())
 	}
+	if _, ok := fl.noted[rn.task]; !ok && fl.ended[rn.task] && !rn.lasting {
+		fl.again[rn.task] = append(fl.again[rn.task], startedAgain{rn.run, mn.id, time.Now(), fl.rc.sinceMS()})
+	}
 	if fl.runningOn[rn.task] == nil {
 		fl.runningOn[rn.task] = map[string]string{}
 	}
@@ -578,15 +611,29 @@
 		fl.failed[jobOf(rn.task)]++
 	}
 	fl.cpu -= rn.cpu
+	fl.lastEnd[rn.task] = time.Now()
 	fl.lastRun[jobOf(rn.task)] = time.Now()
 }
 
-func (fl *fleet) endNoted(_ *minion, end minionEnd) {
+// endNoted records that an end was taken note of; an end as done before which the minion's lease lapsed counts for nothing.
+func (fl *fleet) endNoted(mn *minion, end minionEnd, lapsed bool) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	if _, ok := fl.noted[end.task]; !ok && end.how == "done" {
-		fl.noted[end.task] = time.Now()
+	if _, ok := fl.noted[end.task]; ok || end.how != "done" || lapsed {
+		return
 	}
+	fl.noted[end.task] = time.Now()
+	for _, st := range fl.again[end.task] {
+		if st.at.After(end.wall) {
+			fl.violation("TWICE: %s ended as done in run %d on %s, run %d begins on %s at %d ms, and that end is taken note of now", end.task, end.run, mn.id, st.run, st.minion, st.atMS)
+		}
+	}
+}
+
+func (fl *fleet) countEnds(count int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.mostEnds = max(fl.mostEnds, count)
 }
 
 // runningOf counts the runs of a job that go on.
