--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -184,6 +184,7 @@
 
 var cases = map[string]func(rc *recorder, program, dir string, trouble bool) (broken []string, err error){
 	"large-job":         largeJob,
+	"many-ends":         manyEnds,
 	"scheduled-job":     scheduledJob,
 	"gang-checkpoint":   gangCheckpoint,
 	"late-start":        lateStart,
