--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -186,6 +186,7 @@
 	"large-job":         largeJob,
 	"many-ends":         manyEnds,
 	"scheduled-job":     scheduledJob,
+	"crash-loop":        crashLoop,
 	"gang-checkpoint":   gangCheckpoint,
 	"late-start":        lateStart,
 	"crashes":           crashes,
