--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -187,6 +187,7 @@
 	"many-ends":         manyEnds,
 	"scheduled-job":     scheduledJob,
 	"crash-loop":        crashLoop,
+	"cancel-large":      cancelLarge,
 	"gang-checkpoint":   gangCheckpoint,
 	"late-start":        lateStart,
 	"crashes":           crashes,
