--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -18,6 +18,7 @@
 	rc       *recorder
 	name     string
 	ip       string
+	zone     string
 	callers  string
 	ready    string
 	settings string
@@ -115,7 +116,7 @@
 		}
 		ports[at] = port
 	}
-	en := &entry{rc: rc, name: name, ip: ip, settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	en := &entry{rc: rc, name: name, ip: ip, zone: zone, settings: filepath.Join(dir, name+".yaml"), log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
 	en.callers, en.ready = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
 	text := fmt.Sprintf(settingsText, name, ip, zone, en.callers, en.ready, ports[2], ports[2]+15, storeAddress, machinesAddress)
 	if adviceAddress != "" {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -173,6 +173,48 @@
 	return nil
 }
 
+// Round trips between an entry and a minion, as on the pages' sheet of porotca-fulmar and in its site file.
+const (
+	roundTripInZone   = 400 * time.Microsecond
+	roundTripToOthers = 2800 * time.Microsecond
+	ownerPollInterval = 100 * time.Millisecond
+)
+
+// newZonedDeployment starts a deployment whose minions answer as late as the way from the owner of scheduling and back takes. The minions with the lowest ids, which are filled first, are in other zones than the owner, as two of three minions are.
+func newZonedDeployment(rc *recorder, program, dir string, minions, entries int, trouble bool) (*deployment, error) {
+	dp, err := newDeployment(rc, program, dir, 0, entries, trouble)
+	if err != nil {
+		return nil, err
+	}
+	for begin := time.Now(); dp.owner() == nil; time.Sleep(ownerPollInterval) {
+		if time.Since(begin) > 10*time.Second {
+			dp.close()
+			return nil, fmt.Errorf("no owner")
+		}
+	}
+	own := dp.owner().zone
+	rc.say("the owner of scheduling is in %s", own)
+	var order []string
+	for _, zone := range zones {
+		if zone != own {
+			order = append(order, zone)
+		}
+	}
+	if err := dp.fl.add(service, minions, append(order, own)); err != nil {
+		dp.close()
+		return nil, err
+	}
+	for _, mn := range dp.fl.minions {
+		mn.mu.Lock()
+		mn.roundTrip = roundTripToOthers
+		if mn.zone == own {
+			mn.roundTrip = roundTripInZone
+		}
+		mn.mu.Unlock()
+	}
+	return dp, nil
+}
+
 func containsName(raw []byte, name string) bool {
 	for at := 0; at+len(name) <= len(raw); at++ {
 		if string(raw[at:at+len(name)]) == name {
@@ -188,6 +230,7 @@
 	"scheduled-job":     scheduledJob,
 	"crash-loop":        crashLoop,
 	"cancel-large":      cancelLarge,
+	"large-gang":        largeGang,
 	"gang-checkpoint":   gangCheckpoint,
 	"late-start":        lateStart,
 	"crashes":           crashes,
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -259,6 +259,8 @@
 		switch {
 		case lapsed:
 			how = "lapsed"
+		case !rn.stopAt.IsZero() && now.After(rn.stopAt):
+			how = "stopped"
 		case rn.gang != nil && mn.fl.gangBroken(rn):
 			how = "broken"
 		case rn.gang != nil && rn.gang.complete.IsZero():
@@ -266,8 +268,6 @@
 				continue
 			}
 			how = "alone"
-		case !rn.stopAt.IsZero() && now.After(rn.stopAt):
-			how = "stopped"
 		case rn.failsAfter > 0 && now.Sub(rn.begun) >= rn.failsAfter:
 			how = "failed"
 		case !rn.lasting && rn.worked() >= rn.work && rn.stopAt.IsZero():
@@ -640,6 +640,11 @@
 func (fl *fleet) runningOf(job string) int {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
+	return fl.runningLocked(job)
+}
+
+// runningLocked counts the runs of a job that go on; the caller holds the lock.
+func (fl *fleet) runningLocked(job string) int {
 	count := 0
 	for task, where := range fl.runningOn {
 		if jobOf(task) == job {
