Rowstore: sizes of rows and transactions are part of the store's interface

It has a code of its own now, table-refused, and ends the hedged copies of a commit of the owner. The stand-in keeps to limits that a test sets.

No behaviour that callers see changes with this commit alone.

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"hash/fnv"
 	"math/rand/v2"
 	"sync/atomic"
@@ -88,10 +87,9 @@
 	commitTimeoutMS = 1500
 	// hedgeDelayFactor is the ratio of the hedge delay to the duration of the last commit's answered attempt.
 	hedgeDelayFactor = 6
-	// putOverheadBytes is what a transaction holds for each row beside the value; linkTimes is how many times the link could carry a transaction before it is sent again.
-	putOverheadBytes = 90
-	linkTimes        = 2
-	msPerS           = 1000
+	// linkTimes is how many times the link could carry a transaction before it is sent again.
+	linkTimes = 2
+	msPerS    = 1000
 	// closeWatchers is the number of entries that poll at short intervals: enough that some remain after the loss of a zone.
 	closeWatchers = 4
 	// closePollIntervalMS is the poll interval of close watchers, relaxedPollIntervalMS that of the others, whose reads must be less than maxReadGapMS apart.
@@ -323,7 +321,7 @@
 
 // Commit applies a transaction together with the renewal of the lease.
 //
-// It returns code.LeaseLapsed when another entry owns the row; after any other error the same changes must be committed again until they are applied.
+// It returns code.LeaseLapsed when another entry owns the row, and code.TableRefused when the store refused the changes for their content and none of them is applied; after any other error the same changes must be committed again until they are applied.
 func (ow *Ownership) Commit(ctx context.Context, fill func(*rowstore.Tx)) error {
 	next := &workpb.Ownership{
 		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.row.GetToken(), Sequence: ow.row.GetSequence() + 1,
@@ -358,7 +356,7 @@
 	limited, cancel := ow.ck.WithTimeout(ctx, commitTimeoutMS)
 	defer cancel()
 	delayMS := ow.hedgeDelayOf(tx)
-	policy := hedge.New(ow.ck, delayMS, delayMS, isConflict)
+	policy := hedge.New(ow.ck, delayMS, delayMS, isFinal)
 	rs, err := hedge.Do(limited, policy, func(ctx context.Context, _ int) (commitResult, error) {
 		sentMS := ow.ck.Now()
 		version, current, err := ow.st.Commit(ctx, tx)
@@ -398,6 +396,9 @@
 
 func isConflict(err error) bool { return code.Of(err) == code.Conflict }
 
+// isFinal reports whether an error is a definite answer to a transaction, so that sending it again can't help.
+func isFinal(err error) bool { return isConflict(err) || code.Of(err) == code.TableRefused }
+
 // markApplied records the new version of the row. Any of the attempts may have written it, so the lease counts from the first one.
 func (ow *Ownership) markApplied(next *workpb.Ownership, version int64) {
 	ow.row, ow.version = next, version
@@ -418,11 +419,7 @@
 	if ow.linkBytesPerS == 0 {
 		return ow.hedgeDelayMS
 	}
-	bytes := 0
-	for _, rw := range tx.Puts() {
-		bytes += base64.StdEncoding.EncodedLen(len(rw.Value())) + putOverheadBytes
-	}
-	return max(ow.hedgeDelayMS, min(linkTimes*msPerS*int64(bytes)/ow.linkBytesPerS, maxHedgeDelayMS))
+	return max(ow.hedgeDelayMS, min(linkTimes*msPerS*int64(tx.Bytes())/ow.linkBytesPerS, maxHedgeDelayMS))
 }
 
 // resolveConflict distinguishes an earlier attempt of the same commit whose answer was lost from a takeover by another entry.
--- a/internal/observability/callmetrics/callmetrics.go
+++ b/internal/observability/callmetrics/callmetrics.go
@@ -22,6 +22,7 @@
 // Store wraps a store so that its calls are counted by kind and result code, and their durations recorded by kind.
 func (ca *Calls) Store(inner *rowstore.Store) *rowstore.Store {
 	return &rowstore.Store{
+		Limits: inner.Limits,
 		Read: func(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
 			startMS := ca.ck.Now()
 			pg, err := inner.Read(ctx, table, partition, from, to)
--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -264,6 +264,7 @@
 		return nil
 	}
 	return &rowstore.Store{
+		Limits: inner.Limits,
 		Read: func(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
 			if err := cut(); err != nil {
 				return rowstore.Page{}, err
--- a/internal/scheduling/jobrunner/slowlink_test.go
+++ b/internal/scheduling/jobrunner/slowlink_test.go
@@ -99,6 +99,7 @@
 		return inner
 	}
 	return &rowstore.Store{
+		Limits: inner.Limits,
 		Read: func(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
 			pg, err := inner.Read(ctx, table, partition, from, to)
 			list, bytes := endPage(pg.Rows())
--- a/internal/store/rowstore/rowstore.go
+++ b/internal/store/rowstore/rowstore.go
@@ -8,8 +8,10 @@
 
 // Store holds the calls to the store; an adapter sets its functions.
 //
-// Errors carry code.Conflict if a condition failed, code.TableUnavailable if certainly nothing was changed, and code.TableInDoubt if a change may have taken effect or may still do so.
+// Errors carry code.Conflict if a condition failed, code.TableUnavailable if certainly nothing was changed, code.TableRefused if the store never applies the transaction as it is, and code.TableInDoubt if a change may have taken effect or may still do so.
 type Store struct {
+	// Limits are the sizes that a transaction must keep to.
+	Limits Limits
 	// Read returns the rows of a partition whose keys are at least `from` and less than `to`; an empty `to` sets no upper bound.
 	Read func(ctx context.Context, table, partition, from, to string) (Page, error)
 	// Partitions returns the partitions of a table.
--- a/internal/store/rowstore/tx.go
+++ b/internal/store/rowstore/tx.go
@@ -40,3 +40,20 @@
 
 // Removes returns the rows to delete.
 func (tx *Tx) Removes() []Row { return tx.removes }
+
+// Entries returns the number of conditions and changes.
+func (tx *Tx) Entries() int { return len(tx.requires) + len(tx.puts) + len(tx.removes) }
+
+// Bytes returns roughly how many bytes a call with the transaction sends.
+func (tx *Tx) Bytes() int {
+	sum := 0
+	for _, rw := range tx.puts {
+		sum += PutBytes(rw.Table(), rw.Key(), rw.Value())
+	}
+	for _, list := range [][]Row{tx.requires, tx.removes} {
+		for _, rw := range list {
+			sum += RemoveBytes(rw.Table(), rw.Key())
+		}
+	}
+	return sum
+}
--- a/internal/store/seenversion/seenversion.go
+++ b/internal/store/seenversion/seenversion.go
@@ -21,6 +21,7 @@
 // Store wraps a store so that the versions in its answers are tracked.
 func (tr *Tracker) Store(inner *rowstore.Store) *rowstore.Store {
 	return &rowstore.Store{
+		Limits: inner.Limits,
 		Read: func(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
 			pg, err := inner.Read(ctx, table, partition, from, to)
 			tr.record(pg.Version())
--- a/internal/testbed/rowstoretest/rowstoretest.go
+++ b/internal/testbed/rowstoretest/rowstoretest.go
@@ -22,6 +22,8 @@
 	Refused
 	// AnswerLost commits are applied if their conditions hold, but get no answer.
 	AnswerLost
+	// NeverTaken commits are refused for their content.
+	NeverTaken
 	// Late commits get no answer and are applied by ApplyLate, if their conditions still hold.
 	Late
 )
@@ -42,6 +44,8 @@
 	unresponsive bool
 	// latencyMS is how long a commit takes; it is applied even if its caller gives up in the meantime.
 	latencyMS int64
+	// limits are those beyond which commits are refused.
+	limits rowstore.Limits
 	// scanLatencyMS holds how long a read of an open-ended range of a table takes.
 	scanLatencyMS map[string]int64
 }
@@ -55,7 +59,14 @@
 
 // Rowstore returns the store's interface.
 func (st *Store) Rowstore() *rowstore.Store {
-	return &rowstore.Store{Read: st.read, Partitions: st.partitions, Commit: st.commit, Feed: st.feed}
+	return &rowstore.Store{Limits: st.limits, Read: st.read, Partitions: st.partitions, Commit: st.commit, Feed: st.feed}
+}
+
+// SetLimits sets the sizes beyond which commits are refused; stores that Rowstore returned before don't report them.
+func (st *Store) SetLimits(limits rowstore.Limits) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.limits = limits
 }
 
 // SetCommitOutcome sets the function that determines the outcome of each commit from now on.
@@ -218,8 +229,13 @@
 	case Late:
 		st.late = append(st.late, tx)
 		return 0, nil, code.TableInDoubt.New("commit got no answer")
+	case NeverTaken:
+		return 0, nil, code.TableRefused.New("commit refused for its content")
 	default:
 	}
+	if err := st.limits.Check(tx); err != nil {
+		return 0, nil, err
+	}
 	if current := st.conflicts(tx); len(current) > 0 {
 		if outcome == AnswerLost {
 			return 0, nil, code.TableInDoubt.New("commit got no answer")
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -92,7 +92,9 @@
 	FileUnreadable Code = 343
 	// No line of the log files holds the id.
 	IDUnlogged Code = 344
-	Internal   Code = 399
+	// The table refused a transaction for its content, so that repeating it unchanged can't help.
+	TableRefused Code = 345
+	Internal     Code = 399
 )
 
 type definition struct {
@@ -163,6 +165,7 @@
 	ClaimUnwritten:    {"claim-unwritten", http.StatusServiceUnavailable},
 	FileUnreadable:    {"file-unreadable", http.StatusNotFound},
 	IDUnlogged:        {"id-unlogged", http.StatusNotFound},
+	TableRefused:      {"table-refused", http.StatusInternalServerError},
 	Internal:          {"internal", http.StatusInternalServerError},
 }
 
