--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -27,11 +27,12 @@
 	finalStates map[string]workpb.State
 }
 
-// Tables of the jobs and of what is kept of ended ones, partitioned by job id, and of the jobs' progress, in the partition of the scheduling owner.
+// Tables of the jobs and of what is kept of ended ones, partitioned by job id, and of the jobs' progress and its further parts, in the partition of the scheduling owner.
 const (
 	JobsTable     = "jobs"
 	EndedTable    = "ended"
 	ProgressTable = "progress"
+	PartsTable    = "progress-parts"
 )
 
 const (
--- a/internal/scheduling/jobcontrol/advice.go
+++ b/internal/scheduling/jobcontrol/advice.go
@@ -76,10 +76,14 @@
 // HandleAdvice records the answer to a request that was sent at sentMS, nil if there was none. Refusals are kept, since the set of VMs that may run a step doesn't change.
 func (ct *Controller) HandleAdvice(rq *workpb.AdviceRequest, sentMS int64, ad *workpb.Advice) {
 	jb, ok := ct.jobs[rq.GetJob()]
-	if !ok || int(rq.GetOccurrence()) >= len(jb.occurrences) {
+	if !ok {
 		return
 	}
-	st := jb.occurrences[rq.GetOccurrence()].steps[rq.GetStep()]
+	oc := jb.occurrence(int(rq.GetOccurrence()))
+	if oc == nil {
+		return
+	}
+	st := oc.steps[rq.GetStep()]
 	st.advicePending = false
 	if ad == nil {
 		return
--- a/internal/scheduling/jobcontrol/choosesteps_test.go
+++ b/internal/scheduling/jobcontrol/choosesteps_test.go
@@ -18,7 +18,7 @@
 		Id: "job", AcceptedMs: 1000, AcceptedUnder: &workpb.Queue{Name: "q", Stretch: 1.6, TargetMs: 600},
 		Steps: []*workpb.Step{{Count: 1, CpuMilli: 100, EstimateMs: 100}, {Count: 1, CpuMilli: 100, EstimateMs: 3000}},
 	})
-	jb.addOccurrence(0)
+	jb.addOccurrence()
 	oc := jb.occurrences[0]
 	list := []candidate{{st: oc.steps[0], tier: tierOnTime, latestMS: 6000, objectiveMS: 5400}, {st: oc.steps[1], tier: tierOnTime, latestMS: 3100, objectiveMS: 5400}}
 	ct.chooseStarts("s", list, ck.Now())
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -74,11 +74,18 @@
 	// used holds what each team's runs take.
 	used map[string]size.Size
 	// lateVMs holds the VMs with late starts.
-	lateVMs   map[*vmState]bool
-	dirtyJobs []*job
-	outbox    []*workpb.Order
-	advice    []*workpb.AdviceRequest
-	arrivals  []arrival
+	lateVMs map[*vmState]bool
+	// waitingParts holds the parts of progress that wait to be stored, in order of their turns; lastTurn is the last turn that was given.
+	waitingParts []*progressPart
+	lastTurn     int64
+	// asideParts is how many of them belonged to jobs that are set aside when the last planning pass began.
+	asideParts int
+	// heldStarts holds the planned starts whose progress didn't fit into the last batch.
+	heldStarts []*run
+	limits     batchLimits
+	outbox     []*workpb.Order
+	advice     []*workpb.AdviceRequest
+	arrivals   []arrival
 	// refusedMS holds when the jobs were first tried whose refused submissions are among the arrivals.
 	refusedMS map[string]int64
 	// startLimit is how many starts may be under way, startsUnderWay how many are.
@@ -117,7 +124,7 @@
 		pace: taskpace.New(), room: map[string]poolRoom{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, lateVMs: map[*vmState]bool{}, unexplainedCrashMS: map[string]int64{}, unplaceable: map[string]*unplaceable{},
-		startLimit: math.MaxInt, firstPollLimit: math.MaxInt, busyPollMS: busyPollIntervalMS, refusedMS: map[string]int64{},
+		limits: batchLimits{rows: maxBatchRows}, startLimit: math.MaxInt, firstPollLimit: math.MaxInt, busyPollMS: busyPollIntervalMS, refusedMS: map[string]int64{},
 	}
 }
 
@@ -169,7 +176,10 @@
 
 func (ct *Controller) end(jb *job, st workpb.State) {
 	jb.state = st
-	ct.markDirty(jb)
+	ct.markState(jb)
+	for _, pt := range jb.parts {
+		ct.markPart(pt)
+	}
 	ct.stopAll(jb)
 	ct.forgetPace(jb)
 	delete(ct.active, jb.row.GetId())
@@ -197,7 +207,7 @@
 
 // progressWaits reports whether progress of a job is waiting to be stored.
 func (ct *Controller) progressWaits(id string) bool {
-	return slices.ContainsFunc(ct.dirtyJobs, func(jb *job) bool { return jb.row.GetId() == id })
+	return slices.ContainsFunc(ct.waitingParts, func(pt *progressPart) bool { return pt.jb.row.GetId() == id })
 }
 
 // Ended returns the ids of the jobs that ended, or were restored as ended, since the last call.
@@ -232,14 +242,6 @@
 	})
 }
 
-// markDirty queues a job's progress to be stored.
-func (ct *Controller) markDirty(jb *job) {
-	if !jb.dirty {
-		jb.dirty = true
-		ct.dirtyJobs = append(ct.dirtyJobs, jb)
-	}
-}
-
 // ensureVM returns the state of a VM, creating it if the VM is unknown. A new VM's lease deadline covers leases that the previous owner may have renewed up to RenewalWindowMS after this controller's start.
 func (ct *Controller) ensureVM(id string) *vmState {
 	if got, ok := ct.vms[id]; ok {
@@ -339,7 +341,7 @@
 		return nil
 	}
 	tk.current = nil
-	ct.markDirty(tk.job())
+	ct.markTask(tk)
 	return tk
 }
 
--- a/internal/scheduling/jobcontrol/crashes.go
+++ b/internal/scheduling/jobcontrol/crashes.go
@@ -129,7 +129,7 @@
 	}
 	ct.lg.Info("vm-crashed-under-task", "vm", vm.id, "task", tk.name().String(), "suspects", suspects,
 		"confirmed", cr.confirmed, "doubtful", cr.doubtful, "blamed", cr.blamed)
-	ct.markDirty(tk.job())
+	ct.markTask(tk)
 	if jb := tk.job(); cr.deadly(ct.crashesUnexplained(vm.reg.GetService())) && !jb.ended() {
 		ct.lg.Info("job-given-up", "job", jb.row.GetId(), "task", tk.name().String(), "crashed-vms", cr.confirmed+cr.doubtful, "blamed", cr.blamed)
 		ct.end(jb, workpb.State_FAILED)
--- a/internal/scheduling/jobcontrol/duplicates.go
+++ b/internal/scheduling/jobcontrol/duplicates.go
@@ -12,7 +12,7 @@
 // duplicateFailed counts the failure of a duplicate run that this owner detached; failures of an earlier owner's runs may have been counted by that owner.
 func (ct *Controller) duplicateFailed(name string) {
 	if tk := ct.duplicableTask(name); tk != nil {
-		ct.markDirty(tk.job())
+		ct.markTask(tk)
 		ct.taskFailed(tk)
 	}
 }
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -71,7 +71,7 @@
 	}
 	delete(tk.givenUp, key.run)
 	ct.lg.Info("run-failed-late", "vm", vm.id, "task", key.task, "run", key.run)
-	ct.markDirty(tk.job())
+	ct.markTask(tk)
 	ct.taskFailed(tk)
 }
 
@@ -87,16 +87,29 @@
 		ct.markDone(tk)
 	}
 	jb := tk.job()
-	if jb.complete() {
+	if tk.st.oc.complete() {
+		ct.closeOccurrence(tk.st.oc)
+	}
+	if jb.complete() && !jb.ended() {
 		ct.lg.Info("job-completed", "job", jb.row.GetId(), "age-ms", ct.ck.Now()-jb.row.GetAcceptedMs())
 		ct.end(jb, workpb.State_COMPLETED)
 	}
 }
 
+// closeOccurrence replaces a completed occurrence by its number, in memory and in the stored progress.
+func (ct *Controller) closeOccurrence(oc *occurrence) {
+	if !oc.jb.closeOccurrence(oc) {
+		return
+	}
+	ct.markState(oc.jb)
+	ct.markOccurrence(oc)
+}
+
 func (ct *Controller) markDone(tk *task) {
 	if !tk.done {
 		tk.done = true
 		tk.st.done++
+		ct.markTask(tk)
 	}
 	ct.stopFirst(tk)
 	if tk.st.done == len(tk.st.tasks) {
@@ -126,6 +139,7 @@
 		st.failures++
 		for _, member := range st.tasks {
 			member.failures = st.failures
+			ct.markTask(member)
 		}
 		return
 	}
@@ -277,7 +291,7 @@
 	rn.mayStartUntilMS = 0
 	if rn.lasting() && !rn.settled {
 		rn.settled = true
-		ct.markDirty(rn.task.job())
+		ct.markTask(rn.task)
 	}
 }
 
--- a/internal/scheduling/jobcontrol/fleet_test.go
+++ b/internal/scheduling/jobcontrol/fleet_test.go
@@ -37,11 +37,15 @@
 	held       []*workpb.Order
 	// beforeOrder is called before an order is executed.
 	beforeOrder func(od *workpb.Order)
-	stored      map[string]*workpb.Progress
+	stored      storedRows
 	jobs        map[string]*workpb.Job
 	token       int64
 	// allowDuplicates is set where duplicate runs of a task are allowed.
 	allowDuplicates bool
+	// limitBatch sets the limits of the next batch, check checks it and beforePoll a poll.
+	limitBatch func()
+	check      func(*jobcontrol.Batch)
+	beforePoll func(*workpb.LookRequest)
 
 	runningOn map[string]string
 	doneTasks map[string]bool
@@ -51,11 +55,14 @@
 func newFleet(t *testing.T, vms ...*workpb.VM) *fleet {
 	fl := &fleet{
 		t: t, ck: clock.NewFake(1_000_000), workers: map[string]*workertest.Worker{}, unresponsive: map[string]bool{}, unregistered: map[string]bool{},
-		stored: map[string]*workpb.Progress{}, jobs: map[string]*workpb.Job{},
+		stored: storedRows{}, jobs: map[string]*workpb.Job{},
 		runningOn: map[string]string{}, doneTasks: map[string]bool{}, starts: map[string]int{},
 	}
 	fl.loseAnswer = func(*workpb.Order) bool { return false }
 	fl.beforeOrder = func(*workpb.Order) {}
+	fl.limitBatch = func() {}
+	fl.check = func(*jobcontrol.Batch) {}
+	fl.beforePoll = func(*workpb.LookRequest) {}
 	for _, vm := range vms {
 		wk := workertest.New(fl.ck, vm)
 		wk.Record = fl.record
@@ -71,7 +78,7 @@
 	fl.ct = jobcontrol.New(fl.ck, event.Discard(), fl.token, runLeaseMS)
 	fl.ct.SetRules(rulesindex.New(testRules()))
 	for _, id := range fl.jobIDs() {
-		fl.ct.Restore(fl.jobs[id], fl.stored[id])
+		fl.ct.Restore(fl.jobs[id], fl.stored.of(id))
 	}
 	for id, wk := range fl.workers {
 		if !fl.unregistered[id] {
@@ -153,10 +160,10 @@
 	for _, lr := range due {
 		fl.poll(lr)
 	}
+	fl.limitBatch()
 	bt := fl.ct.Plan(true)
-	for _, row := range bt.Rows() {
-		fl.stored[row.GetId()] = proto.Clone(row).(*workpb.Progress)
-	}
+	fl.check(bt)
+	fl.stored.apply(changeOf(bt))
 	fl.send(fl.ct.ConfirmStored(bt))
 	fl.send(fl.ct.Outbox())
 }
@@ -167,6 +174,7 @@
 		fl.ct.HandlePoll(lr.GetVm(), fl.ck.Now(), nil, workpb.Verdict_IN_DOUBT)
 		return
 	}
+	fl.beforePoll(lr)
 	lk, vd := wk.Poll(lr)
 	for _, end := range lk.GetEnded() {
 		fl.doneTasks[end.GetTask()] = fl.doneTasks[end.GetTask()] || end.GetEnd() == workpb.End_END_DONE
@@ -194,7 +202,7 @@
 	}
 }
 
-func (fl *fleet) state(id string) workpb.State { return fl.stored[id].GetState() }
+func (fl *fleet) state(id string) workpb.State { return fl.stored.state(id) }
 
 func jobOf(id string, steps ...*workpb.Step) *workpb.Job {
 	return &workpb.Job{Id: id, Team: "t", Steps: steps}
--- a/internal/scheduling/jobcontrol/history_test.go
+++ b/internal/scheduling/jobcontrol/history_test.go
@@ -47,7 +47,7 @@
 	registry  map[string]*workpb.VM
 	jobs      map[string]*workpb.Job
 	cancelled map[string]bool
-	stored    map[string]*workpb.Progress
+	stored    storedRows
 	service   string
 	services  map[string]bool
 	// executing is the order that a VM executes at the moment.
@@ -88,7 +88,7 @@
 func newHistory(pl *historyPlan) *history {
 	hs := &history{
 		pl: pl, ck: clock.NewFake(historyStartMS), lg: event.Discard(), registry: map[string]*workpb.VM{}, jobs: map[string]*workpb.Job{},
-		cancelled: map[string]bool{}, stored: map[string]*workpb.Progress{}, service: "s", services: map[string]bool{"s": true},
+		cancelled: map[string]bool{}, stored: storedRows{}, service: "s", services: map[string]bool{"s": true},
 		evacuated: map[string]bool{}, forgotten: map[string]workpb.State{}, events: map[string]int{}, capCPU: pl.capCPU,
 	}
 	hs.lg.OnEvent(func(name string, _ []any) { hs.events[name]++ })
@@ -241,7 +241,7 @@
 func (hs *history) final(id string) bool {
 	state, ok := hs.forgotten[id]
 	if !ok {
-		state = hs.stored[id].GetState()
+		state = hs.stored.state(id)
 	}
 	switch state {
 	case workpb.State_COMPLETED, workpb.State_FAILED, workpb.State_CANCELLED:
@@ -278,7 +278,7 @@
 		if _, ok := hs.forgotten[id]; ok {
 			continue
 		}
-		hs.ct.Restore(hs.jobs[id], hs.stored[id])
+		hs.ct.Restore(hs.jobs[id], hs.stored.of(id))
 		if hs.cancelled[id] {
 			hs.ct.Cancel(id)
 		}
@@ -318,7 +318,7 @@
 // plan makes a planning pass; its rows are stored after a while, and by then the owner may have been replaced.
 func (hs *history) plan() {
 	bt := hs.ct.Plan(true)
-	if len(bt.Rows()) == 0 {
+	if bt.Empty() {
 		hs.enqueue(hs.ct.ConfirmStored(bt))
 		return
 	}
@@ -328,18 +328,13 @@
 	if hs.active(slowCommits) > 0 {
 		delayMS = hs.draw(800, "slow-commit", hs.calls)
 	}
-	rows := make([]*workpb.Progress, 0, len(bt.Rows()))
-	for _, row := range bt.Rows() {
-		rows = append(rows, proto.Clone(row).(*workpb.Progress))
-	}
+	change := changeOf(bt)
 	owner, applied := hs.owner, hs.draw(2, "applied", hs.calls) == 0
 	hs.after(delayMS, func() {
 		if hs.owner != owner || (hs.ct == nil && !applied) {
 			return
 		}
-		for _, row := range rows {
-			hs.stored[row.GetId()] = row
-		}
+		hs.stored.apply(change)
 		if hs.ct != nil {
 			hs.commit = nil
 			hs.enqueue(hs.ct.ConfirmStored(bt))
--- a/internal/scheduling/jobcontrol/historycheck_test.go
+++ b/internal/scheduling/jobcontrol/historycheck_test.go
@@ -261,7 +261,7 @@
 	}
 	for _, id := range sortedKeys(hs.jobs) {
 		if !hs.final(id) && hs.placeable(id) && len(hs.violations) == 0 {
-			hs.report("stuck", "%s is %s at the end", id, hs.stored[id].GetState())
+			hs.report("stuck", "%s is %s at the end", id, hs.stored.state(id))
 		}
 	}
 }
--- a/internal/scheduling/jobcontrol/historymore_test.go
+++ b/internal/scheduling/jobcontrol/historymore_test.go
@@ -119,7 +119,7 @@
 
 func (hs *history) forget(id string) {
 	if hs.final(id) && hs.ct.Forget(id) {
-		hs.forgotten[id] = hs.stored[id].GetState()
+		hs.forgotten[id] = hs.stored.state(id)
 		delete(hs.stored, id)
 	}
 }
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -1,27 +1,37 @@
 package jobcontrol
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/configuration/rulesindex"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/numberset"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
 )
 
 // job is an accepted job that isn't completed; a failed or cancelled one stays until Forget removes it.
 type job struct {
-	row         *workpb.Job
-	state       workpb.State
+	row   *workpb.Job
+	state workpb.State
+	// occurrences holds the open ones in order of their numbers: those that were created and aren't completed.
 	occurrences []*occurrence
+	// completed holds the numbers of the completed ones, created is the number of the next one to be created.
+	completed numberset.Set
+	created   int
+	// stepOffsets holds for each step the number of the tasks of an occurrence before it, tasks the number of all its tasks.
+	stepOffsets []int64
+	tasks       int64
+	// parts holds the parts of the job's progress that are stored or waiting to be stored, by their numbers.
+	parts map[int64]*progressPart
+	// asideUntilMS is until when the job starts nothing and its progress isn't stored, since the store has refused it.
+	asideUntilMS int64
 	// criticalPaths holds for each step the largest sum of estimates along a path of dependent steps from its start to the job's end, in milliseconds.
 	criticalPaths []int64
 	// longestPathMS is the largest of them.
 	longestPathMS int64
-	dirty         bool
 	// queue is the job's queue under queueRules.
 	queue      *workpb.Queue
 	queueRules *rulesindex.Index
@@ -84,121 +94,35 @@
 	movedOffSlowVM bool
 }
 
-const (
-	singleOccurrence = 1
-	// maxOpenTasks bounds the tasks of a job's occurrences that are open at once, since each takes memory: as many as one occurrence may have.
-	maxOpenTasks = jobwork.MaxTasks
-)
-
 func newJob(row *workpb.Job) *job {
-	jb := &job{row: row, state: workpb.State_QUEUED}
+	jb := &job{row: row, state: workpb.State_QUEUED, parts: map[int64]*progressPart{}}
 	jb.criticalPaths = jobwork.CriticalPaths(row.GetSteps())
 	for _, pathMS := range jb.criticalPaths {
 		jb.longestPathMS = max(jb.longestPathMS, pathMS)
 	}
-	return jb
-}
-
-// totalOccurrences returns the number of occurrences of the job.
-func (jb *job) totalOccurrences() int { return max(int(jb.row.GetOccurrences()), singleOccurrence) }
-
-// scheduled reports whether the job's occurrences have due times.
-func (jb *job) scheduled() bool { return jb.row.GetOccurrences() > 0 }
-
-// dueMS returns when an occurrence may start, for a job that runs once the time from which its objective counts: its first attempt, also if that was refused, so that a job that comes back doesn't go ahead of those that can still be in time.
-func (jb *job) dueMS(number int) int64 {
-	if !jb.scheduled() {
-		return cmp.Or(jb.row.GetFirstTriedMs(), jb.row.GetAcceptedMs())
-	}
-	return jb.row.GetFirstDueMs() + int64(number)*jb.row.GetPeriodMs()
-}
-
-// openDueOccurrences creates the occurrences that are due, as far as maxOpenTasks allows; the next ones are created when earlier ones have completed.
-func (jb *job) openDueOccurrences(nowMS int64) {
-	if !jb.nextOccurrenceDue(nowMS) {
-		return
-	}
-	for mayOpen := jb.maxOpenOccurrences() - jb.openOccurrences(); mayOpen > 0 && jb.nextOccurrenceDue(nowMS); mayOpen-- {
-		jb.addOccurrence(len(jb.occurrences))
-	}
-}
-
-// nextOccurrenceDue reports whether the job has an occurrence that isn't created yet and is due.
-func (jb *job) nextOccurrenceDue(nowMS int64) bool {
-	number := len(jb.occurrences)
-	return number < jb.totalOccurrences() && (!jb.scheduled() || jb.dueMS(number) <= nowMS)
-}
-
-// maxOpenOccurrences returns how many occurrences of the job may be open at once, at least one.
-func (jb *job) maxOpenOccurrences() int {
-	tasks := 0
-	for _, row := range jb.row.GetSteps() {
-		tasks += int(row.GetCount())
-	}
-	return max(maxOpenTasks/max(tasks, 1), 1)
-}
-
-// openOccurrences counts the occurrences that have been created and aren't complete.
-func (jb *job) openOccurrences() int {
-	count := 0
-	for _, oc := range jb.occurrences {
-		if !oc.complete() {
-			count++
-		}
-	}
-	return count
-}
-
-func (jb *job) addOccurrence(number int) {
-	oc := &occurrence{jb: jb, number: number, dueMS: jb.dueMS(number)}
-	for at, row := range jb.row.GetSteps() {
-		st := &step{oc: oc, row: row, number: at}
-		for index := range int(row.GetCount()) {
-			st.tasks = append(st.tasks, &task{st: st, index: index})
-		}
-		oc.steps = append(oc.steps, st)
+	for _, st := range row.GetSteps() {
+		jb.stepOffsets = append(jb.stepOffsets, jb.tasks)
+		jb.tasks += int64(st.GetCount())
 	}
-	jb.occurrences = append(jb.occurrences, oc)
-}
-
-// storedTask returns the task of a name in stored progress, or nil if there is none; it creates the occurrences up to the name's, which an earlier owner had opened.
-func (jb *job) storedTask(nm taskname.Name) *task {
-	if nm.Occurrence() < len(jb.occurrences)+jb.maxOpenOccurrences() {
-		for nm.Occurrence() >= len(jb.occurrences) && len(jb.occurrences) < jb.totalOccurrences() {
-			jb.addOccurrence(len(jb.occurrences))
-		}
-	}
-	return jb.task(nm)
+	return jb
 }
 
-// task returns the task of a name, or nil if the job has no such task or its occurrence isn't open yet.
+// task returns the task of a name, or nil if the job has no such task or its occurrence isn't open.
 func (jb *job) task(nm taskname.Name) *task {
 	if min(nm.Occurrence(), nm.Step(), nm.Index()) < 0 {
 		return nil
 	}
-	if nm.Occurrence() >= len(jb.occurrences) || nm.Step() >= len(jb.row.GetSteps()) {
+	oc := jb.occurrence(nm.Occurrence())
+	if oc == nil || nm.Step() >= len(oc.steps) {
 		return nil
 	}
-	st := jb.occurrences[nm.Occurrence()].steps[nm.Step()]
+	st := oc.steps[nm.Step()]
 	if nm.Index() >= len(st.tasks) {
 		return nil
 	}
 	return st.tasks[nm.Index()]
 }
 
-// complete reports whether all tasks of all occurrences are done.
-func (jb *job) complete() bool {
-	if len(jb.occurrences) < jb.totalOccurrences() {
-		return false
-	}
-	return jb.openOccurrences() == 0
-}
-
-// complete reports whether all tasks of the occurrence are done.
-func (oc *occurrence) complete() bool {
-	return !slices.ContainsFunc(oc.steps, func(st *step) bool { return st.done < len(st.tasks) })
-}
-
 func (jb *job) ended() bool { return intake.Final(jb.state) }
 
 // running reports whether a task of the job has a run, or may have one.
@@ -224,7 +148,7 @@
 	return jobwork.CoreMS(jb.row.GetSteps())
 }
 
-// eachTask calls fn for each task of the opened occurrences.
+// eachTask calls fn for each task of the open occurrences.
 func (jb *job) eachTask(fn func(*task)) {
 	for _, oc := range jb.occurrences {
 		for _, st := range oc.steps {
@@ -235,42 +159,6 @@
 	}
 }
 
-// progress returns the job's progress as it is stored.
-func (jb *job) progress() *workpb.Progress {
-	pg := &workpb.Progress{Id: jb.row.GetId(), State: jb.state}
-	if jb.state == workpb.State_COMPLETED {
-		return pg
-	}
-	hosts := map[string]int32{}
-	jb.eachTask(func(tk *task) {
-		row := tk.progressRow()
-		if row == nil {
-			return
-		}
-		if row.GetPhase() == workpb.Phase_INTENDED {
-			row.Host = addHost(pg, hosts, tk.current.vm.reg)
-		}
-		for number, rn := range tk.replaced {
-			row.Replaced = append(row.Replaced, &workpb.EarlierRun{Run: number, Host: addHost(pg, hosts, rn.vm.reg)})
-		}
-		for number, vm := range tk.givenUp {
-			row.GivenUp = append(row.GivenUp, &workpb.EarlierRun{Run: number, Host: addHost(pg, hosts, vm.reg)})
-		}
-		pg.Tasks = append(pg.Tasks, row)
-	})
-	return pg
-}
-
-// addHost returns the position of a VM in the progress row's hosts, counted from 1, and adds the VM if it isn't there yet. Most tasks of a job share a few VMs.
-func addHost(pg *workpb.Progress, hosts map[string]int32, reg *workpb.VM) int32 {
-	if at, ok := hosts[reg.GetId()]; ok {
-		return at
-	}
-	pg.Hosts = append(pg.Hosts, &workpb.Host{Vm: reg.GetId(), Machine: reg.GetMachine(), Address: reg.GetAddress(), Zone: reg.GetZone()})
-	hosts[reg.GetId()] = int32(len(pg.GetHosts()))
-	return hosts[reg.GetId()]
-}
-
 // ready reports whether all tasks of the steps that this step depends on are done.
 func (st *step) ready() bool {
 	for _, before := range st.row.GetAfter() {
@@ -324,28 +212,4 @@
 	return tk.current != nil && !tk.current.vm.unresponsive && tk.current.phase == phaseRunning && tk.current.percent >= fullPercent
 }
 
-func (tk *task) progressRow() *workpb.Task {
-	if tk.run == 0 {
-		return nil
-	}
-	row := &workpb.Task{
-		Occurrence: int32(tk.st.oc.number), Step: int32(tk.st.number), Index: int32(tk.index),
-		Run: tk.run, Failures: tk.failures,
-	}
-	if cr := tk.crashes; cr.probation && !tk.done {
-		row.Crashes = &workpb.Crashes{Confirmed: cr.confirmed, Doubtful: cr.doubtful, Blamed: cr.blamed}
-	}
-	switch {
-	case tk.done:
-		row.Phase = workpb.Phase_DONE
-	case tk.current != nil:
-		row.Phase = workpb.Phase_INTENDED
-		row.Settled = tk.current.settled
-		row.Checkpoint = tk.checkpoint
-	default:
-		row.Checkpoint = tk.checkpoint
-	}
-	return row
-}
-
 func (tk *task) avoids(vm string) bool { return slices.Contains(tk.avoid, vm) }
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -136,6 +136,7 @@
 	ct.recordCrash(vm, lists(lk))
 	vm.crashRecorded = false
 	vm.processed, vm.stored, vm.acknowledged, vm.acknowledging = 0, 0, 0, 0
+	vm.unstoredEnds = nil
 	vm.pace = fullPercent
 	ct.forgetVMPace(vm.id)
 	// A start whose deadline was computed for the earlier incarnation's clock may have got the longest possible lease.
--- /dev/null
+++ b/internal/scheduling/jobcontrol/occurrences.go
@@ -0,0 +1,122 @@
+package jobcontrol
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/numberset"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskname"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
+)
+
+const (
+	singleOccurrence = 1
+	// maxOpenTasks bounds the tasks of a job's occurrences that are open at once, since each takes memory: as many as one occurrence may have.
+	maxOpenTasks = jobwork.MaxTasks
+	// maxCompletedRanges bounds the ranges of completed occurrences with which another one is created, since they are stored in one row. Those that are open can add no more ranges than maxOpenTasks.
+	maxCompletedRanges = 1000
+)
+
+// totalOccurrences returns the number of occurrences of the job.
+func (jb *job) totalOccurrences() int { return max(int(jb.row.GetOccurrences()), singleOccurrence) }
+
+// scheduled reports whether the job's occurrences have due times.
+func (jb *job) scheduled() bool { return jb.row.GetOccurrences() > 0 }
+
+// dueMS returns when an occurrence may start, for a job that runs once the time from which its objective counts: its first attempt, also if that was refused, so that a job that comes back doesn't go ahead of those that can still be in time.
+func (jb *job) dueMS(number int) int64 {
+	if !jb.scheduled() {
+		return cmp.Or(jb.row.GetFirstTriedMs(), jb.row.GetAcceptedMs())
+	}
+	return jb.row.GetFirstDueMs() + int64(number)*jb.row.GetPeriodMs()
+}
+
+// openDueOccurrences creates the occurrences that are due, as far as their limits allow; the next ones are created when earlier ones have completed.
+func (jb *job) openDueOccurrences(nowMS int64) {
+	for jb.nextOccurrenceDue(nowMS) && len(jb.occurrences) < jb.maxOpenOccurrences() && jb.completed.Ranges() < maxCompletedRanges {
+		jb.addOccurrence()
+	}
+}
+
+// nextOccurrenceDue reports whether the job has an occurrence that isn't created yet and is due.
+func (jb *job) nextOccurrenceDue(nowMS int64) bool {
+	return jb.created < jb.totalOccurrences() && (!jb.scheduled() || jb.dueMS(jb.created) <= nowMS)
+}
+
+// maxOpenOccurrences returns how many occurrences of the job may be open at once, at least one.
+func (jb *job) maxOpenOccurrences() int { return max(maxOpenTasks/max(int(jb.tasks), 1), 1) }
+
+// addOccurrence creates the next occurrence.
+func (jb *job) addOccurrence() {
+	oc := &occurrence{jb: jb, number: jb.created, dueMS: jb.dueMS(jb.created)}
+	for at, row := range jb.row.GetSteps() {
+		st := &step{oc: oc, row: row, number: at}
+		for index := range int(row.GetCount()) {
+			st.tasks = append(st.tasks, &task{st: st, index: index})
+		}
+		oc.steps = append(oc.steps, st)
+	}
+	jb.occurrences = append(jb.occurrences, oc)
+	jb.created++
+}
+
+// occurrence returns the open occurrence of a number, or nil.
+func (jb *job) occurrence(number int) *occurrence {
+	at, ok := jb.findOccurrence(number)
+	if !ok {
+		return nil
+	}
+	return jb.occurrences[at]
+}
+
+func (jb *job) findOccurrence(number int) (int, bool) {
+	return slices.BinarySearchFunc(jb.occurrences, number, func(oc *occurrence, number int) int { return cmp.Compare(oc.number, number) })
+}
+
+// closeOccurrence replaces a completed occurrence by its number, and reports whether it was open.
+func (jb *job) closeOccurrence(oc *occurrence) bool {
+	at, ok := jb.findOccurrence(oc.number)
+	if !ok {
+		return false
+	}
+	jb.occurrences = slices.Delete(jb.occurrences, at, at+1)
+	jb.completed.Add(oc.number)
+	return true
+}
+
+// restoreCompleted takes over the completed occurrences from stored pairs and creates those before the last of them that weren't. It is an error if these are more than may be open.
+func (jb *job) restoreCompleted(pairs []int32) error {
+	completed, err := numberset.Decode(pairs, jb.totalOccurrences())
+	if err != nil {
+		return err
+	}
+	if open := completed.End() - completed.Len(); open > jb.maxOpenOccurrences() {
+		return code.BodyBroken.New("%d occurrences are open, at most %d may be", open, jb.maxOpenOccurrences())
+	}
+	jb.completed, jb.occurrences = *completed, nil
+	for jb.created = completed.NextMissing(0); jb.created < completed.End(); jb.created = completed.NextMissing(jb.created) {
+		jb.addOccurrence()
+	}
+	return nil
+}
+
+// storedTask returns the task of a name in stored progress, or nil if there is none; it creates the occurrences up to the name's, which an earlier owner had opened.
+func (jb *job) storedTask(nm taskname.Name) *task {
+	if nm.Occurrence() < jb.created+jb.maxOpenOccurrences() {
+		for nm.Occurrence() >= jb.created && jb.created < jb.totalOccurrences() {
+			jb.addOccurrence()
+		}
+	}
+	return jb.task(nm)
+}
+
+// complete reports whether all tasks of all occurrences are done.
+func (jb *job) complete() bool {
+	return jb.created >= jb.totalOccurrences() && len(jb.occurrences) == 0
+}
+
+// complete reports whether all tasks of the occurrence are done.
+func (oc *occurrence) complete() bool {
+	return !slices.ContainsFunc(oc.steps, func(st *step) bool { return st.done < len(st.tasks) })
+}
--- a/internal/scheduling/jobcontrol/occurrences_test.go
+++ b/internal/scheduling/jobcontrol/occurrences_test.go
@@ -1,9 +1,12 @@
 package jobcontrol
 
 import (
+	"math"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
@@ -25,9 +28,10 @@
 		jb := newJob(&workpb.Job{Id: "job", Occurrences: manyOccurrences, Steps: []*workpb.Step{{Count: tc.tasks}}})
 		jb.openDueOccurrences(1)
 		qt.Check(t, len(jb.occurrences), qt.Equals, tc.want, qt.Commentf(tc.name))
-		jb.occurrences[0].steps[0].done = int(tc.tasks)
+		jb.closeOccurrence(jb.occurrences[0])
 		jb.openDueOccurrences(1)
-		qt.Check(t, len(jb.occurrences), qt.Equals, tc.want+1, qt.Commentf(tc.name))
+		qt.Check(t, jb.created, qt.Equals, tc.want+1, qt.Commentf(tc.name))
+		qt.Check(t, len(jb.occurrences), qt.Equals, tc.want, qt.Commentf(tc.name))
 	}
 }
 
@@ -42,3 +46,39 @@
 	qt.Check(t, jb.storedTask(taskname.New("job", 2, 0, 0)), qt.IsNotNil)
 	qt.Check(t, len(jb.occurrences), qt.Equals, 3)
 }
+
+// Guards against a row beyond 64 KiB, which the store refuses: in a schedule that runs for years, as many occurrences as may be are open, and every second of them completes.
+func TestCompletedOccurrencesFitIntoOneRow(t *testing.T) {
+	const farApart, maxRowBytes = 1_000_000, 48 << 10
+	jb := newJob(&workpb.Job{Id: "job", Occurrences: math.MaxInt32, Steps: []*workpb.Step{{Count: 1}}})
+	for at := range maxCompletedRanges - 1 {
+		jb.completed.Add((at + 1) * farApart)
+	}
+	jb.created = maxCompletedRanges * farApart
+	jb.openDueOccurrences(1)
+	qt.Check(t, len(jb.occurrences), qt.Equals, maxOpenTasks)
+	for at, oc := range slices.Clone(jb.occurrences) {
+		if at%2 == 1 {
+			jb.closeOccurrence(oc)
+		}
+	}
+	for _, tk := range jb.occurrences[0].steps[0].tasks {
+		tk.run = math.MaxInt64
+	}
+	size := proto.Size(jb.part(firstPart).row())
+	qt.Check(t, size < maxRowBytes, qt.IsTrue, qt.Commentf("%d bytes", size))
+	created := jb.created
+	jb.closeOccurrence(jb.occurrences[0])
+	jb.openDueOccurrences(1)
+	qt.Check(t, jb.created, qt.Equals, created, qt.Commentf("no more occurrences are created beside that many ranges"))
+}
+
+// Guards against a process that is lost to a stored row which names more open occurrences than memory holds.
+func TestStoredGapsOpenFewOccurrences(t *testing.T) {
+	jb := newJob(&workpb.Job{Id: "job", Occurrences: math.MaxInt32, Steps: []*workpb.Step{{Count: 10}}})
+	qt.Check(t, jb.restoreCompleted([]int32{1_000_000_000, 1}), qt.IsNotNil)
+	qt.Check(t, len(jb.occurrences), qt.Equals, 0)
+	qt.Check(t, jb.restoreCompleted([]int32{1, 1_000_000_000, 5, 1_000_000}), qt.IsNil)
+	qt.Check(t, len(jb.occurrences), qt.Equals, 6)
+	qt.Check(t, jb.created, qt.Equals, 1_001_000_006)
+}
--- a/internal/scheduling/jobcontrol/oddinput_test.go
+++ b/internal/scheduling/jobcontrol/oddinput_test.go
@@ -156,7 +156,7 @@
 		fl.setBehavior(200, workpb.End_END_DONE)
 		fl.setRules(os.rules())
 		steps := []*workpb.Step{{Count: 2, CpuMilli: 100, EstimateMs: 100}, {Count: 1, CpuMilli: 100, After: []int32{0}, Gang: os.rd.IntN(2) == 0}}
-		fl.ct.Restore(&workpb.Job{Id: "j1", Queue: "q", Team: "t", Steps: steps}, os.progress())
+		fl.ct.Restore(&workpb.Job{Id: "j1", Queue: "q", Team: "t", Steps: steps}, []*workpb.Progress{os.progress()})
 		fl.ct.Submit(&workpb.Job{Id: "j2", Queue: "q", Team: "t", Steps: steps, Occurrences: 3, FirstDueMs: os.number(), PeriodMs: os.number()})
 		fl.ct.SetVM(proto.Clone(good).(*workpb.VM))
 		fl.ct.Submit(&workpb.Job{Id: "sound", Queue: "g", AcceptedMs: fl.ck.Now(), Steps: []*workpb.Step{{Count: 3, CpuMilli: 1000, EstimateMs: 200}}})
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -88,7 +88,7 @@
 			if !match(cd) {
 				continue
 			}
-			if len(ct.dirtyJobs) >= MaxRows || !ct.mayStartMore() {
+			if ct.batchFull() || !ct.mayStartMore() {
 				return
 			}
 			ct.placeStep(bt, cd, pools[service], nowMS)
@@ -173,7 +173,7 @@
 	out := map[string][]candidate{}
 	for _, jb := range ct.active {
 		qu := ct.queueOf(jb)
-		if qu == nil {
+		if qu == nil || jb.aside(nowMS) {
 			continue
 		}
 		for _, oc := range jb.occurrences {
@@ -255,7 +255,7 @@
 		if !tk.waiting(nowMS) {
 			continue
 		}
-		if !ct.mayStartMore() {
+		if !ct.mayStartMore() || !ct.mayStore(tk) {
 			return
 		}
 		if !ct.mayUse(cd.st.oc.jb.row.GetTeam(), cd.st.capUse()) {
@@ -302,7 +302,9 @@
 		planned = append(planned, ct.allocate(vm, tk, phasePlanned))
 	}
 	bt.starts = append(bt.starts, planned...)
-	ct.markDirty(st.oc.jb)
+	for _, rn := range planned {
+		ct.markTask(rn.task)
+	}
 }
 
 func (ct *Controller) cancelPlanned(planned []*run) {
@@ -322,7 +324,7 @@
 	}
 	ct.beginTrial(vm)
 	bt.starts = append(bt.starts, ct.allocate(vm, tk, phasePlanned))
-	ct.markDirty(tk.job())
+	ct.markTask(tk)
 }
 
 // reserveVM reserves the VM with the most free CPU that could hold a long-running task beside those that it has for such tasks, so that small tasks don't take all capacity that becomes free.
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -280,7 +280,7 @@
 	rn.task, tk.current = tk, rn
 	tk.run = max(tk.run, rn.key.run)
 	delete(tk.givenUp, rn.key.run)
-	ct.markDirty(tk.job())
+	ct.markTask(tk)
 }
 
 // markJobRunning moves the run's job from queued to running.
@@ -291,11 +291,12 @@
 	jb := rn.task.job()
 	if jb.state == workpb.State_QUEUED {
 		jb.state = workpb.State_RUNNING
-		ct.markDirty(jb)
+		ct.markState(jb)
 	}
 }
 
 func (ct *Controller) applyEnded(vm *vmState, list []*workpb.EndedRun, listed map[runKey]bool) {
+	before := vm.processed
 	for _, row := range list {
 		if row.GetNumber() <= vm.processed {
 			continue
@@ -318,6 +319,9 @@
 		default:
 		}
 	}
+	if vm.processed > before {
+		vm.unstoredEnds = append(vm.unstoredEnds, storedEnd{number: vm.processed, turn: ct.lastTurn})
+	}
 }
 
 // otherRunDone records that a task is done by another run than the one that it has: a duplicate, one that was given up while its VM couldn't be reached, or one whose start was executed late. The first to finish counts, and the run that the task has is stopped. A gang's tasks run together, so the end of one of them doesn't count.
@@ -333,6 +337,6 @@
 	} else {
 		ct.lg.Info("run-done-late", "task", key.task, "run", key.run)
 	}
-	ct.markDirty(tk.job())
+	ct.markTask(tk)
 	ct.taskDone(tk)
 }
--- a/internal/scheduling/jobcontrol/reconcile.go
+++ b/internal/scheduling/jobcontrol/reconcile.go
@@ -62,13 +62,12 @@
 	if rn.settled || rn.task == nil || rn.phase != phaseRunning || nowMS-rn.startedMS < inDoubtMS+settleDelayMS {
 		return
 	}
-	jb := rn.task.job()
-	jb.eachTask(func(tk *task) {
-		if cur := tk.current; cur != nil && cur.phase == phaseRunning && nowMS-cur.startedMS >= inDoubtMS && nowMS >= cur.mayStartUntilMS {
+	rn.task.job().eachTask(func(tk *task) {
+		if cur := tk.current; cur != nil && !cur.settled && cur.phase == phaseRunning && nowMS-cur.startedMS >= inDoubtMS && nowMS >= cur.mayStartUntilMS {
 			cur.settled = true
+			ct.markTask(tk)
 		}
 	})
-	ct.markDirty(jb)
 }
 
 func (ct *Controller) reconcileListed(rn *run, nowMS int64) {
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -1,26 +1,80 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+import (
+	"cmp"
+	"slices"
 
-// Restore adds a stored job with its stored progress, which is nil if none was stored.
-func (ct *Controller) Restore(row *workpb.Job, pg *workpb.Progress) {
-	if pg.GetState() == workpb.State_COMPLETED || row.GetEnded() != workpb.State_QUEUED {
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+)
+
+// Restore adds a stored job with the rows of its stored progress, of which there may be none.
+func (ct *Controller) Restore(row *workpb.Job, rows []*workpb.Progress) {
+	state := firstRow(rows)
+	if state.GetState() == workpb.State_COMPLETED || row.GetEnded() != workpb.State_QUEUED {
 		ct.restoreEnded(row)
 		return
 	}
 	jb := ct.addJob(row)
 	ct.recordArrival(jb)
-	if pg == nil {
+	if len(rows) == 0 {
 		return
 	}
-	jb.state = pg.GetState()
-	for _, tr := range pg.GetTasks() {
-		ct.restoreTask(jb, pg, tr)
+	jb.state = state.GetState()
+	if len(state.GetCompleted()) > 0 {
+		if err := jb.restoreCompleted(state.GetCompleted()); err != nil {
+			ct.lg.Fail("stored-occurrences-unusable", err, "job", row.GetId())
+		}
 	}
+	ct.restoreRows(jb, rows)
 	if jb.ended() {
 		ct.stopAll(jb)
 		delete(ct.active, row.GetId())
 		ct.endedIDs = append(ct.endedIDs, row.GetId())
+		return
+	}
+	ct.completeRestored(jb)
+}
+
+// firstRow returns the row with the job's state, nil if there is none.
+func firstRow(rows []*workpb.Progress) *workpb.Progress {
+	for _, pg := range rows {
+		if pg.GetPart() == firstPart {
+			return pg
+		}
+	}
+	return nil
+}
+
+// restoreRows restores the tasks of all rows. An earlier version kept all tasks in the first row, which therefore counts last, and the parts to which they belong are written; so are those in which nothing is left to be stored.
+func (ct *Controller) restoreRows(jb *job, rows []*workpb.Progress) {
+	rows = slices.SortedFunc(slices.Values(rows), func(one, other *workpb.Progress) int { return cmp.Compare(other.GetPart(), one.GetPart()) })
+	for _, pg := range rows {
+		jb.part(pg.GetPart()).stored = true
+		for _, tr := range pg.GetTasks() {
+			ct.restoreTask(jb, pg, tr)
+		}
+	}
+	for _, pg := range rows {
+		if pt := jb.part(pg.GetPart()); pt.row() == nil {
+			ct.markPart(pt)
+		}
+	}
+}
+
+// completeRestored takes a gang of which a member is done for done, since its other members are stored in other rows, and closes what is complete.
+func (ct *Controller) completeRestored(jb *job) {
+	for _, oc := range slices.Clone(jb.occurrences) {
+		for _, st := range oc.steps {
+			if st.row.GetGang() && st.done > 0 {
+				ct.taskDone(st.tasks[0])
+			}
+		}
+		if len(oc.steps) > 0 && oc.complete() {
+			ct.closeOccurrence(oc)
+		}
+	}
+	if jb.complete() && !jb.ended() {
+		ct.end(jb, workpb.State_COMPLETED)
 	}
 }
 
@@ -37,11 +91,21 @@
 }
 
 func (ct *Controller) restoreTask(jb *job, pg *workpb.Progress, tr *workpb.Task) {
-	tk := jb.storedTask(taskNameOf(jb, tr))
+	name := taskNameOf(jb, tr)
+	if jb.completed.Contains(name.Occurrence()) {
+		return
+	}
+	tk := jb.storedTask(name)
 	if tk == nil {
 		ct.lg.Info("stored-task-unknown", "job", jb.row.GetId(), "step", tr.GetStep(), "index", tr.GetIndex())
 		return
 	}
+	if part := tk.partNumber(); part != pg.GetPart() && tr.GetRun() > 0 {
+		if tk.run > 0 {
+			return
+		}
+		ct.markTask(tk)
+	}
 	if tk.run > 0 || tr.GetRun() <= 0 {
 		// The row lists the task twice, or a run that no owner starts.
 		ct.lg.Info("stored-task-unusable", "job", jb.row.GetId(), "step", tr.GetStep(), "index", tr.GetIndex())
--- a/internal/scheduling/jobcontrol/secondruns.go
+++ b/internal/scheduling/jobcontrol/secondruns.go
@@ -71,7 +71,7 @@
 	}
 	slices.SortFunc(found, compareStragglers)
 	for _, sg := range found {
-		if len(ct.dirtyJobs) >= MaxRows || !ct.mayStartMore() {
+		if ct.batchFull() || !ct.mayStartMore() {
 			return
 		}
 		spareMilli -= sg.rn.need.CoresMilli()
@@ -157,6 +157,6 @@
 	}
 	if tk := ct.openTask(rn.key.task); tk != nil {
 		tk.giveUp(rn.key.run, rn.vm)
-		ct.markDirty(tk.job())
+		ct.markTask(tk)
 	}
 }
--- a/internal/scheduling/jobcontrol/secondruns_test.go
+++ b/internal/scheduling/jobcontrol/secondruns_test.go
@@ -46,7 +46,7 @@
 	qt.Assert(t, second, qt.Not(qt.Equals), first)
 	qt.Check(t, fl.workers[first].Running(), qt.Equals, 1)
 	qt.Check(t, fl.ct.Load(first), qt.Equals, 1)
-	qt.Check(t, len(fl.stored["j1"].GetTasks()[0].GetReplaced()), qt.Equals, 1)
+	qt.Check(t, len(fl.stored["j1"][0].GetTasks()[0].GetReplaced()), qt.Equals, 1)
 	fl.run(1700)
 	qt.Check(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
 	qt.Check(t, fl.workers[first].Running(), qt.Equals, 0)
--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -242,7 +242,7 @@
 
 // mayOverlap reports whether the task of a run that is being stopped may start elsewhere before the run has ended.
 func (ct *Controller) mayOverlap(rn *run) bool {
-	return rn.st.row.GetDuplicates() && ct.mayStartMore() && len(ct.dirtyJobs) < MaxRows && ct.mayUse(rn.team, rn.capUse)
+	return rn.st.row.GetDuplicates() && ct.mayStartMore() && !ct.batchFull() && ct.mayUse(rn.team, rn.capUse)
 }
 
 // movable returns a run as a straggler if moving it pays.
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -39,6 +39,8 @@
 	// processed is the highest number of a run end that was applied, stored the highest whose effect is stored.
 	processed int64
 	stored    int64
+	// unstoredEnds holds what was processed and isn't known to be stored, in order.
+	unstoredEnds []storedEnd
 	// acknowledged is the highest number of an end that an answered poll has acknowledged, acknowledging that of the poll under way.
 	acknowledged  int64
 	acknowledging int64
--- a/internal/scheduling/jobrunner/change.go
+++ b/internal/scheduling/jobrunner/change.go
@@ -1,75 +1,53 @@
 package jobrunner
 
 import (
-	"strconv"
-
 	"google.golang.org/protobuf/proto"
 
-	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
-	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
-	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitestimate"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
-const wavesTable = "upkeep"
-
-// Location of the row that holds the teams' recent use of the pools.
-const (
-	SharesTable     = "shares"
-	SharesPartition = ownership.Partition
-	SharesKey       = "use"
-)
-
 // change holds the rows of one commit, encoded once so that each retry writes identical bytes.
 type change struct {
-	rows []rowstore.Row
-	// progressIDs lists the jobs whose progress rows the commit deletes.
-	progressIDs []string
+	rows    []rowstore.Row
+	removed []rowKey
 }
 
-// ownerRows holds the rows of a commit that aren't progress of jobs; counts, estimate and shares are nil unless they are due.
-type ownerRows struct {
-	counts   *workpb.Pending
-	waves    []*workpb.Upkeep
-	estimate *workpb.Waits
-	shares   *workpb.Shares
-}
+// rowKey names a row that a commit deletes.
+type rowKey struct{ table, key string }
 
-func newChange(progress []*workpb.Progress, rows *ownerRows, progressIDs []string) (*change, error) {
-	ch := &change{progressIDs: progressIDs}
-	for _, pg := range progress {
-		if err := ch.add(intake.ProgressTable, pg.GetId(), pg); err != nil {
-			return nil, err
-		}
-	}
-	for _, row := range rows.waves {
-		if err := ch.add(wavesTable, strconv.FormatInt(row.GetWave(), 10), row); err != nil {
+func newChange(bt *jobcontrol.Batch, rows *ownerRows, removed []rowKey) (*change, error) {
+	ch := &change{removed: removed}
+	for _, pg := range bt.Rows() {
+		at := progressKey(pg.GetId(), pg.GetPart())
+		if err := ch.add(at.table, at.key, pg); err != nil {
 			return nil, err
 		}
 	}
-	if rows.counts != nil {
-		if err := ch.add(PendingTable, PendingKey, rows.counts); err != nil {
-			return nil, err
-		}
-	}
-	if rows.estimate != nil {
-		if err := ch.add(waitestimate.Table, waitestimate.Key, rows.estimate); err != nil {
-			return nil, err
-		}
+	for _, pk := range bt.Removed() {
+		ch.removed = append(ch.removed, progressKey(pk.Job(), pk.Number()))
 	}
-	if rows.shares != nil {
-		if err := ch.add(SharesTable, SharesKey, rows.shares); err != nil {
+	for _, or := range rows.list() {
+		if err := ch.add(or.table, or.key, or.row); err != nil {
 			return nil, err
 		}
 	}
 	return ch, nil
 }
 
+// progressKey names the row of a part of a job's progress: the first one has a table of its own, since it holds the job's state.
+func progressKey(id string, part int64) rowKey {
+	if part == 0 {
+		return rowKey{intake.ProgressTable, id}
+	}
+	return rowKey{intake.PartsTable, intake.PartKey(id, part)}
+}
+
 // without returns the change without the rows of a table.
 func (ch *change) without(table string) *change {
-	out := &change{progressIDs: ch.progressIDs}
+	out := &change{removed: ch.removed}
 	for _, rw := range ch.rows {
 		if rw.Table() != table {
 			out.rows = append(out.rows, rw)
@@ -92,7 +70,7 @@
 	for _, rw := range ch.rows {
 		tx.Put(rw.Table(), rw.Key(), rw.Value())
 	}
-	for _, id := range ch.progressIDs {
-		tx.Remove(intake.ProgressTable, id)
+	for _, at := range ch.removed {
+		tx.Remove(at.table, at.key)
 	}
 }
--- a/internal/scheduling/jobrunner/cleaner.go
+++ b/internal/scheduling/jobrunner/cleaner.go
@@ -6,7 +6,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
-	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/retention"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
@@ -32,8 +31,8 @@
 	turn int
 	// removing is set while the rows of a partition are being deleted or shortened.
 	removing bool
-	// progressIDs lists the jobs whose own rows are deleted and whose progress is deleted with the next commit.
-	progressIDs []string
+	// progress lists the rows of progress that are deleted with the next commits, since the own rows of their jobs are deleted or they belong to none that runs.
+	progress []rowKey
 }
 
 // refusedRow is the row of a refused job as last seen.
@@ -77,11 +76,17 @@
 // dropRefused forgets the refusal of a job that has been accepted since, so that its row isn't deleted before its time.
 func (rc *rowCleaner) dropRefused(id string) { delete(rc.refused, id) }
 
-// addOrphans schedules the deletion of progress without a job, left by an owner that was lost between the two deletions.
-func (rc *rowCleaner) addOrphans(known map[string]bool, progress map[string]*workpb.Progress) {
-	for id := range progress {
+// addOrphans schedules the deletion of progress without a job, left by an owner that was lost between the two deletions, and of parts of completed jobs.
+func (rc *rowCleaner) addOrphans(known map[string]bool, sp storedProgress) {
+	for id := range sp.rows {
 		if !known[id] {
-			rc.progressIDs = append(rc.progressIDs, id)
+			rc.progress = append(rc.progress, progressKey(id, 0))
+		}
+	}
+	for _, rw := range sp.parts {
+		id, _ := intake.PartJob(rw.Key())
+		if !known[id] || sp.completed(id) {
+			rc.progress = append(rc.progress, rowKey{intake.PartsTable, rw.Key()})
 		}
 	}
 }
@@ -94,7 +99,7 @@
 		rc.whole.RecordEnded(intake.Partition(id), id, nowMS)
 	}
 	_, shown := rc.shown.TakeDue(nowMS, cleanupBatch)
-	rc.progressIDs = append(rc.progressIDs, shown...)
+	rc.addProgress(shown)
 	if rc.removing || nowMS < rc.nextRunMS || !rn.ow.Held() {
 		return
 	}
@@ -256,16 +261,23 @@
 			rc.rt.Requeue(partition, ids, rc.rn.ck.Now())
 			return
 		}
-		rc.progressIDs = append(rc.progressIDs, ids...)
+		rc.addProgress(ids)
 		rc.rn.lg.Info("rows-removed", "part", partition, "jobs", len(ids))
 	})
 }
 
-// nextProgressIDs returns the jobs whose progress the next commit can delete, at most maxIDs.
-func (rc *rowCleaner) nextProgressIDs(maxIDs int) []string {
-	count := max(min(len(rc.progressIDs), maxIDs), 0)
-	return rc.progressIDs[:count:count]
+// addProgress schedules the deletion of the progress of ended jobs, of which nothing runs, so that no other parts are left.
+func (rc *rowCleaner) addProgress(ids []string) {
+	for _, id := range ids {
+		rc.progress = append(rc.progress, progressKey(id, 0))
+	}
+}
+
+// nextProgress returns the rows of progress that the next commit can delete, at most maxRows.
+func (rc *rowCleaner) nextProgress(maxRows int) []rowKey {
+	count := max(min(len(rc.progress), maxRows), 0)
+	return rc.progress[:count:count]
 }
 
-// progressRemoved drops the jobs whose progress a commit has deleted; they are the first of the list.
-func (rc *rowCleaner) progressRemoved(ids []string) { rc.progressIDs = rc.progressIDs[len(ids):] }
+// progressRemoved drops the rows that a commit has deleted; they are the first of the list.
+func (rc *rowCleaner) progressRemoved(list []rowKey) { rc.progress = rc.progress[len(list):] }
--- a/internal/scheduling/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -119,7 +119,7 @@
 }
 
 // applyJobs submits new jobs and cancels jobs; with progress, which is given only on restore, jobs continue from it.
-func (rn *Runner) applyJobs(list []rowstore.Row, progress map[string]*workpb.Progress) {
+func (rn *Runner) applyJobs(list []rowstore.Row, progress map[string][]*workpb.Progress) {
 	var cancelled []string
 	for _, rw := range list {
 		if rw.Deleted() {
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -363,23 +363,26 @@
 	rn.planDue = false
 	rn.lastPlanMS = nowMS
 	rn.ct.LimitStarts(rn.startLimit())
+	waveRows := rn.waves.changedRows()
+	rn.limitBatch(len(waveRows))
 	bt := rn.ct.Plan(rn.ow.Held())
 	rn.planPace.Record(rn.ck.Now() - nowMS)
-	counts := rn.pendingCounts(nowMS)
-	estimate := rn.waits.dueRow(nowMS)
-	waveRows := rn.waves.changedRows()
-	if len(bt.Rows()) == 0 && !renew && len(waveRows) == 0 && counts == nil && estimate == nil {
+	rows := &ownerRows{counts: rn.pendingCounts(nowMS), waves: waveRows, estimate: rn.waits.dueRow(nowMS)}
+	if bt.Empty() && !renew && len(rows.list()) == 0 {
 		rn.enqueue(ctx, rn.ct.ConfirmStored(bt))
 		return
 	}
 	rn.committing = true
 	rn.lastCommitMS = nowMS
-	shares := rn.ct.SharesToStore()
+	rows.shares = rn.ct.SharesToStore()
 	rn.levels.report(rn.ct.ShareLevels, rn.ct.DeferredJobs)
-	progressIDs := rn.cleaner.nextProgressIDs(jobcontrol.MaxRows - len(bt.Rows()))
-	rn.commits.Go(func() {
-		rn.commit(ctx, bt, &ownerRows{counts: counts, waves: waveRows, estimate: estimate, shares: shares}, progressIDs)
-	})
+	removed := rn.cleaner.nextProgress(rn.freeEntries(bt, rows))
+	rn.commits.Go(func() { rn.commit(ctx, bt, rows, removed) })
+}
+
+// freeEntries returns how many rows a commit may delete beside what it stores.
+func (rn *Runner) freeEntries(bt *jobcontrol.Batch, rows *ownerRows) int {
+	return maxProgressRows - len(bt.Rows()) - len(bt.Removed()) - len(rows.waves)
 }
 
 // pendingCounts returns the counts of waiting jobs when they are due to be stored, or nil.
@@ -392,8 +395,8 @@
 }
 
 // commit retries until the commit is applied, the ownership is lost or the runner stops; once applied, it sends the orders that depend on it. Only the first attempt stores the estimate: a later one would pass it to the entries as a recent one.
-func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, rows *ownerRows, progressIDs []string) {
-	ch, err := newChange(bt.Rows(), rows, progressIDs)
+func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, rows *ownerRows, removed []rowKey) {
+	ch, err := newChange(bt, rows, removed)
 	for err == nil {
 		err = rn.ow.Commit(ctx, ch.writeTo)
 		if err == nil || code.Of(err) == code.LeaseLapsed || ctx.Err() != nil {
@@ -413,7 +416,7 @@
 			rn.ownershipLost = true
 			return
 		}
-		rn.cleaner.progressRemoved(progressIDs)
+		rn.cleaner.progressRemoved(removed)
 		rn.waves.rowsStored(ctx, rows.waves)
 		if rows.estimate != nil {
 			rn.waits.es.Stored(rows.estimate)
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
@@ -19,6 +20,7 @@
 	jobs        []rowstore.Row
 	jobsVersion int64
 	progress    []rowstore.Row
+	parts       []rowstore.Row
 	waves       []rowstore.Row
 	// shares is nil if the row is missing or couldn't be read.
 	shares          []byte
@@ -119,6 +121,10 @@
 		sn.progress, _, err = rn.bulk.ReadAll(ctx, intake.ProgressTable, ownership.Partition, "")
 		return err
 	})
+	read(func(ctx context.Context) (err error) {
+		sn.parts, _, err = rn.bulk.ReadAll(ctx, intake.PartsTable, ownership.Partition, "")
+		return err
+	})
 	read(func(ctx context.Context) (err error) {
 		sn.waves, _, err = rn.bulk.ReadAll(ctx, wavesTable, ownership.Partition, "")
 		return err
@@ -163,17 +169,9 @@
 
 // apply builds the owner's state from a snapshot and starts to follow the changes since.
 func (rn *Runner) apply(ctx context.Context, sn *snapshot) {
-	progress := map[string]*workpb.Progress{}
-	for _, rw := range sn.progress {
-		pg := &workpb.Progress{}
-		if err := proto.Unmarshal(rw.Value(), pg); err != nil {
-			rn.lg.Fail("progress-unreadable", err, "job", rw.Key())
-			continue
-		}
-		progress[rw.Key()] = pg
-	}
+	progress := rn.decodeProgress(sn)
 	rn.waves.restore(sn.waves)
-	rn.applyJobs(sn.jobs, progress)
+	rn.applyJobs(sn.jobs, progress.rows)
 	rn.cleaner.addOrphans(keySet(sn.jobs), progress)
 	rn.applyRegistry(sn.registry, true)
 	rn.applyShares(sn.shares)
@@ -181,6 +179,39 @@
 	go rn.loadEnded(ctx)
 }
 
+// storedProgress holds the progress of all jobs by their ids, and the rows that hold parts of it.
+type storedProgress struct {
+	rows  map[string][]*workpb.Progress
+	parts []rowstore.Row
+}
+
+// completed reports whether a job's progress says that it is completed.
+func (sp storedProgress) completed(id string) bool {
+	return slices.ContainsFunc(sp.rows[id], func(pg *workpb.Progress) bool { return pg.GetState() == workpb.State_COMPLETED })
+}
+
+// decodeProgress gathers the rows of progress by jobs; rows that can't be read, or hold something else than their keys say, count as missing.
+func (rn *Runner) decodeProgress(sn *snapshot) storedProgress {
+	out := storedProgress{rows: map[string][]*workpb.Progress{}, parts: sn.parts}
+	for _, rw := range append(slices.Clone(sn.progress), sn.parts...) {
+		pg := &workpb.Progress{}
+		if err := proto.Unmarshal(rw.Value(), pg); err != nil {
+			rn.lg.Fail("progress-unreadable", err, "job", rw.Key())
+			continue
+		}
+		id := rw.Key()
+		if rw.Table() == intake.PartsTable {
+			id = pg.GetId()
+		}
+		if progressKey(id, pg.GetPart()) != (rowKey{rw.Table(), rw.Key()}) {
+			rn.lg.Info("progress-misplaced", "table", rw.Table(), "key", rw.Key())
+			continue
+		}
+		out.rows[id] = append(out.rows[id], pg)
+	}
+	return out
+}
+
 // loadEnded loads the ended jobs, which nothing waits for: their rows are deleted one day, and the forecast learns from them.
 func (rn *Runner) loadEnded(ctx context.Context) {
 	var partitions []string
--- a/internal/store/rowstore/limits.go
+++ b/internal/store/rowstore/limits.go
@@ -21,7 +21,7 @@
 	return Limits{rowBytes: rowBytes, entries: entries, txBytes: txBytes}
 }
 
-// RowBytes returns the largest size of a row's encoded value, as EncodedBytes counts it.
+// RowBytes returns the largest size of a row's encoded value, as EncodedLen counts it.
 func (lm Limits) RowBytes() int { return lm.rowBytes }
 
 // Entries returns the largest number of conditions, writes and deletions in a transaction.
@@ -33,7 +33,7 @@
 // Check returns an error of code.TableRefused if a store with these limits refuses the transaction.
 func (lm Limits) Check(tx *Tx) error {
 	for _, rw := range tx.Puts() {
-		if size := EncodedBytes(rw.Value()); exceeds(size, lm.rowBytes) {
+		if size := EncodedLen(len(rw.Value())); exceeds(size, lm.rowBytes) {
 			return code.TableRefused.New("row %s/%s: expected at most %d bytes, got %d", rw.Table(), rw.Key(), lm.rowBytes, size)
 		}
 	}
@@ -48,12 +48,12 @@
 
 func exceeds(size, limit int) bool { return limit > 0 && size > limit }
 
-// EncodedBytes returns the size of a row's value as it is sent to the store.
-func EncodedBytes(value []byte) int { return base64.StdEncoding.EncodedLen(len(value)) }
+// EncodedLen returns the size of a row's value of that many bytes as it is sent to the store.
+func EncodedLen(bytes int) int { return base64.StdEncoding.EncodedLen(bytes) }
 
 // PutBytes returns what the write of a row adds to the size of a transaction.
 func PutBytes(table, key string, value []byte) int {
-	return rowOverheadBytes + len(table) + len(key) + EncodedBytes(value)
+	return rowOverheadBytes + len(table) + len(key) + EncodedLen(len(value))
 }
 
 // RemoveBytes returns what the deletion of a row, or a condition on it, adds to the size of a transaction.
--- a/internal/testbed/workertest/workertest.go
+++ b/internal/testbed/workertest/workertest.go
@@ -19,6 +19,9 @@
 	ended         []*workpb.EndedRun
 	lastEndNumber int64
 	highestRun    map[string]int64
+	// advancedMS is when the runs were advanced last, endsAtOnce is set if one was started since that takes no time.
+	advancedMS int64
+	endsAtOnce bool
 
 	// Behave returns the duration of a run and how it ends; a run with END_UNKNOWN doesn't end by itself.
 	Behave func(task string, run int64) (workMS int64, end workpb.End)
@@ -80,7 +83,7 @@
 		rn.stopping = true
 	}
 	wk.reg.BornMs = wk.ck.Now()
-	wk.startedMS, wk.token, wk.lastEndNumber = wk.ck.Now(), 0, 0
+	wk.startedMS, wk.token, wk.lastEndNumber, wk.endsAtOnce = wk.ck.Now(), 0, 0, true
 	wk.running, wk.ended, wk.highestRun = map[key]*run{}, nil, map[string]int64{}
 }
 
@@ -98,6 +101,10 @@
 // advance ends the runs whose end, lease expiry or stop is due.
 func (wk *Worker) advance() {
 	nowMS := wk.ClockMS()
+	if nowMS == wk.advancedMS && !wk.endsAtOnce {
+		return
+	}
+	wk.advancedMS, wk.endsAtOnce = nowMS, false
 	keys := make([]key, 0, len(wk.running))
 	for ky := range wk.running {
 		keys = append(keys, ky)
@@ -165,6 +172,7 @@
 		rn.doneMS = workMS * saved / percent
 	}
 	wk.running[ky] = rn
+	wk.endsAtOnce = wk.endsAtOnce || workMS <= 0
 	wk.Record(wk.reg.GetId(), ky.task, ky.run, true, workpb.End_END_UNKNOWN)
 	return workpb.Verdict_ACCEPTED
 }
