One row that the store refuses holds back no other

Cause: Runner.commit repeats a batch until it is applied. After a definite refusal (400) an unchanged repetition is refused too, until the lease has run out, and the next owner restores the same state and makes the same batch. Class: a definite answer that is handled like a lost one. The same holds for rows of the owner itself, and for a commit of more than 100 entries (six waves or more beside 90 rows).

Fix: a refused batch takes no effect: its rows wait again in their old order, its starts are given up and its ends not acknowledged. internal/scheduling/commitguard halves the next commits until what is refused alone is known; that is left out for 30 s and then tried again, and its job starts nothing meanwhile. Ends of other jobs are acknowledged all the same: a VM lists no more than some hundred of them. Waves share commits by count and bytes, and a row of the owner that is too large for the store isn't sent.

--- a/internal/scheduling/jobcontrol/batch.go
+++ b/internal/scheduling/jobcontrol/batch.go
@@ -1,8 +1,10 @@
 package jobcontrol
 
 import (
+	"cmp"
 	"encoding/base64"
 	"math"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -70,6 +72,17 @@
 // Empty reports whether there is nothing to store.
 func (bt *Batch) Empty() bool { return len(bt.parts) == 0 }
 
+// Jobs returns the ids of the jobs whose progress the batch holds, each once.
+func (bt *Batch) Jobs() []string {
+	var ids []string
+	for _, bp := range bt.parts {
+		if id := bp.part.jb.row.GetId(); !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // batchFull reports whether as much waits to be stored as a batch may hold.
 func (ct *Controller) batchFull() bool { return len(ct.waitingParts)-ct.asideParts >= ct.limits.rows }
 
@@ -92,6 +105,16 @@
 // aside reports whether the job is left alone since the store has refused its progress.
 func (jb *job) aside(nowMS int64) bool { return nowMS < jb.asideUntilMS }
 
+// SetAside stops to store the progress of a job for a while, and to start its tasks, since the store refuses it.
+func (ct *Controller) SetAside(id string) {
+	for _, pt := range ct.waitingParts {
+		if pt.jb.row.GetId() == id {
+			ct.setAside(pt.jb)
+			return
+		}
+	}
+}
+
 func (ct *Controller) setAside(jb *job) {
 	ct.lg.Info("job-set-aside", "job", jb.row.GetId(), "for-ms", asideMS)
 	jb.asideUntilMS = ct.ck.Now() + asideMS
@@ -274,6 +297,34 @@
 	}
 }
 
+// HandleRefused records that the store refused a batch for its content: nothing of it is stored, its parts wait again in their old order, and its starts are given up.
+func (ct *Controller) HandleRefused(bt *Batch) {
+	for _, bp := range bt.parts {
+		if bp.part.turn == 0 {
+			ct.waitingParts = append(ct.waitingParts, bp.part)
+		}
+		bp.part.turn = bp.turn
+	}
+	slices.SortFunc(ct.waitingParts, func(one, other *progressPart) int { return cmp.Compare(one.turn, other.turn) })
+	for vm, mark := range bt.acknowledged {
+		if mark.startMS == vm.startMS {
+			vm.unstoredEnds = slices.Insert(vm.unstoredEnds, 0, storedEnd{number: mark.number, turn: bt.lastTurn()})
+		}
+	}
+	for _, rn := range bt.starts {
+		ct.endRun(rn, workpb.End_END_STOPPED, "")
+	}
+}
+
+// lastTurn returns the highest turn of the batch's parts.
+func (bt *Batch) lastTurn() int64 {
+	last := int64(0)
+	for _, bp := range bt.parts {
+		last = max(last, bp.turn)
+	}
+	return last
+}
+
 // brokenGangs returns the gangs of a batch of which not all members may be ordered; the others would wait for them in vain.
 func (ct *Controller) brokenGangs(bt *Batch) map[*step]bool {
 	broken := map[*step]bool{}
--- a/internal/scheduling/jobcontrol/fleet_test.go
+++ b/internal/scheduling/jobcontrol/fleet_test.go
@@ -45,6 +45,8 @@
 	// limitBatch sets the limits of the next batch, check checks it and beforePoll a poll.
 	limitBatch func()
 	check      func(*jobcontrol.Batch)
+	// refuses reports whether the store refuses a batch for its content.
+	refuses    func(*jobcontrol.Batch) bool
 	beforePoll func(*workpb.LookRequest)
 
 	runningOn map[string]string
@@ -62,6 +64,7 @@
 	fl.beforeOrder = func(*workpb.Order) {}
 	fl.limitBatch = func() {}
 	fl.check = func(*jobcontrol.Batch) {}
+	fl.refuses = func(*jobcontrol.Batch) bool { return false }
 	fl.beforePoll = func(*workpb.LookRequest) {}
 	for _, vm := range vms {
 		wk := workertest.New(fl.ck, vm)
@@ -163,6 +166,11 @@
 	fl.limitBatch()
 	bt := fl.ct.Plan(true)
 	fl.check(bt)
+	if fl.refuses(bt) {
+		fl.ct.HandleRefused(bt)
+		fl.send(fl.ct.Outbox())
+		return
+	}
 	fl.stored.apply(changeOf(bt))
 	fl.send(fl.ct.ConfirmStored(bt))
 	fl.send(fl.ct.Outbox())
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -12,6 +12,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/commitguard"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/ownerload"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/planpace"
@@ -78,7 +79,10 @@
 	// scheduleStartMS is when the restore had ended.
 	scheduleStartMS int64
 
-	committing    bool
+	committing bool
+	// guard limits the commits after one was refused; ownerTurn is set when the owner's rows were the last that could be stored alone.
+	guard         *commitguard.Guard
+	ownerTurn     bool
 	commits       sync.WaitGroup
 	lastCommitMS  int64
 	lastPlanMS    int64
@@ -147,6 +151,7 @@
 	rn.pollPace = pollpace.New(deps.LinkBytesPerS)
 	rn.bulk = rn.newBulkReader(deps.LinkBytesPerS)
 	rn.bulk.OnFailure = func(err error) { rn.lg.Fail("restore-read-failed", err) }
+	rn.guard = commitguard.New(maxProgressRows)
 	rn.waves = newWaves(rn)
 	rn.pools = newPoolResizer(rn)
 	rn.cleaner = newRowCleaner(rn, retentionMS)
@@ -363,28 +368,33 @@
 	rn.planDue = false
 	rn.lastPlanMS = nowMS
 	rn.ct.LimitStarts(rn.startLimit())
-	waveRows := rn.waves.changedRows()
-	rn.limitBatch(len(waveRows))
+	var waveRows []*workpb.Upkeep
+	waveBytes := 0
+	withOwnerRows := rn.takesOwnerRows()
+	if withOwnerRows {
+		waveRows, waveBytes = rn.dueWaves()
+	}
+	rn.limitBatch(len(waveRows), waveBytes)
 	bt := rn.ct.Plan(rn.ow.Held())
 	rn.planPace.Record(rn.ck.Now() - nowMS)
-	rows := &ownerRows{counts: rn.pendingCounts(nowMS), waves: waveRows, estimate: rn.waits.dueRow(nowMS)}
+	rows := &ownerRows{}
+	if withOwnerRows {
+		rows = rn.dueRows(nowMS, waveRows, len(bt.Jobs()))
+	}
 	if bt.Empty() && !renew && len(rows.list()) == 0 {
 		rn.enqueue(ctx, rn.ct.ConfirmStored(bt))
 		return
 	}
 	rn.committing = true
 	rn.lastCommitMS = nowMS
-	rows.shares = rn.ct.SharesToStore()
+	if withOwnerRows {
+		rn.addShares(rows, len(bt.Jobs()))
+	}
 	rn.levels.report(rn.ct.ShareLevels, rn.ct.DeferredJobs)
 	removed := rn.cleaner.nextProgress(rn.freeEntries(bt, rows))
 	rn.commits.Go(func() { rn.commit(ctx, bt, rows, removed) })
 }
 
-// freeEntries returns how many rows a commit may delete beside what it stores.
-func (rn *Runner) freeEntries(bt *jobcontrol.Batch, rows *ownerRows) int {
-	return maxProgressRows - len(bt.Rows()) - len(bt.Removed()) - len(rows.waves)
-}
-
 // pendingCounts returns the counts of waiting jobs when they are due to be stored, or nil.
 func (rn *Runner) pendingCounts(nowMS int64) *workpb.Pending {
 	if nowMS-rn.lastCountsMS < countsIntervalMS {
@@ -394,12 +404,13 @@
 	return rn.ct.Pending()
 }
 
-// commit retries until the commit is applied, the ownership is lost or the runner stops; once applied, it sends the orders that depend on it. Only the first attempt stores the estimate: a later one would pass it to the entries as a recent one.
+// commit retries until the commit is applied, the store refuses it for its content, the ownership is lost or the runner stops; once applied, it sends the orders that depend on it. Only the first attempt stores the estimate: a later one would pass it to the entries as a recent one.
 func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, rows *ownerRows, removed []rowKey) {
+	held := *rows
 	ch, err := newChange(bt, rows, removed)
 	for err == nil {
 		err = rn.ow.Commit(ctx, ch.writeTo)
-		if err == nil || code.Of(err) == code.LeaseLapsed || ctx.Err() != nil {
+		if err == nil || code.Of(err) == code.LeaseLapsed || code.Of(err) == code.TableRefused || ctx.Err() != nil {
 			break
 		}
 		rn.lg.Fail("commit-failed", err, "rows", len(bt.Rows()), "silent-ms", rn.ow.SinceRenewalMS())
@@ -411,11 +422,16 @@
 	rn.post(ctx, func() {
 		rn.committing = false
 		rn.planDue = true
+		if code.Of(err) == code.TableRefused {
+			rn.handleRefused(bt, &held, err)
+			return
+		}
 		if err != nil {
 			rn.lg.Fail("scheduling-lost", err, "token", rn.ow.Token())
 			rn.ownershipLost = true
 			return
 		}
+		rn.guard.RecordStored()
 		rn.cleaner.progressRemoved(removed)
 		rn.waves.rowsStored(ctx, rows.waves)
 		if rows.estimate != nil {
--- a/internal/scheduling/jobrunner/ownerrows.go
+++ b/internal/scheduling/jobrunner/ownerrows.go
@@ -7,7 +7,9 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobcontrol"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/waitestimate"
+	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 )
 
 const wavesTable = "upkeep"
@@ -20,13 +22,16 @@
 )
 
 const (
-	// maxProgressRows is the number of rows of jobs' progress in one commit; others are stored with the next ones.
+	// maxProgressRows is the number of rows of jobs' progress in one commit, maxWaveRows that of waves; others are stored with the next commits.
 	maxProgressRows = 90
+	maxWaveRows     = 40
 	// otherOwnerRows is the number of the owner's rows that aren't waves: counts, estimate and shares.
 	otherOwnerRows = 3
 	// ownershipEntries is the number of entries that renew the ownership, ownershipBytes more than they take.
 	ownershipEntries = 2
 	ownershipBytes   = 10_000
+	// waveDivisor divides the bytes of a transaction into the part that waves may take.
+	waveDivisor = 4
 )
 
 // ownerRows holds the rows of a commit that aren't progress of jobs; counts, estimate and shares are nil unless they are due.
@@ -43,11 +48,18 @@
 	row        proto.Message
 }
 
+// name names the row among all that commits hold.
+func (or ownerRow) name() string { return or.table + "/" + or.key }
+
+func waveRow(row *workpb.Upkeep) ownerRow {
+	return ownerRow{wavesTable, strconv.FormatInt(row.GetWave(), 10), row}
+}
+
 // list returns the rows.
 func (rows *ownerRows) list() []ownerRow {
 	var out []ownerRow
 	for _, row := range rows.waves {
-		out = append(out, ownerRow{wavesTable, strconv.FormatInt(row.GetWave(), 10), row})
+		out = append(out, waveRow(row))
 	}
 	if rows.counts != nil {
 		out = append(out, ownerRow{PendingTable, PendingKey, rows.counts})
@@ -61,15 +73,112 @@
 	return out
 }
 
-// limitBatch leaves the next batch of progress what a commit may hold beside a number of waves and the owner's other rows.
-func (rn *Runner) limitBatch(waves int) {
+// storable reports whether one of the owner's rows may be stored: it isn't too large for the store, and the store hasn't refused it lately.
+func (rn *Runner) storable(or ownerRow) bool {
+	nowMS := rn.ck.Now()
+	if rn.guard.Aside(or.name(), nowMS) {
+		return false
+	}
+	limit, size := rn.deps.Store.Limits.RowBytes(), rowstore.EncodedLen(proto.Size(or.row))
+	if limit > 0 && size > limit {
+		rn.lg.Info("row-too-large", "row", or.name(), "bytes", size, "limit", limit)
+		rn.guard.SetAside(or.name(), nowMS)
+		return false
+	}
+	return true
+}
+
+// takesOwnerRows reports whether the next commit may hold rows of the owner. While the guard allows but one row, they take turns with the progress of jobs.
+func (rn *Runner) takesOwnerRows() bool {
+	if rn.guard.Limit() > 1 {
+		return true
+	}
+	rn.ownerTurn = !rn.ownerTurn
+	return rn.ownerTurn
+}
+
+// dueWaves returns the changed states of waves that the next commit may hold, and how many bytes they add to it.
+func (rn *Runner) dueWaves() (rows []*workpb.Upkeep, bytes int) {
+	limits := rn.deps.Store.Limits
+	rows = rn.waves.changedRows(func(row *workpb.Upkeep) bool {
+		or := waveRow(row)
+		if len(rows) >= min(maxWaveRows, rn.guard.Limit()) || !rn.storable(or) {
+			return false
+		}
+		size := rowstore.RemoveBytes(or.table, or.key) + rowstore.EncodedLen(proto.Size(row))
+		if limits.TxBytes() > 0 && bytes > 0 && bytes+size > limits.TxBytes()/waveDivisor {
+			return false
+		}
+		bytes += size
+		rows = append(rows, row)
+		return true
+	})
+	return rows, bytes
+}
+
+// limitBatch leaves the next batch of progress what a commit may hold beside the given waves and the owner's other rows.
+func (rn *Runner) limitBatch(waves, waveBytes int) {
 	limits := rn.deps.Store.Limits
-	rows, bytes := maxProgressRows, 0
+	rows := rn.guard.Limit() - waves
 	if limits.Entries() > 0 {
 		rows = min(rows, limits.Entries()-ownershipEntries-otherOwnerRows-waves)
 	}
+	bytes := 0
 	if limits.TxBytes() > 0 {
-		bytes = limits.TxBytes() - ownershipBytes - (otherOwnerRows+waves)*limits.RowBytes()
+		bytes = limits.TxBytes() - ownershipBytes - waveBytes - otherOwnerRows*limits.RowBytes()
 	}
 	rn.ct.LimitBatch(max(rows, 0), bytes, limits.RowBytes())
 }
+
+// narrowed reports whether commits are small since one was refused.
+func (rn *Runner) narrowed() bool { return rn.guard.Limit() < maxProgressRows }
+
+// mayAdd reports whether one more of the owner's rows may be stored beside the progress of a number of jobs.
+func (rn *Runner) mayAdd(rows *ownerRows, jobs int) bool {
+	return !rn.narrowed() || jobs+len(rows.list()) < rn.guard.Limit()
+}
+
+// dueRows adds to the waves the other rows of the owner that are due, as far as the next commit may hold them beside the progress of a number of jobs.
+func (rn *Runner) dueRows(nowMS int64, waves []*workpb.Upkeep, jobs int) *ownerRows {
+	rows := &ownerRows{waves: waves}
+	if counts := rn.pendingCounts(nowMS); counts != nil && rn.mayAdd(rows, jobs) && rn.storable(ownerRow{PendingTable, PendingKey, counts}) {
+		rows.counts = counts
+	}
+	if estimate := rn.waits.dueRow(nowMS); estimate != nil && rn.mayAdd(rows, jobs) && rn.storable(ownerRow{waitestimate.Table, waitestimate.Key, estimate}) {
+		rows.estimate = estimate
+	}
+	return rows
+}
+
+// addShares adds the teams' recent use to the rows of a commit if it is due.
+func (rn *Runner) addShares(rows *ownerRows, jobs int) {
+	if !rn.mayAdd(rows, jobs) {
+		return
+	}
+	if shares := rn.ct.SharesToStore(); shares != nil && rn.storable(ownerRow{SharesTable, SharesKey, shares}) {
+		rows.shares = shares
+	}
+}
+
+// freeEntries returns how many rows a commit may delete beside what it stores, none while commits are small.
+func (rn *Runner) freeEntries(bt *jobcontrol.Batch, rows *ownerRows) int {
+	if rn.narrowed() {
+		return 0
+	}
+	return maxProgressRows - len(bt.Rows()) - len(bt.Removed()) - len(rows.waves)
+}
+
+// handleRefused handles a commit that the store has refused for its content: what it held is tried again in smaller commits, until what is refused alone is known and left out.
+func (rn *Runner) handleRefused(bt *jobcontrol.Batch, rows *ownerRows, err error) {
+	names := bt.Jobs()
+	for _, or := range rows.list() {
+		names = append(names, or.name())
+	}
+	rn.lg.Fail("commit-refused", err, "jobs", len(bt.Jobs()), "names", len(names))
+	rn.ct.HandleRefused(bt)
+	rn.waves.rowsRefused(rows.waves)
+	if culprit, found := rn.guard.RecordRefused(names, rn.ck.Now()); found {
+		rn.lg.Info("row-set-aside", "name", culprit)
+		rn.ct.SetAside(culprit)
+	}
+}
--- a/internal/scheduling/jobrunner/storelimits_test.go
+++ b/internal/scheduling/jobrunner/storelimits_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/internal/testbed/rowstoretest"
 )
 
 const (
@@ -80,3 +83,86 @@
 		qt.Check(t, si.state(largeJobID), qt.Equals, workpb.State_COMPLETED)
 	})
 }
+
+// isProgressOf reports whether a row holds progress of a job.
+func isProgressOf(rw rowstore.Row, id string) bool {
+	return strings.HasPrefix(rw.Table(), "progress") && strings.Contains(rw.Key(), id)
+}
+
+// Guards against the loss of all scheduling to one row that the store refuses for its content: the same commit was repeated by each owner in turn.
+func TestRefusedRowOfOneJobDoesNotStopTheOthers(t *testing.T) {
+	for _, owners := range []int{1, 2} {
+		simulate(t, func(si *simulation) {
+			si.st.SetCommitOutcome(func(tx *rowstore.Tx) rowstoretest.Outcome {
+				for _, rw := range tx.Puts() {
+					if isProgressOf(rw, largeJobID) {
+						return rowstoretest.NeverTaken
+					}
+				}
+				return rowstoretest.Served
+			})
+			for at := range owners {
+				si.start(fmt.Sprint("entry-", at))
+			}
+			si.wait(1500)
+			for at := range 8 {
+				si.submit(fmt.Sprintf("%014dc%d", 0, at), 1)
+			}
+			si.submit(largeJobID, 2)
+			si.wait(200)
+			first := si.owner()
+			si.submit(otherJobID, 2)
+			si.wait(10_000)
+			for at := range 8 {
+				qt.Check(t, si.state(fmt.Sprintf("%014dc%d", 0, at)), qt.Equals, workpb.State_COMPLETED)
+			}
+			qt.Check(t, si.state(otherJobID), qt.Equals, workpb.State_COMPLETED)
+			qt.Check(t, si.owner(), qt.Equals, first)
+		})
+	}
+}
+
+// Guards against the loss of all scheduling to a row of the owner itself that the store refuses, as that of a wave with very many machines.
+func TestRefusedRowOfAWaveDoesNotStopJobs(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.st.SetCommitOutcome(func(tx *rowstore.Tx) rowstoretest.Outcome {
+			for _, rw := range tx.Puts() {
+				if rw.Table() == "upkeep" && rw.Key() == "1" {
+					return rowstoretest.NeverTaken
+				}
+			}
+			return rowstoretest.Served
+		})
+		si.start("one")
+		si.wait(1500)
+		si.addWave(1, 1, 40_000)
+		si.wait(1000)
+		si.addWave(2, 1, 40_000)
+		si.submit(otherJobID, 2)
+		si.wait(10_000)
+		qt.Check(t, si.state(otherJobID), qt.Equals, workpb.State_COMPLETED)
+		si.wait(30_000)
+		qt.Check(t, si.isCompleted(2), qt.IsTrue)
+	})
+}
+
+// Guards against a commit of more entries than the store takes: many waves that change at once, beside the progress of many jobs.
+func TestManyWavesBesideManyJobsAreStored(t *testing.T) {
+	const waves, jobs = 30, 150
+	simulate(t, func(si *simulation) {
+		si.setStoreLimits(storeRowBytes)
+		si.setWork(300)
+		si.start("one")
+		si.wait(1500)
+		for at := range jobs {
+			si.submitRow(&workpb.Job{Id: fmt.Sprintf("%013d%03x", 0, at), Steps: []*workpb.Step{{Count: 1, CpuMilli: 10, EstimateMs: 300}}})
+		}
+		for at := range waves {
+			si.addWave(int64(at+1), 1, 200_000)
+		}
+		si.wait(20_000)
+		for at := range jobs {
+			qt.Check(t, si.state(fmt.Sprintf("%013d%03x", 0, at)), qt.Equals, workpb.State_COMPLETED)
+		}
+	})
+}
--- a/internal/scheduling/jobrunner/waves.go
+++ b/internal/scheduling/jobrunner/waves.go
@@ -164,12 +164,12 @@
 	wv.rn.ct.SetMaintenanceDue(due)
 }
 
-// changedRows returns the states of waves that differ from what is stored or whose orders wait for a commit.
-func (wv *waves) changedRows() []*workpb.Upkeep {
+// changedRows returns the states of waves that differ from what is stored or whose orders wait for a commit, as far as take takes them for the next commit.
+func (wv *waves) changedRows(take func(*workpb.Upkeep) bool) []*workpb.Upkeep {
 	var out []*workpb.Upkeep
 	for _, dr := range wv.drivers {
 		row := dr.wave.Row()
-		if len(dr.orders) > 0 || !proto.Equal(row, dr.storedRow) {
+		if (len(dr.orders) > 0 || !proto.Equal(row, dr.storedRow)) && take(row) {
 			dr.storedRow = row
 			out = append(out, row)
 		}
@@ -177,6 +177,13 @@
 	return out
 }
 
+// rowsRefused records that the store has taken none of some states.
+func (wv *waves) rowsRefused(rows []*workpb.Upkeep) {
+	for _, row := range rows {
+		wv.drivers[row.GetWave()].storedRow = nil
+	}
+}
+
 // rowsStored sends the maintenance orders that the rows just stored contain.
 func (wv *waves) rowsStored(ctx context.Context, rows []*workpb.Upkeep) {
 	for _, row := range rows {
