Submissions whose row the store never takes are refused at once

The store refuses it for its content, and the caller got 503 with Retry-After after two attempts, as if the same submission could be stored later. It is not accepted at once now (422, job-impossible): "A 2xx response means that the job was accepted and is stored". Rows of that size were not seen on any deployment.

TestSubmitWithoutAnswers has two rows for it; "refused for its content" was red before (the second attempt was made and accepted).

--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -91,7 +91,7 @@
 
 // Submit stores a job unless one with the same id is stored already; a refused one is replaced, and its first attempt kept.
 //
-// An error with code.TableUnavailable means that this submission is not stored and never will be; code.TableInDoubt means that it may be.
+// An error with code.TableUnavailable means that this submission is not stored and never will be, code.JobImpossible that the store takes no row like it; code.TableInDoubt means that it may be stored.
 func (in *Intake) Submit(ctx context.Context, jb *workpb.Job) error {
 	_, err := in.SubmitUnless(ctx, jb, func(int64) bool { return false })
 	return err
@@ -157,6 +157,10 @@
 			}
 		case code.TableInDoubt:
 			inDoubt = true
+		case code.TableRefused:
+			if !inDoubt {
+				return false, code.JobImpossible.Wrap(err)
+			}
 		}
 	}
 	if inDoubt {
--- a/internal/scheduling/intake/intake_test.go
+++ b/internal/scheduling/intake/intake_test.go
@@ -47,6 +47,8 @@
 		{"served", nil, code.OK, code.OK, true},
 		{"refused once", []rowstoretest.Outcome{rowstoretest.Refused}, code.OK, code.OK, true},
 		{"refused always", []rowstoretest.Outcome{rowstoretest.Refused, rowstoretest.Refused}, code.TableUnavailable, code.JobUnknown, false},
+		{"refused for its content", []rowstoretest.Outcome{rowstoretest.NeverTaken}, code.JobImpossible, code.JobUnknown, false},
+		{"late, then refused for its content", []rowstoretest.Outcome{rowstoretest.Late, rowstoretest.NeverTaken}, code.TableUnavailable, code.JobUnknown, false},
 		{"applied, answer lost", []rowstoretest.Outcome{rowstoretest.AnswerLost}, code.OK, code.OK, true},
 		{"late, then served", []rowstoretest.Outcome{rowstoretest.Late}, code.OK, code.OK, true},
 		{"late, then refused", []rowstoretest.Outcome{rowstoretest.Late, rowstoretest.Refused}, code.TableUnavailable, code.JobUnknown, false},
