A run that a cut-off list lacks is unknown, not vanished

Cause: a VM lists its ends 500 at a time, and nothing in workpb.Look says that there may be more. reconcile takes each run that an answer doesn't list for over, in every branch: running, in doubt, stopping, an earlier owner's. Class: a list that is cut off, read as a whole one.

The VM is polled again once the listed ends are stored, not a poll interval later; the acknowledgement still follows the commit. A VM with unlisted ends isn't moved, maintained or taken for empty, and holds no poll open.

The stand-in VM lists 500 ends now.

--- a/internal/scheduling/jobcontrol/batch.go
+++ b/internal/scheduling/jobcontrol/batch.go
@@ -263,6 +263,9 @@
 	for vm, mark := range bt.acknowledged {
 		if mark.startMS == vm.startMS {
 			vm.stored = max(vm.stored, mark.number)
+			if vm.moreEnds {
+				vm.nextPollMS = ct.ck.Now()
+			}
 		}
 	}
 	broken := ct.brokenGangs(bt)
--- a/internal/scheduling/jobcontrol/crashes.go
+++ b/internal/scheduling/jobcontrol/crashes.go
@@ -108,7 +108,7 @@
 	return ok && ct.ck.Now()-atMS < unexplainedMS
 }
 
-// lists returns a function that reports the runs that an answer of a VM lists.
+// lists returns a function that reports the runs that an answer of a VM lists, or may list later.
 func lists(lk *workpb.Look) func(*run) bool {
 	listed := map[runKey]bool{}
 	for _, row := range lk.GetRunning() {
@@ -117,7 +117,7 @@
 	for _, row := range lk.GetEnded() {
 		listed[runKey{row.GetTask(), row.GetRun()}] = true
 	}
-	return func(rn *run) bool { return listed[rn.key] }
+	return func(rn *run) bool { return listed[rn.key] || lk.GetMoreEnded() }
 }
 
 // putOnProbation handles a crash that one of a number of tasks may have caused.
--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -264,7 +264,7 @@
 // Movable reports whether a VM is known, synchronized with this owner and free of long-running tasks, so that its machine may move as soon as nothing runs there. A VM with ends that aren't stored yet doesn't count, since they would be lost with the VM.
 func (ct *Controller) Movable(id string) bool {
 	vm, ok := ct.vms[id]
-	if !ok || !vm.synced || vm.unresponsive || !vm.registered || vm.processed > vm.stored {
+	if !ok || !vm.synced || vm.unresponsive || !vm.registered || vm.endsUnstored() {
 		return false
 	}
 	return !ct.HasLasting(id)
--- a/internal/scheduling/jobcontrol/evacuate.go
+++ b/internal/scheduling/jobcontrol/evacuate.go
@@ -39,7 +39,7 @@
 		return true
 	}
 	if len(vm.runs) == 0 {
-		return vm.processed == vm.stored
+		return !vm.endsUnstored()
 	}
 	for _, rn := range vm.runs {
 		if rn.phase != phaseRunning || (!rn.lasting() && !force) {
--- a/internal/scheduling/jobcontrol/fleet_test.go
+++ b/internal/scheduling/jobcontrol/fleet_test.go
@@ -42,6 +42,8 @@
 	token       int64
 	// allowDuplicates is set where duplicate runs of a task are allowed.
 	allowDuplicates bool
+	// storeAway is set while no batch can be stored.
+	storeAway bool
 	// limitBatch sets the limits of the next batch, check checks it and beforePoll a poll.
 	limitBatch func()
 	check      func(*jobcontrol.Batch)
@@ -163,6 +165,10 @@
 	for _, lr := range due {
 		fl.poll(lr)
 	}
+	if fl.storeAway {
+		fl.send(fl.ct.Outbox())
+		return
+	}
 	fl.limitBatch()
 	bt := fl.ct.Plan(true)
 	fl.check(bt)
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -101,7 +101,7 @@
 	if !vm.synced || vm.unresponsive || vm.failedPolls > 0 || ct.ck.Now() < vm.shortPollsUntilMS {
 		return false
 	}
-	return len(vm.runs) > 0 && vm.stored == vm.processed && !vm.mixed() && !vm.hasUnresolvedRun()
+	return len(vm.runs) > 0 && !vm.endsUnstored() && !vm.mixed() && !vm.hasUnresolvedRun()
 }
 
 // SetBusyPollInterval sets the interval between polls of a VM with runs.
@@ -141,7 +141,7 @@
 }
 
 // departing reports whether the VM is about to end because its machine moves, and all of its ends are stored.
-func (vm *vmState) departing() bool { return vm.leaving && vm.processed == vm.stored }
+func (vm *vmState) departing() bool { return vm.leaving && !vm.endsUnstored() }
 
 // mixed reports whether best-effort and latency-sensitive tasks share the VM, so that tail latencies must be watched.
 func (vm *vmState) mixed() bool { return vm.hasLatencySensitive() && vm.hasBestEffort() }
@@ -181,6 +181,7 @@
 	}
 	vm.acknowledged = max(vm.acknowledged, vm.acknowledging)
 	vm.lastClockMS, vm.lastClockAtMS = lk.GetClockMs(), nowMS
+	vm.moreEnds = lk.GetMoreEnded()
 	listed := ct.applyRunning(vm, lk.GetRunning())
 	ct.applyEnded(vm, lk.GetEnded(), listed)
 	ct.reconcile(vm, sentMS, listed)
@@ -194,7 +195,10 @@
 	switch {
 	case vm.mixed():
 		return mixedPollIntervalMS
-	case len(vm.runs) > 0 || vm.processed > vm.stored:
+	case vm.moreEnds && vm.stored > vm.acknowledged:
+		// It lists the next ones once these are acknowledged.
+		return 0
+	case len(vm.runs) > 0 || vm.endsUnstored():
 		return ct.busyPollMS
 	default:
 		return idlePollIntervalMS
--- a/internal/scheduling/jobcontrol/reconcile.go
+++ b/internal/scheduling/jobcontrol/reconcile.go
@@ -15,7 +15,7 @@
 	settleDelayMS = 2000
 )
 
-// reconcile compares the runs known for a VM with those it listed in the answer to a poll sent at sentMS, and handles runs that are missing, stalled, slow or don't stop.
+// reconcile compares the runs known for a VM with those it listed in the answer to a poll sent at sentMS, and handles runs that are missing, stalled, slow or don't stop. Nothing is known of a missing run while the VM may have more ended runs than it has listed.
 func (ct *Controller) reconcile(vm *vmState, sentMS int64, listed map[runKey]bool) {
 	nowMS := ct.ck.Now()
 	for key, rn := range vm.runs {
@@ -25,6 +25,9 @@
 			ct.learnProgress(rn, nowMS)
 			ct.clearRun(rn, sentMS)
 			ct.reconcileListed(rn, nowMS)
+		case vm.moreEnds:
+			// It may be among the ends that the VM hasn't listed yet.
+			ct.repeatStop(rn, nowMS)
 		case rn.phase == phaseRunning && rn.startedMS < sentMS && nowMS < rn.mayStartUntilMS:
 			// The VM has restarted and doesn't know yet that the run must not start there.
 			ct.stop(rn)
@@ -42,12 +45,19 @@
 		case rn.phase == phaseStopping && rn.mayStartUntilMS > 0 && rn.mayStartUntilMS <= sentMS:
 			// It isn't there, and no order can start it any more.
 			ct.endRun(rn, workpb.End_END_STOPPED, "")
-		case rn.phase == phaseStopping && nowMS-rn.stopSentMS >= stopRetryMS:
-			ct.sendStop(rn)
+		default:
+			ct.repeatStop(rn, nowMS)
 		}
 	}
 }
 
+// repeatStop sends the stop of a run again if it is due.
+func (ct *Controller) repeatStop(rn *run, nowMS int64) {
+	if rn.phase == phaseStopping && nowMS-rn.stopSentMS >= stopRetryMS {
+		ct.sendStop(rn)
+	}
+}
+
 // attachOther lets a waiting task wait for another run of it on a VM: one that it waited for under an earlier owner is stored with the number of the task's last run.
 func (ct *Controller) attachOther(vm *vmState, name string) {
 	for key, rn := range vm.runs {
@@ -72,8 +82,8 @@
 
 func (ct *Controller) reconcileListed(rn *run, nowMS int64) {
 	switch {
-	case rn.phase == phaseStopping && nowMS-rn.stopSentMS >= stopRetryMS:
-		ct.sendStop(rn)
+	case rn.phase == phaseStopping:
+		ct.repeatStop(rn, nowMS)
 	case rn.phase == phaseRunning && ct.stalled(rn, nowMS):
 		ct.lg.Info("run-stalled", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run, "percent", rn.percent)
 		ct.recordSuspicion(rn)
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -39,6 +39,8 @@
 	// processed is the highest number of a run end that was applied, stored the highest whose effect is stored.
 	processed int64
 	stored    int64
+	// moreEnds is set while the VM may have more ended runs than it has listed.
+	moreEnds bool
 	// unstoredEnds holds what was processed and isn't known to be stored, in order.
 	unstoredEnds []storedEnd
 	// acknowledged is the highest number of an end that an answered poll has acknowledged, acknowledging that of the poll under way.
@@ -182,6 +184,9 @@
 	return *vm.lastingSum
 }
 
+// endsUnstored reports whether ends of runs on the VM aren't stored yet, so that they would be lost with the VM.
+func (vm *vmState) endsUnstored() bool { return vm.processed > vm.stored || vm.moreEnds }
+
 // accepting reports whether the VM is registered, responsive and not draining.
 func (vm *vmState) accepting() bool {
 	return vm.registered && !vm.unresponsive && !vm.reg.GetDraining()
--- a/internal/testbed/workertest/workertest.go
+++ b/internal/testbed/workertest/workertest.go
@@ -1,6 +1,7 @@
 package workertest
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 
@@ -18,7 +19,9 @@
 	running       map[key]*run
 	ended         []*workpb.EndedRun
 	lastEndNumber int64
-	highestRun    map[string]int64
+	// listedEnd is the highest number of an ended run that was listed.
+	listedEnd  int64
+	highestRun map[string]int64
 	// advancedMS is when the runs were advanced last, endsAtOnce is set if one was started since that takes no time.
 	advancedMS int64
 	endsAtOnce bool
@@ -60,6 +63,8 @@
 	defaultWorkMS = 800
 	stopDelayMS   = 100
 	percent       = 100
+	// maxListedEnds is the number of ended runs that an answer lists at most.
+	maxListedEnds = 500
 )
 
 // New returns a VM that starts now; it sets the start time in the registration.
@@ -83,7 +88,7 @@
 		rn.stopping = true
 	}
 	wk.reg.BornMs = wk.ck.Now()
-	wk.startedMS, wk.token, wk.lastEndNumber, wk.endsAtOnce = wk.ck.Now(), 0, 0, true
+	wk.startedMS, wk.token, wk.lastEndNumber, wk.listedEnd, wk.endsAtOnce = wk.ck.Now(), 0, 0, 0, true
 	wk.running, wk.ended, wk.highestRun = map[key]*run{}, nil, map[string]int64{}
 }
 
@@ -177,7 +182,7 @@
 	return workpb.Verdict_ACCEPTED
 }
 
-// Poll renews the leases of the running runs and returns the lists of running and ended runs. Ended runs up to the acknowledged number are dropped.
+// Poll renews the leases of the running runs and returns the lists of running and ended runs, of which it returns maxListedEnds at most. Ended runs up to the acknowledged number are dropped.
 func (wk *Worker) Poll(lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
 	wk.advance()
 	if lr.GetToken() < wk.token {
@@ -193,13 +198,24 @@
 		}
 		lk.Running = append(lk.Running, row)
 	}
+	wk.ended = slices.DeleteFunc(wk.ended, func(end *workpb.EndedRun) bool { return end.GetNumber() <= lr.GetAcknowledged() })
+	lk.Ended = slices.Clone(wk.ended[:min(len(wk.ended), maxListedEnds)])
+	for _, end := range lk.GetEnded() {
+		wk.listedEnd = max(wk.listedEnd, end.GetNumber())
+	}
+	lk.MoreEnded = len(lk.GetEnded()) == maxListedEnds
+	return lk, workpb.Verdict_ACCEPTED
+}
+
+// UnreadEnds returns the number of ended runs that weren't listed yet.
+func (wk *Worker) UnreadEnds() int {
+	count := 0
 	for _, end := range wk.ended {
-		if end.GetNumber() > lr.GetAcknowledged() {
-			lk.Ended = append(lk.Ended, end)
+		if end.GetNumber() > wk.listedEnd {
+			count++
 		}
 	}
-	wk.ended = lk.GetEnded()
-	return lk, workpb.Verdict_ACCEPTED
+	return count
 }
 
 func (wk *Worker) progress(rn *run) int64 {
