--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -26,7 +26,9 @@
 	startedMS  int64
 
 	rules *rulesindex.Index
-	caps  map[string]size.Size
+	// services holds the names of the services under the rules.
+	services map[string]bool
+	caps     map[string]size.Size
 	// weights holds the teams' weights for fair sharing of a full pool.
 	weights map[string]float64
 	// shares holds the teams' recent use of each service's pool.
@@ -120,7 +122,7 @@
 func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
 	return &Controller{
 		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
-		caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*teamshare.Shares{}, sizes: map[string]*sizefairness.History{}, undecided: map[*occurrence]int64{}, choices: map[string]choice{}, loggedChoices: map[string]loggedChoice{}, loggedLevels: map[string]map[string]int32{},
+		services: map[string]bool{}, caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*teamshare.Shares{}, sizes: map[string]*sizefairness.History{}, undecided: map[*occurrence]int64{}, choices: map[string]choice{}, loggedChoices: map[string]loggedChoice{}, loggedLevels: map[string]map[string]int32{},
 		pace: taskpace.New(), room: map[string]poolRoom{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
 		vms: map[string]*vmState{}, zones: map[string]*zone{}, used: map[string]size.Size{}, lateVMs: map[*vmState]bool{}, unexplainedCrashMS: map[string]int64{}, unplaceable: map[string]*unplaceable{},
@@ -131,6 +133,10 @@
 // SetRules applies a version of the operators' rules.
 func (ct *Controller) SetRules(ix *rulesindex.Index) {
 	ct.rules = ix
+	clear(ct.services)
+	for _, sv := range ix.Rules().GetServices() {
+		ct.services[sv.GetName()] = true
+	}
 	clear(ct.caps)
 	clear(ct.weights)
 	ct.weighted = jobwork.Weighted(ix.Rules())
--- a/internal/scheduling/jobcontrol/demand_test.go
+++ b/internal/scheduling/jobcontrol/demand_test.go
@@ -169,6 +169,9 @@
 	other := vmOf("a")
 	other.Service = "other"
 	fl := newFleet(t, other)
+	rules := testRules()
+	rules.Services = append(rules.Services, &workpb.Service{Name: "other"})
+	fl.setRules(rules)
 	fl.submit(jobOf("j1", &workpb.Step{Count: 2, CpuMilli: 1000, MemoryMb: 100, Lasting: true}))
 	fl.run(500)
 	qt.Assert(t, fl.ct.Demands()["s"].LastingVMs(), qt.Equals, 1)
--- a/internal/scheduling/jobcontrol/oddinput_test.go
+++ b/internal/scheduling/jobcontrol/oddinput_test.go
@@ -168,3 +168,25 @@
 		qt.Check(t, slices.Contains(ended, "sound"), qt.IsTrue, qt.Commentf("seed %d", seed))
 	}
 }
+
+// Guards against calls to whatever another writer names in a registration: a VM of a service that the rules don't name is used once they do.
+func TestVMOfAnUnnamedServiceIsNotCalled(t *testing.T) {
+	odd := vmOf("odd")
+	odd.Service = "u"
+	fl := newFleet(t, vmOf("a"), odd)
+	polls := 0
+	fl.beforePoll = func(lr *workpb.LookRequest) {
+		if lr.GetVm() == "odd" {
+			polls++
+		}
+	}
+	fl.submit(jobOf("j1", stepOf(12)))
+	fl.run(8000)
+	qt.Check(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+	qt.Check(t, polls, qt.Equals, 0)
+	rules := testRules()
+	rules.Services = append(rules.Services, &workpb.Service{Name: "u"})
+	fl.setRules(rules)
+	fl.run(100)
+	qt.Check(t, polls > 0, qt.IsTrue)
+}
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -43,7 +43,7 @@
 		if vm.polling || vm.reg.GetAddress() == "" || nowMS < vm.nextPollMS {
 			continue
 		}
-		if (!vm.registered || vm.departing()) && len(vm.runs) == 0 {
+		if len(vm.runs) == 0 && (!vm.registered || vm.departing() || !ct.serves(vm)) {
 			continue
 		}
 		if !ct.countPoll(vm) {
@@ -54,6 +54,11 @@
 	return out
 }
 
+// serves reports whether the VM belongs to a service under the rules; the registration of any other may come from another writer.
+func (ct *Controller) serves(vm *vmState) bool {
+	return ct.rules == nil || ct.services[vm.reg.GetService()]
+}
+
 // countPoll counts a poll of a VM without runs, or the first ones of a VM with runs, and reports whether it may be sent now. Unresponsive VMs are counted apart, since their polls last until they time out.
 func (ct *Controller) countPoll(vm *vmState) bool {
 	count, limit := &ct.idlePolls, min(maxIdlePolls, ct.firstPollLimit)
--- a/internal/testbed/rowstoretest/rowstoretest.go
+++ b/internal/testbed/rowstoretest/rowstoretest.go
@@ -69,6 +69,13 @@
 	st.limits = limits
 }
 
+// Put writes a row at once, whatever faults the store has.
+func (st *Store) Put(table, partition, key string, value []byte) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.apply(rowstore.NewTx(partition).Put(table, key, value))
+}
+
 // SetCommitOutcome sets the function that determines the outcome of each commit from now on.
 func (st *Store) SetCommitOutcome(outcome func(*rowstore.Tx) Outcome) {
 	st.mu.Lock()
