Orders that many wait for are sent side by side; unsent starts need no stops

Cause: a VM's orders are sent one after the other as long as answers take less than 80 ms, 170 to 260 a second between zones. Starts older than 1 s are dropped, and one dropped start stops its whole gang, which starts again at once. The stops of that attempt are made before the controller has heard that their starts were never sent, so the queue holds stops of runs of which the VM never heard; all starts of the next attempt grow too old behind them.

Evidence, in simulated time: 334 of 900 starts are sent, then none; 1,299 stops of runs that never began within 4 s. Red before, green now: TestLargeGangStartsOnAVMInAnotherZone, TestTasksOfALargeCancelledJobAreStoppedInTime (466 of 1,500 tasks run on), TestStartsThatWereNeverSentNeedNoStops (2,706 stops).

A stop isn't queued for a run that has ended, and is dropped once its start turns out to be unsent. A gang of which a start couldn't be sent waits 0.5 s.

--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -5,6 +5,8 @@
 const (
 	// retryBackoffMS is the delay before a failed task's next run, multiplied by its failures so far.
 	retryBackoffMS = 100
+	// gangBackoffMS is the delay before a gang is started again of which a start couldn't be sent.
+	gangBackoffMS = 500
 	// maxAvoidedVMs bounds the list of VMs that a task avoids.
 	maxAvoidedVMs = 3
 )
@@ -238,6 +240,10 @@
 	}
 	ct.lg.Info("start-unsent", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run)
 	rn.vm.nextPollMS = min(rn.vm.nextPollMS, ct.ck.Now()+unresponsivePollIntervalMS)
+	if tk := rn.task; tk != nil && tk.st.row.GetGang() {
+		// The stops of the other members go first.
+		tk.notBeforeMS = ct.ck.Now() + gangBackoffMS
+	}
 	ct.endUnsent(rn)
 }
 
--- a/internal/scheduling/jobcontrol/startwanted.go
+++ b/internal/scheduling/jobcontrol/startwanted.go
@@ -22,3 +22,9 @@
 	ct.startsUnderWay--
 	ct.startsOver = append(ct.startsOver, rn)
 }
+
+// StopWanted reports whether a run is still to be stopped: it hasn't ended since its stop was decided.
+func (ct *Controller) StopWanted(od *workpb.Order) bool {
+	rn := ct.runOf(od)
+	return rn != nil && rn.phase == phaseStopping
+}
--- a/internal/scheduling/jobrunner/orderqueue.go
+++ b/internal/scheduling/jobrunner/orderqueue.go
@@ -8,7 +8,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 )
 
-// orderQueue sends orders to one VM in order. One connection carries them as long as answers come quickly; while an answer is late, further connections carry the orders behind it.
+// orderQueue sends orders to one VM in order. One connection carries them as long as answers come quickly and few wait; while an answer is late, or where many wait, further connections carry the orders behind it.
 type orderQueue struct {
 	rn *Runner
 
@@ -42,8 +42,11 @@
 }
 
 const (
-	// maxSenders is the maximum number of orders in flight to one VM.
+	// maxSenders is the maximum number of orders in flight to one VM while an answer is late.
 	maxSenders = 4
+	// ordersPerSender is the number of waiting orders for each of which another one is in flight, at most maxDeepSenders, so that starts don't grow too old nor stops late.
+	ordersPerSender = 64
+	maxDeepSenders  = 8
 	// lateAnswerMS is how long an answer may take before the next order is sent beside it.
 	lateAnswerMS = 80
 	// maxUnanswered is the number of unanswered copies of orders in a row after which queued starts are not sent; fewer answers may just be lost.
@@ -60,7 +63,7 @@
 			oq = &orderQueue{rn: rn}
 			rn.orderQueues[od.GetVm()] = oq
 		}
-		if od.GetVerb() == workpb.Verb_STOP && rn.withdrawStart(od) {
+		if od.GetVerb() == workpb.Verb_STOP && (rn.withdrawStart(od) || !rn.ct.StopWanted(od)) {
 			continue
 		}
 		qo := &queuedOrder{oq: oq, od: od, untilMS: rn.ck.Now() + maxStartAgeMS}
@@ -119,7 +122,7 @@
 		return
 	}
 	oq.waiting = append(oq.waiting, qo)
-	if oq.senders == 0 {
+	if oq.senders < min(1+len(oq.waiting)/ordersPerSender, maxDeepSenders) {
 		oq.senders++
 		go oq.run(ctx)
 	}
@@ -163,6 +166,9 @@
 	if od.GetVerb() == workpb.Verb_START {
 		delete(rn.openStarts, newStartKey(od))
 	}
+	if withdrawn || an.kept {
+		rn.orderQueues[od.GetVm()].dropStop(od)
+	}
 	if withdrawn {
 		rn.ct.HandleWithdrawn(od)
 		return
@@ -208,6 +214,15 @@
 	})
 }
 
+// dropStop removes the waiting stop of an order's run, of whose start the VM has never heard.
+func (oq *orderQueue) dropStop(od *workpb.Order) {
+	oq.mu.Lock()
+	defer oq.mu.Unlock()
+	oq.waiting = slices.DeleteFunc(oq.waiting, func(other *queuedOrder) bool {
+		return other.od.GetVerb() == workpb.Verb_STOP && sameRun(od, other.od)
+	})
+}
+
 // next removes the first waiting order, nil if there is none, and reports whether it is to be sent.
 func (oq *orderQueue) next() (qo *queuedOrder, send bool) {
 	oq.mu.Lock()
