Members of a gang start from one checkpoint

Each member of a gang's next run was told the checkpoint that it had reported itself, and members report at different times. All get the one that was reported last, also those of a new owner, which finds different ones stored.

--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -28,7 +28,7 @@
 		return
 	}
 	if checkpoint != "" {
-		tk.checkpoint = checkpoint
+		tk.checkpoint, tk.checkpointMS = checkpoint, ct.ck.Now()
 	}
 	if how == workpb.End_END_LEASE_EXPIRED && !tk.st.row.GetLasting() && !tk.st.row.GetGang() {
 		tk.giveUp(rn.key.run, rn.vm)
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -68,16 +68,18 @@
 }
 
 type task struct {
-	st          *step
-	index       int
-	done        bool
-	run         int64
-	failures    int32
-	crashes     crashes
-	checkpoint  string
-	notBeforeMS int64
-	current     *run
-	avoid       []string
+	st         *step
+	index      int
+	done       bool
+	run        int64
+	failures   int32
+	crashes    crashes
+	checkpoint string
+	// checkpointMS is when a VM reported the checkpoint, 0 if an earlier owner heard of it.
+	checkpointMS int64
+	notBeforeMS  int64
+	current      *run
+	avoid        []string
 	// givenUp holds the runs, with their VMs, that this owner ended without knowing how they ended.
 	givenUp map[int64]*vmState
 	// replaced holds the runs that were detached so that the task may start elsewhere as well, until they have ended. They are to be stopped, but for the first of two runs that go on beside each other.
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -302,11 +302,24 @@
 		planned = append(planned, ct.allocate(vm, tk, phasePlanned))
 	}
 	bt.starts = append(bt.starts, planned...)
+	checkpoint := st.latestCheckpoint()
 	for _, rn := range planned {
+		rn.task.checkpoint = checkpoint
 		ct.markTask(rn.task)
 	}
 }
 
+// latestCheckpoint returns the checkpoint of a gang that was reported last, by whichever member: it is valid for all of them.
+func (st *step) latestCheckpoint() string {
+	latest := st.tasks[0]
+	for _, tk := range st.tasks {
+		if tk.checkpoint != "" && (latest.checkpoint == "" || tk.checkpointMS > latest.checkpointMS) {
+			latest = tk
+		}
+	}
+	return latest.checkpoint
+}
+
 func (ct *Controller) cancelPlanned(planned []*run) {
 	for _, rn := range planned {
 		rn.task.run--
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -261,7 +261,7 @@
 			if rn.task.checkpoint != row.GetCheckpoint() {
 				rn.savedPercent = rn.percent
 			}
-			rn.task.checkpoint = row.GetCheckpoint()
+			rn.task.checkpoint, rn.task.checkpointMS = row.GetCheckpoint(), nowMS
 		}
 	}
 	return listed
