Jobs that fail everywhere exclude no VM

Three jobs of lasting tasks that fail wherever they start excluded all VMs of a service from new work, for up to 16 s at once; sound tasks that failed once had nothing running for 9 to 16 s, and no new job started.

Cause: a failure counts against the VM, whatever the job does elsewhere, and the exclusions have no bound over the service. Lasting tasks never end as done, which alone took failures back. Class: a circuit breaker that can't tell the caller's fault from the callee's.

Fix: a job that has failed on three VMs or more, and more often than its runs were good (done, or at work for 10 s), is at fault itself; its failures don't count against VMs and are taken back from the last one. No more than half of a service's VMs are excluded at once.

Red before: TestJobsThatFailEverywhereKeepNoOtherOffTheVMs (15,200 and 16,080 ms without a run for tasks that fail after 0.8 and 5 s).

--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -43,6 +43,7 @@
 	switch how {
 	case workpb.End_END_DONE:
 		rn.vm.suspicion.RecordSuccess()
+		jb.outcomes.good++
 		ct.learnSecondRun(tk)
 		ct.taskDone(tk)
 	case workpb.End_END_FAILED:
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -26,6 +26,7 @@
 	tasks       int64
 	// parts holds the parts of the job's progress that are stored or waiting to be stored, by their numbers.
 	parts map[int64]*progressPart
+	outcomes jobOutcomes
 	// asideUntilMS is until when the job starts nothing and its progress isn't stored, since the store has refused it.
 	asideUntilMS int64
 	// criticalPaths holds for each step the largest sum of estimates along a path of dependent steps from its start to the job's end, in milliseconds.
--- a/internal/scheduling/jobcontrol/reconcile.go
+++ b/internal/scheduling/jobcontrol/reconcile.go
@@ -24,6 +24,7 @@
 			ct.settleRuns(rn, nowMS)
 			ct.learnProgress(rn, nowMS)
 			ct.clearRun(rn, sentMS)
+			rn.recordAtWork(nowMS)
 			ct.reconcileListed(rn, nowMS)
 		case vm.moreEnds:
 			// It may be among the ends that the VM hasn't listed yet.
@@ -120,13 +121,19 @@
 	return nowMS-rn.progressMS > max(stallTimeoutMS, rn.task.st.row.GetEstimateMs())
 }
 
-// recordSuspicion makes the run's task avoid the VM and counts a failure against the VM.
+// recordSuspicion makes the run's task avoid the VM and counts a failure against the VM, unless the job fails everywhere.
 func (ct *Controller) recordSuspicion(rn *run) {
 	if rn.task == nil {
 		return
 	}
 	rn.task.avoid = append(rn.task.avoid, rn.vm.id)
-	if rn.vm.suspicion.RecordFailure(ct.ck.Now(), rn.task.job().row.GetId()) {
+	jb, nowMS := rn.task.job(), ct.ck.Now()
+	jb.outcomes.recordFailure(rn.vm.id)
+	if jb.outcomes.jobAtFault() {
+		rn.vm.suspicion.Forgive(jb.row.GetId())
+		return
+	}
+	if rn.vm.suspicion.RecordFailure(nowMS, jb.row.GetId(), ct.mayExclude(rn.vm.reg.GetService(), nowMS)) {
 		ct.lg.Info("vm-suspected", "vm", rn.vm.id)
 	}
 }
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -134,6 +134,8 @@
 	cleared, crashed bool
 	// onProbation is set if the run's task was on probation when the run was created.
 	onProbation bool
+	// countedGood is set once the run of a long-running task counts as a good one.
+	countedGood bool
 	// repeated is set once the run's start was sent again.
 	repeated bool
 	// target is the VM on which room is held for the task while this run is stopped to move it, or nil.
--- a/internal/scheduling/suspicion/suspicion.go
+++ b/internal/scheduling/suspicion/suspicion.go
@@ -19,10 +19,10 @@
 	return &Suspicion{failedJobs: map[string]bool{}, nextExclusionMS: minExclusionMS}
 }
 
-// RecordFailure records that a run of a job failed or stalled on the VM and reports whether the VM is now excluded from new work for a while; each further exclusion lasts twice as long, up to maxExclusionMS.
-func (su *Suspicion) RecordFailure(nowMS int64, job string) bool {
+// RecordFailure records that a run of a job failed or stalled on the VM and reports whether the VM is now excluded from new work for a while, if it may be; each further exclusion lasts twice as long, up to maxExclusionMS.
+func (su *Suspicion) RecordFailure(nowMS int64, job string, mayExclude bool) bool {
 	su.failedJobs[job] = true
-	if len(su.failedJobs) < minFailedJobs || nowMS < su.excludedUntilMS {
+	if len(su.failedJobs) < minFailedJobs || nowMS < su.excludedUntilMS || !mayExclude {
 		return false
 	}
 	su.excludedUntilMS = nowMS + su.nextExclusionMS
@@ -30,6 +30,9 @@
 	return true
 }
 
+// Forgive takes back the failures of a job that turned out to fail everywhere.
+func (su *Suspicion) Forgive(job string) { delete(su.failedJobs, job) }
+
 // RecordSuccess records that a run succeeded on the VM; it resets the failures and the length of the next exclusion.
 func (su *Suspicion) RecordSuccess() {
 	clear(su.failedJobs)
