Few requests for advice are under way at once

The advice service handles one call at a time for each machine, in turn. The owner asked for every step with waiting tasks at once; after a burst each answer came after the 3 s for which the caller waits, the tickets were never received, and the steps asked again: no job of the queue started any more. Class: a queue in front of a serial service that grows old without a bound.

TestJobsOnAnAdvisedQueueStartAfterABurst was red before (18 of 60 jobs done after twice the time that all need).

--- a/internal/scheduling/jobcontrol/advice.go
+++ b/internal/scheduling/jobcontrol/advice.go
@@ -12,6 +12,8 @@
 const (
 	// maxAdviceVMs is the maximum number of VMs that one request names; each costs the advising service time.
 	maxAdviceVMs = 30
+	// maxAdviceInFlight is the maximum number of requests under way: the service handles one at a time, and one waits for its turn. The others would only grow old there.
+	maxAdviceInFlight = 2
 	// ticketMarginMS is the minimum remaining validity of a ticket with which a start is ordered.
 	ticketMarginMS = 300
 	// adviceIntervalMS is the minimum interval between requests for one step.
@@ -45,7 +47,7 @@
 
 // requestAdvice requests tickets for VMs with enough free resources that have none, in pool order, leaving out VMs that were refused.
 func (ct *Controller) requestAdvice(st *step, pool []*vmState, nowMS int64) {
-	if st.advicePending || nowMS-st.adviceRequestedMS < adviceIntervalMS {
+	if ct.adviceInFlight >= maxAdviceInFlight || st.advicePending || nowMS-st.adviceRequestedMS < adviceIntervalMS {
 		return
 	}
 	st.adviceVMs = map[string]int64{}
@@ -63,6 +65,7 @@
 		return
 	}
 	st.advicePending, st.adviceRequestedMS = true, nowMS
+	ct.adviceInFlight++
 	ct.advice = append(ct.advice, rq)
 }
 
@@ -75,6 +78,7 @@
 
 // HandleAdvice records the answer to a request that was sent at sentMS, nil if there was none. Refusals are kept, since the set of VMs that may run a step doesn't change.
 func (ct *Controller) HandleAdvice(rq *workpb.AdviceRequest, sentMS int64, ad *workpb.Advice) {
+	ct.adviceInFlight--
 	jb, ok := ct.jobs[rq.GetJob()]
 	if !ok {
 		return
--- a/internal/scheduling/jobcontrol/advice_test.go
+++ b/internal/scheduling/jobcontrol/advice_test.go
@@ -1,6 +1,7 @@
 package jobcontrol_test
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -53,3 +54,79 @@
 		})
 	}
 }
+
+// adviser handles one request at a time, in turn, like the advice service; a caller that has waited for too long gets no answer, and the request takes its time all the same.
+type adviser struct {
+	fl *fleet
+	// takesMS is how long a request takes.
+	takesMS int64
+	freeMS  int64
+	answers []adviserAnswer
+}
+
+type adviserAnswer struct {
+	rq            *workpb.AdviceRequest
+	sentMS, dueMS int64
+	ad            *workpb.Advice
+}
+
+const (
+	adviserTimeoutMS  = 3000
+	adviserMaxWaiting = 32
+	adviserValidMS    = 3000
+)
+
+// step takes the requests of the controller and gives it the answers that are due.
+func (av *adviser) step() {
+	nowMS := av.fl.ck.Now()
+	for _, rq := range av.fl.ct.AdviceRequests() {
+		if av.freeMS-nowMS > adviserMaxWaiting*av.takesMS {
+			av.answers = append(av.answers, adviserAnswer{rq: rq, sentMS: nowMS, dueMS: nowMS})
+			continue
+		}
+		av.freeMS = max(av.freeMS, nowMS) + av.takesMS
+		an := adviserAnswer{rq: rq, sentMS: nowMS, dueMS: nowMS + adviserTimeoutMS}
+		if av.freeMS-nowMS < adviserTimeoutMS {
+			an.dueMS, an.ad = av.freeMS, &workpb.Advice{Tickets: map[string]string{}, ValidMs: adviserValidMS}
+			for _, id := range rq.GetVms() {
+				an.ad.Tickets[id] = "ticket"
+			}
+		}
+		av.answers = append(av.answers, an)
+	}
+	var later []adviserAnswer
+	for _, an := range av.answers {
+		if an.dueMS > nowMS {
+			later = append(later, an)
+			continue
+		}
+		av.fl.ct.HandleAdvice(an.rq, an.sentMS, an.ad)
+	}
+	av.answers = later
+}
+
+// Guards against a queue on which no job starts any more after a burst: as many requests for advice as steps were under way, so that each answer came after its caller had given up.
+func TestJobsOnAnAdvisedQueueStartAfterABurst(t *testing.T) {
+	const jobs, takesMS = 60, 145
+	fl := newFleet(t, vmOf("a"), vmOf("b"), vmOf("c"))
+	rules := testRules()
+	rules.Queues[0].Advised = true
+	fl.setRules(rules)
+	fl.setBehavior(300, workpb.End_END_DONE)
+	fl.run(settledMS)
+	av := &adviser{fl: fl, takesMS: takesMS}
+	for at := range jobs {
+		fl.submit(jobOf(fmt.Sprint("j", at), stepOf(1)))
+	}
+	for range 2 * jobs * takesMS / stepMS {
+		fl.run(stepMS)
+		av.step()
+	}
+	done := 0
+	for id := range fl.jobs {
+		if fl.state(id) == workpb.State_COMPLETED {
+			done++
+		}
+	}
+	qt.Check(t, done, qt.Equals, jobs)
+}
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -87,7 +87,9 @@
 	limits     batchLimits
 	outbox     []*workpb.Order
 	advice     []*workpb.AdviceRequest
-	arrivals   []arrival
+	// adviceInFlight is the number of requests for advice without an answer.
+	adviceInFlight int
+	arrivals       []arrival
 	// refusedMS holds when the jobs were first tried whose refused submissions are among the arrivals.
 	refusedMS map[string]int64
 	// startLimit is how many starts may be under way, startsUnderWay how many are.
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -25,7 +25,7 @@
 	stepOffsets []int64
 	tasks       int64
 	// parts holds the parts of the job's progress that are stored or waiting to be stored, by their numbers.
-	parts map[int64]*progressPart
+	parts    map[int64]*progressPart
 	outcomes jobOutcomes
 	// asideUntilMS is until when the job starts nothing and its progress isn't stored, since the store has refused it.
 	asideUntilMS int64
--- a/internal/scheduling/jobcontrol/joboutcomes.go
+++ b/internal/scheduling/jobcontrol/joboutcomes.go
@@ -26,7 +26,9 @@
 }
 
 // jobAtFault reports whether the job fails wherever it runs.
-func (jo *jobOutcomes) jobAtFault() bool { return len(jo.failedOn) >= minFailedVMs && jo.failed > jo.good }
+func (jo *jobOutcomes) jobAtFault() bool {
+	return len(jo.failedOn) >= minFailedVMs && jo.failed > jo.good
+}
 
 // recordAtWork counts a run of a long-running task as a good one once it has been at work for long enough.
 func (rn *run) recordAtWork(nowMS int64) {
