Nothing is begun after a stop that is ready together with an event

Runner.Run chose at random between a stop and a tick or event that are ready at the same instant, so that it sometimes began a commit after it was told to stop, against handover.go. It looks for a stop after each of them now.

The rest is the test: it cut the owner off, stopped it and only then made the row unreadable. An owner that begins a commit between the cut and the stop waits for it, rightly, until its successor has read the sound row.

--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -183,14 +183,17 @@
 	for !rn.ownershipLost {
 		select {
 		case <-stop:
-			rn.stopRequestedMS, stop = rn.ck.Now(), nil
-			go rn.probeStore(ctx)
 		case fn := <-rn.events:
 			fn()
 			rn.drainEvents()
 		case <-tick.C:
 			rn.recordTick()
 		}
+		if rn.stopRequestedMS == 0 && closed(stop) {
+			// Whichever of several ready cases was chosen, nothing is begun after a stop.
+			rn.stopRequestedMS, stop = rn.ck.Now(), nil
+			go rn.probeStore(ctx)
+		}
 		if rn.handoverDue() {
 			return rn.finish()
 		}
@@ -206,6 +209,16 @@
 	return code.LeaseLapsed.New("another entry owns scheduling now")
 }
 
+// closed reports whether a channel on which nothing is sent is closed.
+func closed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordCall records the latency of a call to a VM in a zone that is answered at once, unlike a long poll.
 func (rn *Runner) recordCall(zone string, vd workpb.Verdict, tookMS int64) {
 	switch vd {
--- a/internal/scheduling/jobrunner/shares_test.go
+++ b/internal/scheduling/jobrunner/shares_test.go
@@ -176,8 +176,11 @@
 					si.submitHot(second)
 				}
 				owner := si.owner()
-				si.kill(owner)
+				// The stopped owner may wait for a commit that it began before, until after its successor has read the row.
+				si.entries[owner].setCut(true)
+				si.wait(1)
 				each.prepare(si)
+				si.kill(owner)
 				si.wait(4000)
 				qt.Assert(t, si.owner(), qt.Not(qt.Equals), owner)
 				qt.Check(t, ev.unreadRows(), qt.Equals, each.unread)
