--- a/internal/scheduling/jobcontrol/batch.go
+++ b/internal/scheduling/jobcontrol/batch.go
@@ -3,13 +3,11 @@
 import (
 	"cmp"
 	"encoding/base64"
-	"math"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
-	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 )
 
 // Batch is a set of decisions that take effect together once they are stored.
@@ -30,18 +28,6 @@
 	empty bool
 }
 
-// endMark is the number of a run end in one incarnation of its VM.
-type endMark struct {
-	startMS int64
-	number  int64
-}
-
-// storedEnd is the number of a run end whose effect is stored once all parts up to a turn are.
-type storedEnd struct {
-	number int64
-	turn   int64
-}
-
 const (
 	// maxBatchRows is the number of rows of a batch unless LimitBatch sets another.
 	maxBatchRows = 90
@@ -208,53 +194,6 @@
 	return rowOverheadBytes + valueBytes(row)
 }
 
-// releaseStarts leaves in a batch the planned starts that are stored with it or before. Those whose progress waits are kept for a later batch, with all members of their gangs, and given up if their job is set aside.
-func (ct *Controller) releaseStarts(bt *Batch, nowMS int64) {
-	planned := append(ct.heldStarts, bt.starts...)
-	ct.heldStarts, bt.starts = nil, nil
-	gangs := map[*step]bool{}
-	for _, rn := range planned {
-		if rn.st.row.GetGang() && rn.waitsForStore() {
-			gangs[rn.st] = true
-		}
-	}
-	for _, rn := range planned {
-		switch {
-		case rn.st.oc.jb.aside(nowMS):
-			ct.endRun(rn, workpb.End_END_STOPPED, "")
-		case rn.waitsForStore() || gangs[rn.st]:
-			ct.heldStarts = append(ct.heldStarts, rn)
-		default:
-			bt.starts = append(bt.starts, rn)
-		}
-	}
-}
-
-// waitsForStore reports whether the progress of the run's task waits to be stored.
-func (rn *run) waitsForStore() bool {
-	return rn.task != nil && rn.task.job().part(rn.task.partNumber()).turn != 0
-}
-
-// acknowledge adds to a batch the run ends whose effects are stored with it or before.
-func (ct *Controller) acknowledge(bt *Batch, nowMS int64) {
-	oldest := int64(math.MaxInt64)
-	for _, pt := range ct.waitingParts {
-		if !pt.jb.aside(nowMS) {
-			oldest = min(oldest, pt.turn)
-		}
-	}
-	for _, vm := range ct.vms {
-		number := vm.stored
-		for len(vm.unstoredEnds) > 0 && vm.unstoredEnds[0].turn < oldest {
-			number = max(number, vm.unstoredEnds[0].number)
-			vm.unstoredEnds = vm.unstoredEnds[1:]
-		}
-		if number > vm.stored {
-			bt.acknowledged[vm] = endMark{startMS: vm.startMS, number: number}
-		}
-	}
-}
-
 // ConfirmStored records that a batch is stored and returns its start orders, to be sent now.
 func (ct *Controller) ConfirmStored(bt *Batch) []*workpb.Order {
 	for _, bp := range bt.parts {
@@ -327,53 +266,3 @@
 	}
 	return last
 }
-
-// brokenGangs returns the gangs of a batch of which not all members may be ordered; the others would wait for them in vain.
-func (ct *Controller) brokenGangs(bt *Batch) map[*step]bool {
-	broken := map[*step]bool{}
-	for _, rn := range bt.starts {
-		if rn.st.row.GetGang() && !ct.mayOrder(rn, ct.ck.Now()) {
-			broken[rn.st] = true
-		}
-	}
-	return broken
-}
-
-// startOrder returns the order for a stored start, or ends the run and returns nil if the job has ended, the VM no longer admits the run or the ticket has expired in the meantime.
-func (ct *Controller) startOrder(rn *run) *workpb.Order {
-	nowMS := ct.ck.Now()
-	if !ct.mayOrder(rn, nowMS) {
-		ct.endRun(rn, workpb.End_END_STOPPED, "")
-		return nil
-	}
-	ticketText, _ := ct.ticketOf(rn, nowMS)
-	ct.setPhase(rn, phaseOrdered)
-	rn.startedMS, rn.mayStartUntilMS = nowMS, nowMS+inDoubtMS
-	rn.vm.nextPollMS = min(rn.vm.nextPollMS, nowMS+ct.busyPollMS)
-	od := ct.newOrder(workpb.Verb_START, rn)
-	od.Payload = rn.task.job().row.GetPayload()
-	od.Checkpoint = rn.task.checkpoint
-	rn.fromStart = rn.task.checkpoint == ""
-	od.LeaseUntilMs = ct.extendLease(rn.vm)
-	od.Ticket = ticketText
-	return od
-}
-
-// mayOrder reports whether a stored start may still be ordered.
-func (ct *Controller) mayOrder(rn *run, nowMS int64) bool {
-	if rn.task == nil || rn.task.job().ended() || !rn.vm.usable(nowMS) || ct.evacuated[rn.vm.reg.GetZone()] {
-		return false
-	}
-	if _, ok := ct.ticketOf(rn, nowMS); !ok {
-		return false
-	}
-	return ct.admitted(rn) && ct.withinCap(rn.team, size.Size{})
-}
-
-// ticketOf returns the ticket that a run's start must carry, empty if it needs none, and whether the start may be ordered with it.
-func (ct *Controller) ticketOf(rn *run, nowMS int64) (string, bool) {
-	if !ct.queueOf(rn.task.job()).GetAdvised() {
-		return "", true
-	}
-	return rn.st.validTicket(rn.vm, nowMS)
-}
--- a/internal/scheduling/jobrunner/ownerrows.go
+++ b/internal/scheduling/jobrunner/ownerrows.go
@@ -51,10 +51,23 @@
 // name names the row among all that commits hold.
 func (or ownerRow) name() string { return or.table + "/" + or.key }
 
+// bytes returns what the row adds to a transaction.
+func (or ownerRow) bytes() int {
+	return rowstore.RemoveBytes(or.table, or.key) + rowstore.EncodedLen(proto.Size(or.row))
+}
+
 func waveRow(row *workpb.Upkeep) ownerRow {
 	return ownerRow{wavesTable, strconv.FormatInt(row.GetWave(), 10), row}
 }
 
+func countsRow(row *workpb.Pending) ownerRow { return ownerRow{PendingTable, PendingKey, row} }
+
+func estimateRow(row *workpb.Waits) ownerRow {
+	return ownerRow{waitestimate.Table, waitestimate.Key, row}
+}
+
+func sharesRow(row *workpb.Shares) ownerRow { return ownerRow{SharesTable, SharesKey, row} }
+
 // list returns the rows.
 func (rows *ownerRows) list() []ownerRow {
 	var out []ownerRow
@@ -62,13 +75,13 @@
 		out = append(out, waveRow(row))
 	}
 	if rows.counts != nil {
-		out = append(out, ownerRow{PendingTable, PendingKey, rows.counts})
+		out = append(out, countsRow(rows.counts))
 	}
 	if rows.estimate != nil {
-		out = append(out, ownerRow{waitestimate.Table, waitestimate.Key, rows.estimate})
+		out = append(out, estimateRow(rows.estimate))
 	}
 	if rows.shares != nil {
-		out = append(out, ownerRow{SharesTable, SharesKey, rows.shares})
+		out = append(out, sharesRow(rows.shares))
 	}
 	return out
 }
@@ -99,20 +112,21 @@
 
 // dueWaves returns the changed states of waves that the next commit may hold, and how many bytes they add to it.
 func (rn *Runner) dueWaves() (rows []*workpb.Upkeep, bytes int) {
-	limits := rn.deps.Store.Limits
-	rows = rn.waves.changedRows(func(row *workpb.Upkeep) bool {
-		or := waveRow(row)
-		if len(rows) >= min(maxWaveRows, rn.guard.Limit()) || !rn.storable(or) {
+	maxRows, maxBytes := min(maxWaveRows, rn.guard.Limit()), rn.deps.Store.Limits.TxBytes()/waveDivisor
+	count := 0
+	take := func(row *workpb.Upkeep) bool {
+		size := waveRow(row).bytes()
+		if count >= maxRows || !rn.storable(waveRow(row)) {
 			return false
 		}
-		size := rowstore.RemoveBytes(or.table, or.key) + rowstore.EncodedLen(proto.Size(row))
-		if limits.TxBytes() > 0 && bytes > 0 && bytes+size > limits.TxBytes()/waveDivisor {
+		if maxBytes > 0 && count > 0 && bytes+size > maxBytes {
 			return false
 		}
+		count++
 		bytes += size
-		rows = append(rows, row)
 		return true
-	})
+	}
+	rows = rn.waves.changedRows(take)
 	return rows, bytes
 }
 
@@ -141,10 +155,10 @@
 // dueRows adds to the waves the other rows of the owner that are due, as far as the next commit may hold them beside the progress of a number of jobs.
 func (rn *Runner) dueRows(nowMS int64, waves []*workpb.Upkeep, jobs int) *ownerRows {
 	rows := &ownerRows{waves: waves}
-	if counts := rn.pendingCounts(nowMS); counts != nil && rn.mayAdd(rows, jobs) && rn.storable(ownerRow{PendingTable, PendingKey, counts}) {
+	if counts := rn.pendingCounts(nowMS); counts != nil && rn.mayAdd(rows, jobs) && rn.storable(countsRow(counts)) {
 		rows.counts = counts
 	}
-	if estimate := rn.waits.dueRow(nowMS); estimate != nil && rn.mayAdd(rows, jobs) && rn.storable(ownerRow{waitestimate.Table, waitestimate.Key, estimate}) {
+	if estimate := rn.waits.dueRow(nowMS); estimate != nil && rn.mayAdd(rows, jobs) && rn.storable(estimateRow(estimate)) {
 		rows.estimate = estimate
 	}
 	return rows
@@ -155,7 +169,7 @@
 	if !rn.mayAdd(rows, jobs) {
 		return
 	}
-	if shares := rn.ct.SharesToStore(); shares != nil && rn.storable(ownerRow{SharesTable, SharesKey, shares}) {
+	if shares := rn.ct.SharesToStore(); shares != nil && rn.storable(sharesRow(shares)) {
 		rows.shares = shares
 	}
 }
