Histories renew the ownership; a forgotten VM's token; counts of jobs only when needed

The token of a forgotten VM is the one that it would get. The jobs of a batch are counted only while commits are small.

--- a/internal/scheduling/jobcontrol/fencing.go
+++ b/internal/scheduling/jobcontrol/fencing.go
@@ -3,11 +3,11 @@
 // SetLatestToken sets the highest fencing token that this ownership may use: it is above all earlier ones of the ownership, and below those of its successors.
 func (ct *Controller) SetLatestToken(token int64) { ct.latestToken = token }
 
-// TokenOf returns the fencing token of calls to a VM, 0 for an unknown one. A call with a lower one was made for an earlier incarnation of the VM.
+// TokenOf returns the fencing token of calls to a VM. A call with a lower one was made for an earlier incarnation of the VM. For a VM that was forgotten it returns the one that it would get.
 func (ct *Controller) TokenOf(id string) int64 {
 	vm, ok := ct.vms[id]
 	if !ok {
-		return 0
+		return max(ct.token, ct.latestToken)
 	}
 	return ct.tokenOf(vm)
 }
--- a/internal/scheduling/jobcontrol/history_test.go
+++ b/internal/scheduling/jobcontrol/history_test.go
@@ -68,6 +68,9 @@
 // tokensPerOwner is the number of fencing tokens between those of two owners.
 const tokensPerOwner = 1_000_000
 
+// renewIntervalMS is how often an owner that has nothing to store renews its ownership.
+const renewIntervalMS = 300
+
 // delayed is an action at a later time.
 type delayed struct {
 	atMS     int64
@@ -322,10 +325,19 @@
 	}
 }
 
+// renew renews the ownership now and then, which allows a higher fencing token.
+func (hs *history) renew() {
+	if hs.ck.Now()%renewIntervalMS == 0 {
+		hs.token++
+		hs.ct.SetLatestToken(hs.token)
+	}
+}
+
 // plan makes a planning pass; its rows are stored after a while, and by then the owner may have been replaced.
 func (hs *history) plan() {
 	bt := hs.ct.Plan(true)
 	if bt.Empty() {
+		hs.renew()
 		hs.enqueue(hs.ct.ConfirmStored(bt))
 		return
 	}
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -398,7 +398,7 @@
 	rn.planPace.Record(rn.ck.Now() - nowMS)
 	rows := &ownerRows{}
 	if withOwnerRows {
-		rows = rn.dueRows(nowMS, waveRows, len(bt.Jobs()))
+		rows = rn.dueRows(nowMS, waveRows, bt)
 	}
 	if bt.Empty() && !renew && len(rows.list()) == 0 {
 		rn.enqueue(ctx, rn.ct.ConfirmStored(bt))
@@ -407,7 +407,7 @@
 	rn.committing = true
 	rn.lastCommitMS = nowMS
 	if withOwnerRows {
-		rn.addShares(rows, len(bt.Jobs()))
+		rn.addShares(rows, bt)
 	}
 	rn.levels.report(rn.ct.ShareLevels, rn.ct.DeferredJobs)
 	removed := rn.cleaner.nextProgress(rn.freeEntries(bt, rows))
--- a/internal/scheduling/jobrunner/ownerrows.go
+++ b/internal/scheduling/jobrunner/ownerrows.go
@@ -147,26 +147,26 @@
 // narrowed reports whether commits are small since one was refused.
 func (rn *Runner) narrowed() bool { return rn.guard.Limit() < maxProgressRows }
 
-// mayAdd reports whether one more of the owner's rows may be stored beside the progress of a number of jobs.
-func (rn *Runner) mayAdd(rows *ownerRows, jobs int) bool {
-	return !rn.narrowed() || jobs+len(rows.list()) < rn.guard.Limit()
+// mayAdd reports whether one more of the owner's rows may be stored beside a batch.
+func (rn *Runner) mayAdd(rows *ownerRows, bt *jobcontrol.Batch) bool {
+	return !rn.narrowed() || len(bt.Jobs())+len(rows.list()) < rn.guard.Limit()
 }
 
-// dueRows adds to the waves the other rows of the owner that are due, as far as the next commit may hold them beside the progress of a number of jobs.
-func (rn *Runner) dueRows(nowMS int64, waves []*workpb.Upkeep, jobs int) *ownerRows {
+// dueRows adds to the waves the other rows of the owner that are due, as far as the next commit may hold them beside a batch.
+func (rn *Runner) dueRows(nowMS int64, waves []*workpb.Upkeep, bt *jobcontrol.Batch) *ownerRows {
 	rows := &ownerRows{waves: waves}
-	if counts := rn.pendingCounts(nowMS); counts != nil && rn.mayAdd(rows, jobs) && rn.storable(countsRow(counts)) {
+	if counts := rn.pendingCounts(nowMS); counts != nil && rn.mayAdd(rows, bt) && rn.storable(countsRow(counts)) {
 		rows.counts = counts
 	}
-	if estimate := rn.waits.dueRow(nowMS); estimate != nil && rn.mayAdd(rows, jobs) && rn.storable(estimateRow(estimate)) {
+	if estimate := rn.waits.dueRow(nowMS); estimate != nil && rn.mayAdd(rows, bt) && rn.storable(estimateRow(estimate)) {
 		rows.estimate = estimate
 	}
 	return rows
 }
 
 // addShares adds the teams' recent use to the rows of a commit if it is due.
-func (rn *Runner) addShares(rows *ownerRows, jobs int) {
-	if !rn.mayAdd(rows, jobs) {
+func (rn *Runner) addShares(rows *ownerRows, bt *jobcontrol.Batch) {
+	if !rn.mayAdd(rows, bt) {
 		return
 	}
 	if shares := rn.ct.SharesToStore(); shares != nil && rn.storable(sharesRow(shares)) {
