Tests for rows that are too large; comments read again

Found when the whole change was read once more: the rule that a row which is too large goes without checkpoints, and that its job is set aside if that isn't enough, had no test. Comments of commitguard and SetAside say what an item is. No product code changes.

--- a/internal/scheduling/commitguard/commitguard.go
+++ b/internal/scheduling/commitguard/commitguard.go
@@ -1,15 +1,15 @@
 package commitguard
 
-// Guard limits the next commits after one was refused for its content: each holds half as much as the refused one, until one that holds a single thing is refused, which is then left out for a while.
+// Guard limits the next commits after one was refused for its content: each holds half as much as the refused one, until one is refused that holds a single item (the progress of a job, or another row). That item is then left out for a while.
 type Guard struct {
 	maxRows int
 	limit   int
-	// asideUntilMS holds until when things are left out, by their names.
+	// asideUntilMS holds until when items are left out, by their names.
 	asideUntilMS map[string]int64
 }
 
 const (
-	// asideMS is for how long a thing is left out.
+	// asideMS is for how long an item is left out.
 	asideMS = 30_000
 	growth  = 2
 )
@@ -25,7 +25,7 @@
 // RecordStored records that a commit was stored.
 func (gd *Guard) RecordStored() { gd.limit = min(gd.limit*growth, gd.maxRows) }
 
-// RecordRefused records that a commit was refused that held the named things, each of which could have been left out. If it was a single one, that is left out from now on, and RecordRefused returns its name.
+// RecordRefused records that a commit was refused that held the named items, each of which could have been left out. If it was a single one, that is left out from now on, and RecordRefused returns its name.
 func (gd *Guard) RecordRefused(names []string, nowMS int64) (culprit string, found bool) {
 	if len(names) == 1 {
 		gd.SetAside(names[0], nowMS)
@@ -35,10 +35,10 @@
 	return "", false
 }
 
-// SetAside leaves a thing out for a while.
+// SetAside leaves an item out for a while.
 func (gd *Guard) SetAside(name string, nowMS int64) { gd.asideUntilMS[name] = nowMS + asideMS }
 
-// Aside reports whether a thing is left out.
+// Aside reports whether an item is left out.
 func (gd *Guard) Aside(name string, nowMS int64) bool {
 	untilMS, ok := gd.asideUntilMS[name]
 	if ok && nowMS >= untilMS {
--- a/internal/scheduling/jobcontrol/batch.go
+++ b/internal/scheduling/jobcontrol/batch.go
@@ -91,7 +91,7 @@
 // aside reports whether the job is left alone since the store has refused its progress.
 func (jb *job) aside(nowMS int64) bool { return nowMS < jb.asideUntilMS }
 
-// SetAside stops to store the progress of a job for a while, and to start its tasks, since the store refuses it.
+// SetAside neither stores the progress of a job nor starts its tasks for a while, since the store refuses that progress. An id of no job that waits to be stored is ignored.
 func (ct *Controller) SetAside(id string) {
 	for _, pt := range ct.waitingParts {
 		if pt.jb.row.GetId() == id {
--- a/internal/scheduling/jobcontrol/progress_test.go
+++ b/internal/scheduling/jobcontrol/progress_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -211,3 +212,42 @@
 	qt.Check(t, checked > 0, qt.IsTrue)
 	qt.Check(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
 }
+
+// Guards against a job whose progress the store never takes: checkpoints have no limit of length, so a row that is too large with them is stored without them, and its tasks run all the same.
+func TestRowThatIsTooLargeIsStoredWithoutCheckpoints(t *testing.T) {
+	const tasks, maxRowBytes, checkpointBytes = 100, 8000, 400
+	fl := newFleet(t, largeVM("a"))
+	fl.setBehavior(1500, workpb.End_END_DONE)
+	fl.limitBatch = func() { fl.ct.LimitBatch(testBatchRows, 0, maxRowBytes) }
+	largest := 0
+	fl.check = func(bt *jobcontrol.Batch) {
+		for _, row := range bt.Rows() {
+			largest = max(largest, base64.StdEncoding.EncodedLen(proto.Size(row)))
+		}
+	}
+	jb := jobOf("j1", smallTasks(tasks))
+	pg := &workpb.Progress{Id: "j1", State: workpb.State_RUNNING}
+	for index := range int32(tasks) {
+		pg.Tasks = append(pg.Tasks, &workpb.Task{Index: index, Run: 1, Checkpoint: strings.Repeat("c", checkpointBytes)})
+	}
+	jb.Queue = "q"
+	fl.jobs["j1"] = jb
+	fl.stored.apply(rowChange{rows: []*workpb.Progress{pg}})
+	fl.newOwner()
+	fl.run(4000)
+	qt.Check(t, fl.state("j1"), qt.Equals, workpb.State_COMPLETED)
+	qt.Check(t, fl.starts, qt.HasLen, tasks)
+	qt.Check(t, largest > 0 && largest <= maxRowBytes, qt.IsTrue, qt.Commentf("the largest row has %d bytes", largest))
+}
+
+// Guards against one job that holds back the others since its row is too large even without checkpoints.
+func TestJobWhoseRowIsTooLargeHoldsBackNoOther(t *testing.T) {
+	fl := newFleet(t, largeVM("a"))
+	fl.setBehavior(300, workpb.End_END_DONE)
+	fl.limitBatch = func() { fl.ct.LimitBatch(testBatchRows, 0, 400) }
+	fl.submit(jobOf("large", smallTasks(120)))
+	fl.submit(jobOf("small", smallTasks(4)))
+	fl.run(3000)
+	qt.Check(t, fl.state("small"), qt.Equals, workpb.State_COMPLETED)
+	qt.Check(t, fl.starts, qt.HasLen, 4)
+}
