--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,6 +16,7 @@
 
 var cases = map[string]func(pl *platform, trouble bool) (violations []string, err error){
 	"crashing-minions": crashingMinions,
+	"late-start":       lateStart,
 }
 
 func main() {
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	late func(path string, od order) time.Duration
 
 	address string
+	// cut is set while the minion is partitioned from the system's machines, but not from the store.
+	cut atomic.Bool
 
 	mu       sync.Mutex
 	up       bool
@@ -190,11 +193,13 @@
 				wr.WriteHeader(http.StatusMisdirectedRequest)
 				return
 			}
+			if mn.cut.Load() {
+				mn.silent(rq)
+			}
 			if mn.late != nil {
 				if delay := mn.late(path, od); delay > 0 {
 					time.AfterFunc(delay, func() { mn.carryOut(path, od, "late ") })
-					<-rq.Context().Done()
-					panic(http.ErrAbortHandler)
+					mn.silent(rq)
 				}
 			}
 			if path == "/hold" {
@@ -214,6 +219,12 @@
 	return mux
 }
 
+// silent lets a call go unanswered until the caller gives up or the minion crashes.
+func (mn *minion) silent(rq *http.Request) {
+	<-rq.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // carryOut executes an order.
 func (mn *minion) carryOut(path string, od order, note string) (status int, reason string) {
 	mn.mu.Lock()
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -103,3 +103,14 @@
 	defer rec.mu.Unlock()
 	return len(rec.at[task])
 }
+
+// violations returns what broke TWICE.
+func (rec *record) violations() []string {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	var out []string
+	for _, text := range rec.twice {
+		out = append(out, "TWICE: "+text)
+	}
+	return out
+}
