--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(pl *platform, trouble bool) (violations []string, err error){
 	"crashing-minions": crashingMinions,
 	"late-start":       lateStart,
+	"late-copy":        lateCopy,
 }
 
 func main() {
