--- a/review/standin-2/latestart.go
+++ b/review/standin-2/latestart.go
@@ -12,8 +12,12 @@
 	cutFor          = 5500 * time.Millisecond
 	rebornAfter     = 500 * time.Millisecond
 	minionCount     = 4
+	watchedFor      = 15 * time.Second
 )
 
+// lastingJob is the job of lateStart, whose only task lasts.
+const lastingJob = "00c0ffee00000001"
+
 // endedJob is the job of lateCopy, whose only task takes endedTakes; it is asked for shownAfter the first order.
 const (
 	endedJob   = "00c0ffee00000002"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,9 +15,10 @@
 )
 
 var cases = map[string]func(pl *platform, trouble bool) (violations []string, err error){
-	"crashing-minions": crashingMinions,
-	"late-start":       lateStart,
-	"late-copy":        lateCopy,
+	"backlog":    backlog,
+	"large-jobs": largeJobs,
+	"late-start": lateStart,
+	"late-copy":  lateCopy,
 }
 
 func main() {
