--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -120,7 +120,7 @@
 	"start-in-doubt":              "The start of run {run} of task {task} on VM {vm} got no answer; it may have run.",
 	"start-refused":               "VM {vm} did not start run {run} of task {task}: {verdict}.",
 	"start-unadmitted":            "The start of run {run} of task {task} on VM {vm} was stopped, since the VM had changed or listed other runs.",
-	"start-unsent":                "The start of run {run} of task {task} on VM {vm} was not sent, as it had waited too long or the owner's lease had expired.",
+	"start-unsent":                "The start of run {run} of task {task} on VM {vm} was not sent after {waited-ms} ms ({reason}): it had waited too long, or the owner's lease had expired.",
 	"start-withdrawn":             "The start of run {run} of task {task} on VM {vm} was withdrawn before it was sent.",
 	"share-levels":                "The teams above their share of service {service}, with their levels, are: {levels}.",
 	"shares-unread":               "The new owner could not read the teams' recent use; the levels of teams above their share begin anew.",
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -239,7 +239,6 @@
 	if rn == nil {
 		return
 	}
-	ct.lg.Info("start-unsent", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run)
 	rn.vm.nextPollMS = min(rn.vm.nextPollMS, ct.ck.Now()+unresponsivePollIntervalMS)
 	if tk := rn.task; tk != nil && tk.st.row.GetGang() {
 		// The stops of the other members go first.
--- a/internal/scheduling/jobrunner/ordercopies.go
+++ b/internal/scheduling/jobrunner/ordercopies.go
@@ -33,13 +33,16 @@
 // send returns the first answer that the order was executed. A refusal doesn't tell while another copy is in doubt: that copy's run may have ended already.
 func (oc *orderCopies) send(ctx context.Context) orderAnswer {
 	oc.sendCopy(ctx)
-	refusal, doubt := orderAnswer{verdict: workpb.Verdict_NOT_SENT, kept: true}, orderAnswer{}
+	refusal, doubt := oc.unsent(), orderAnswer{}
 	for oc.inFlight > 0 {
 		an, answered := oc.wait()
 		switch {
 		case !answered:
-		case an.kept:
+		case an.unsent != "":
 			oc.refused = true
+			if refusal.unsent != "" {
+				refusal = an
+			}
 		case an.verdict == workpb.Verdict_ACCEPTED || an.verdict == workpb.Verdict_FENCED:
 			return an
 		case an.verdict == workpb.Verdict_IN_DOUBT:
@@ -71,12 +74,12 @@
 	ctx = sendcheck.With(ctx, allowed)
 	go func() {
 		if !rn.maySendOrder(oc.qo.od) {
-			oc.answers <- orderAnswer{kept: true}
+			oc.answers <- oc.unsent()
 			return
 		}
 		vd := rn.deps.Order(ctx, oc.qo.od)
 		if vd == workpb.Verdict_NOT_SENT && !allowed() {
-			oc.answers <- orderAnswer{kept: true}
+			oc.answers <- oc.unsent()
 			return
 		}
 		tookMS := rn.ck.Now() - sentMS
@@ -88,6 +91,15 @@
 	}()
 }
 
+// unsent returns the outcome of an order of which no copy was sent.
+func (oc *orderCopies) unsent() orderAnswer {
+	reason := unsentTooOld
+	if !oc.oq.rn.maySendOrder(oc.qo.od) {
+		reason = unsentLeaseExpired
+	}
+	return orderAnswer{verdict: workpb.Verdict_NOT_SENT, unsent: reason}
+}
+
 // wait waits for the answer to a copy, or until another copy may be sent.
 func (oc *orderCopies) wait() (an orderAnswer, answered bool) {
 	due := make(chan struct{})
--- a/internal/scheduling/jobrunner/orderqueue.go
+++ b/internal/scheduling/jobrunner/orderqueue.go
@@ -25,8 +25,9 @@
 type queuedOrder struct {
 	oq *orderQueue
 	od *workpb.Order
-	// untilMS is when it is too late to send a start.
-	untilMS int64
+	// queuedMS is when it was queued, untilMS when it is too late to send a start.
+	queuedMS int64
+	untilMS  int64
 	// withdrawn is set, under the queue's lock, once a start must not be sent any more.
 	withdrawn bool
 }
@@ -66,7 +67,8 @@
 		if od.GetVerb() == workpb.Verb_STOP && (rn.withdrawStart(od) || !rn.ct.StopWanted(od)) {
 			continue
 		}
-		qo := &queuedOrder{oq: oq, od: od, untilMS: rn.ck.Now() + maxStartAgeMS}
+		nowMS := rn.ck.Now()
+		qo := &queuedOrder{oq: oq, od: od, queuedMS: nowMS, untilMS: nowMS + maxStartAgeMS}
 		if od.GetVerb() == workpb.Verb_START {
 			rn.openStarts[newStartKey(od)] = qo
 		}
@@ -150,7 +152,8 @@
 			an = oq.send(ctx, qo)
 		}
 		withdrawn := oq.withdrawnUnsent(qo, an)
-		oq.rn.post(ctx, func() { oq.rn.handleOutcome(qo.od, an, withdrawn) })
+		waitedMS := oq.rn.ck.Now() - qo.queuedMS
+		oq.rn.post(ctx, func() { oq.rn.handleOutcome(qo.od, an, withdrawn, waitedMS) })
 	}
 }
 
@@ -161,19 +164,20 @@
 	return an.copies == 0 && qo.withdrawn
 }
 
-// handleOutcome passes the outcome of an order on to the controller, on the runner's goroutine.
-func (rn *Runner) handleOutcome(od *workpb.Order, an orderAnswer, withdrawn bool) {
+// handleOutcome passes the outcome of an order, which came waitedMS after it was queued, on to the controller, on the runner's goroutine.
+func (rn *Runner) handleOutcome(od *workpb.Order, an orderAnswer, withdrawn bool, waitedMS int64) {
 	if od.GetVerb() == workpb.Verb_START {
 		delete(rn.openStarts, newStartKey(od))
 	}
-	if withdrawn || an.kept {
+	if withdrawn || an.unsent != "" {
 		rn.orderQueues[od.GetVm()].dropStop(od)
 	}
 	if withdrawn {
 		rn.ct.HandleWithdrawn(od)
 		return
 	}
-	if an.kept {
+	if an.unsent != "" {
+		rn.lg.Info("start-unsent", "vm", od.GetVm(), "task", od.GetTask(), "run", od.GetRun(), "reason", string(an.unsent), "waited-ms", waitedMS)
 		rn.ct.HandleUnsent(od)
 		return
 	}
@@ -190,10 +194,18 @@
 	verdict workpb.Verdict
 	tookMS  int64
 	copies  int
-	// kept is set if no copy left this entry, because the start was too old or the ownership lease had expired, which has nothing to do with the VM.
-	kept bool
+	// unsent is set if no copy left this entry for a reason that has nothing to do with the VM.
+	unsent unsentReason
 }
 
+// unsentReason says why a start was not sent.
+type unsentReason string
+
+const (
+	unsentTooOld       unsentReason = "too-old"
+	unsentLeaseExpired unsentReason = "lease-expired"
+)
+
 // send sends an order; while its answer is late, another sender takes over the orders behind it.
 func (oq *orderQueue) send(ctx context.Context, qo *queuedOrder) orderAnswer {
 	stopTimer := oq.rn.ck.AfterFunc(lateAnswerMS, func() { oq.addSender(ctx) })
