Occurrences that are due are open as far as they can start soon; overdue work takes turns

All accepted jobs stay queued, beside idle VMs.

Cause: the bound on open occurrences held for one job (20,000 tasks), not for all together. 600,000 occurrences were open, each with its own memory and a candidate of every planning pass, on the goroutine that begins the commits which renew the ownership. A pass outlasted the ownership, and the next owner began the same pass.

Why this works: an occurrence without runs is open only if it can start soon. Such occurrences have at most 4,096 tasks over all scheduled jobs, divided evenly, and each job may have one all the same. Those with runs are bounded by the VMs. Occurrences are opened by planning passes, not by the submission.

Once scheduling went on, the backlog would have held up all other overdue jobs for some 50 minutes, since overdue work was ranked by its due time alone. Now it takes turns: one occurrence of a job, or 16 tasks of a large one, then one of each other job.

The random histories check the new counts.

--- a/internal/scheduling/jobcontrol/accounts_test.go
+++ b/internal/scheduling/jobcontrol/accounts_test.go
@@ -51,9 +51,39 @@
 	if starts != ct.startsUnderWay {
 		return fmt.Sprintf("%d of %d starts under way", ct.startsUnderWay, starts)
 	}
+	if job := miscountedJob(ct); job != "" {
+		return job + " miscounts its tasks or occurrences without runs"
+	}
 	return strayTask(ct)
 }
 
+// miscountedJob names a job whose number of occurrences without runs is wrong, or is empty.
+func miscountedJob(ct *Controller) string {
+	for id, jb := range ct.jobs {
+		idle := 0
+		for _, oc := range jb.occurrences {
+			runs := 0
+			for _, st := range oc.steps {
+				for _, tk := range st.tasks {
+					if tk.current != nil {
+						runs++
+					}
+				}
+			}
+			if runs != oc.runs {
+				return id
+			}
+			if runs == 0 {
+				idle++
+			}
+		}
+		if idle != jb.idle {
+			return id
+		}
+	}
+	return ""
+}
+
 // strayTask names a task whose run isn't on its VM, or is empty.
 func strayTask(ct *Controller) string {
 	stray := ""
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -170,7 +170,7 @@
 	jb := newJob(row)
 	ct.jobs[row.GetId()] = jb
 	ct.active[row.GetId()] = jb
-	jb.openDueOccurrences(ct.ck.Now())
+	jb.openDueOccurrences(ct.ck.Now(), 0)
 	return jb
 }
 
@@ -287,7 +287,8 @@
 // allocate creates the run for a task's current run number and allocates its resources on a VM.
 func (ct *Controller) allocate(vm *vmState, tk *task, ph phase) *run {
 	rn := ct.newRun(vm, tk, tk.run, ph)
-	rn.task, tk.current = tk, rn
+	rn.task = tk
+	tk.setCurrent(rn)
 	ct.addRun(rn)
 	return rn
 }
@@ -352,7 +353,7 @@
 	if tk == nil || tk.current != rn {
 		return nil
 	}
-	tk.current = nil
+	tk.setCurrent(nil)
 	ct.markTask(tk)
 	return tk
 }
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -21,6 +21,10 @@
 	// completed holds the numbers of the completed ones, created is the number of the next one to be created.
 	completed numberset.Set
 	created   int
+	// turnMS is when an occurrence of the job last began, 0 if none has.
+	turnMS int64
+	// idle is the number of open occurrences of which no task has a run.
+	idle int
 	// stepOffsets holds for each step the number of the tasks of an occurrence before it, tasks the number of all its tasks.
 	stepOffsets []int64
 	tasks       int64
@@ -44,6 +48,15 @@
 	number int
 	dueMS  int64
 	steps  []*step
+	// runs is the number of its tasks that have a run.
+	runs int
+	// begun is set once a task of it was given a run by this owner or an earlier one.
+	begun bool
+	// turnMS is when its last turn of overdue work ended or, before that, when its job's last one did; turnStarts counts its starts.
+	turnMS     int64
+	turnStarts int
+	// closed is set once the occurrence has completed.
+	closed bool
 }
 
 type step struct {
@@ -205,6 +218,18 @@
 
 func (tk *task) job() *job { return tk.st.oc.jb }
 
+// setCurrent sets the run that the task has, nil for none.
+func (tk *task) setCurrent(rn *run) {
+	had, has := tk.current != nil, rn != nil
+	tk.current = rn
+	switch {
+	case has && !had:
+		tk.st.oc.countRuns(1)
+	case had && !has:
+		tk.st.oc.countRuns(-1)
+	}
+}
+
 // waiting reports whether the task may be given a run; one whose first run goes on after the end of its second waits for that.
 func (tk *task) waiting(nowMS int64) bool {
 	return !tk.done && tk.current == nil && tk.notBeforeMS <= nowMS && tk.first() == nil
--- a/internal/scheduling/jobcontrol/occurrences.go
+++ b/internal/scheduling/jobcontrol/occurrences.go
@@ -14,6 +14,8 @@
 	singleOccurrence = 1
 	// maxOpenTasks bounds the tasks of a job's occurrences that are open at once, since each takes memory: as many as one occurrence may have.
 	maxOpenTasks = jobwork.MaxTasks
+	// maxIdleTasks bounds the tasks of all scheduled jobs' occurrences that are open while none of their tasks has a run; it is above what can start within a second. Each job may have one such occurrence all the same.
+	maxIdleTasks = 4096
 	// maxCompletedRanges bounds the ranges of completed occurrences with which another one is created, since they are stored in one row. Those that are open can add no more ranges than maxOpenTasks.
 	maxCompletedRanges = 1000
 )
@@ -32,13 +34,31 @@
 	return jb.row.GetFirstDueMs() + int64(number)*jb.row.GetPeriodMs()
 }
 
-// openDueOccurrences creates the occurrences that are due, as far as their limits allow; the next ones are created when earlier ones have completed.
-func (jb *job) openDueOccurrences(nowMS int64) {
-	for jb.nextOccurrenceDue(nowMS) && len(jb.occurrences) < jb.maxOpenOccurrences() && jb.completed.Ranges() < maxCompletedRanges {
+// openDueOccurrences creates the occurrences that are due, as far as their limits allow; the next ones are created when earlier ones have got runs or have completed. The tasks of idle occurrences are at most maxIdle, but there may be one such occurrence.
+func (jb *job) openDueOccurrences(nowMS int64, maxIdle int) {
+	for jb.nextOccurrenceDue(nowMS) && jb.mayOpenIdle(maxIdle) && len(jb.occurrences) < jb.maxOpenOccurrences() && jb.completed.Ranges() < maxCompletedRanges {
 		jb.addOccurrence()
 	}
 }
 
+// mayOpenIdle reports whether one more occurrence of which no task has a run may be open, if these have at most maxIdle tasks in all.
+func (jb *job) mayOpenIdle(maxIdle int) bool {
+	return jb.idle == 0 || (jb.idle+1)*int(jb.tasks) <= maxIdle
+}
+
+// openDueOccurrences creates the occurrences that are due of all jobs, which share what may be idle. Each open occurrence takes memory and is visited by each planning pass, though only as many can start as fit.
+func (ct *Controller) openDueOccurrences(nowMS int64) {
+	due := 0
+	for _, jb := range ct.active {
+		if jb.nextOccurrenceDue(nowMS) {
+			due++
+		}
+	}
+	for _, jb := range ct.active {
+		jb.openDueOccurrences(nowMS, maxIdleTasks/max(due, 1))
+	}
+}
+
 // nextOccurrenceDue reports whether the job has an occurrence that isn't created yet and is due.
 func (jb *job) nextOccurrenceDue(nowMS int64) bool {
 	return jb.created < jb.totalOccurrences() && (!jb.scheduled() || jb.dueMS(jb.created) <= nowMS)
@@ -59,6 +79,20 @@
 	}
 	jb.occurrences = append(jb.occurrences, oc)
 	jb.created++
+	jb.idle++
+}
+
+// countRuns counts the tasks of an occurrence that have a run, and the open occurrences without any.
+func (oc *occurrence) countRuns(added int) {
+	before := oc.runs
+	oc.runs += added
+	switch {
+	case oc.closed:
+	case before == 0:
+		oc.jb.idle--
+	case oc.runs == 0:
+		oc.jb.idle++
+	}
 }
 
 // occurrence returns the open occurrence of a number, or nil.
@@ -82,6 +116,10 @@
 	}
 	jb.occurrences = slices.Delete(jb.occurrences, at, at+1)
 	jb.completed.Add(oc.number)
+	oc.closed = true
+	if oc.runs == 0 {
+		jb.idle--
+	}
 	return true
 }
 
@@ -94,7 +132,7 @@
 	if open := completed.End() - completed.Len(); open > jb.maxOpenOccurrences() {
 		return code.BodyBroken.New("%d occurrences are open, at most %d may be", open, jb.maxOpenOccurrences())
 	}
-	jb.completed, jb.occurrences = *completed, nil
+	jb.completed, jb.occurrences, jb.idle = *completed, nil, 0
 	for jb.created = completed.NextMissing(0); jb.created < completed.End(); jb.created = completed.NextMissing(jb.created) {
 		jb.addOccurrence()
 	}
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -20,6 +20,9 @@
 	objectiveMS int64
 	// level is how far the job's team is above its fair share; work of a lower level goes first.
 	level int32
+	// turn is how many other occurrences of the step's job go before its own, waitsSinceMS since when it waits for its turn; they order overdue steps.
+	turn         int
+	waitsSinceMS int64
 }
 
 // begun reports whether a task of the job's occurrence has a run or is done.
@@ -176,9 +179,7 @@
 		if qu == nil || jb.aside(nowMS) {
 			continue
 		}
-		for _, oc := range jb.occurrences {
-			out[qu.GetService()] = ct.appendReady(out[qu.GetService()], oc, qu, nowMS)
-		}
+		out[qu.GetService()] = ct.appendCandidates(out[qu.GetService()], jb, nowMS)
 	}
 	return out
 }
@@ -216,6 +217,7 @@
 		cd.tier = tierLate
 	default:
 		cd.tier = tierOverdue
+		cd.waitsSinceMS = st.waitsSinceMS(latest)
 	}
 	return cd
 }
@@ -233,6 +235,11 @@
 		if one.tier == tierLate && one.st.criticalPathMS() != other.st.criticalPathMS() {
 			return cmp.Compare(one.st.criticalPathMS(), other.st.criticalPathMS())
 		}
+		if one.tier == tierOverdue {
+			if order := compareTurns(one, other); order != 0 {
+				return order
+			}
+		}
 		return cmp.Or(cmp.Compare(one.latestMS, other.latestMS), strings.Compare(one.st.oc.jb.row.GetId(), other.st.oc.jb.row.GetId()))
 	})
 }
@@ -302,6 +309,7 @@
 		planned = append(planned, ct.allocate(vm, tk, phasePlanned))
 	}
 	bt.starts = append(bt.starts, planned...)
+	st.oc.countTurn(ct.ck.Now())
 	checkpoint := st.latestCheckpoint()
 	for _, rn := range planned {
 		rn.task.checkpoint = checkpoint
@@ -323,7 +331,7 @@
 func (ct *Controller) cancelPlanned(planned []*run) {
 	for _, rn := range planned {
 		rn.task.run--
-		rn.task.current = nil
+		rn.task.setCurrent(nil)
 		ct.release(rn)
 	}
 }
@@ -336,6 +344,7 @@
 		ct.room[service] = poolRoom{most: ct.room[service].most, shrunk: true}
 	}
 	ct.beginTrial(vm)
+	tk.st.oc.countTurn(ct.ck.Now())
 	bt.starts = append(bt.starts, ct.allocate(vm, tk, phasePlanned))
 	ct.markTask(tk)
 }
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -36,12 +36,6 @@
 	}
 }
 
-func (ct *Controller) openDueOccurrences(nowMS int64) {
-	for _, jb := range ct.active {
-		jb.openDueOccurrences(nowMS)
-	}
-}
-
 // withinCap reports whether a team's runs may use that much more within its cap.
 func (ct *Controller) withinCap(team string, need size.Size) bool {
 	limit, ok := ct.caps[team]
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -286,7 +286,8 @@
 	if tk == nil || tk.current != nil || tk.st.row.GetDuplicates() || tk.st.row.GetGang() {
 		return
 	}
-	rn.task, tk.current = tk, rn
+	rn.task = tk
+	tk.setCurrent(rn)
 	tk.run = max(tk.run, rn.key.run)
 	delete(tk.givenUp, rn.key.run)
 	ct.markTask(tk)
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -112,6 +112,7 @@
 		return
 	}
 	tk.run = tr.GetRun()
+	tk.st.oc.begun = true
 	tk.failures = tr.GetFailures()
 	tk.checkpoint = tr.GetCheckpoint()
 	if cr := tr.GetCrashes(); cr != nil {
