The ownership is renewed while the owner's loop is busy

Any work in it that takes longer than 1.2 s costs the ownership, and the next owner begins the same work.

A goroutine of its own now renews the ownership when no commit has begun for 450 ms. It does so only as long as the loop goes on: after 1.8 s at one piece of work the ownership is left to expire, since two such turns must fit into the lease of runs, which the loop renews. Orders check the ownership where they are sent, as before, so an owner that has lost it sends none. Commits are serialized, since the ownership isn't safe for concurrent use. A burst of events is handled for 50 ms at most before the next planning pass.

Found with the test: an answer that waits for a busy loop made the VM's clock seem slow by that time, so starts and polls granted a lease that much shorter, and VMs refused starts. The clock now counts from the answer's arrival.

TestOwnerWhoseLoopIsStuckLosesTheOwnership guards the other side.

--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -158,8 +158,13 @@
 	return vm.clockLowerBound(nowMS) + ct.runLeaseMS
 }
 
-// HandlePoll applies the answer to a poll that was sent at sentMS.
+// HandlePoll applies the answer to a poll that was sent at sentMS and has just arrived.
 func (ct *Controller) HandlePoll(id string, sentMS int64, lk *workpb.Look, vd workpb.Verdict) {
+	ct.HandleWaitingPoll(id, sentMS, ct.ck.Now(), lk, vd)
+}
+
+// HandleWaitingPoll applies the answer to a poll that was sent at sentMS and arrived at arrivedMS; the VM's clock has gone on while the answer waited.
+func (ct *Controller) HandleWaitingPoll(id string, sentMS, arrivedMS int64, lk *workpb.Look, vd workpb.Verdict) {
 	vm, ok := ct.vms[id]
 	if !ok {
 		return
@@ -185,7 +190,7 @@
 		vm.startMS = lk.GetBornMs()
 	}
 	vm.acknowledged = max(vm.acknowledged, vm.acknowledging)
-	vm.lastClockMS, vm.lastClockAtMS = lk.GetClockMs(), nowMS
+	vm.lastClockMS, vm.lastClockAtMS = lk.GetClockMs(), arrivedMS
 	vm.moreEnds = lk.GetMoreEnded()
 	listed := ct.applyRunning(vm, lk.GetRunning())
 	ct.applyEnded(vm, lk.GetEnded(), listed)
--- a/internal/scheduling/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -122,6 +122,7 @@
 func (rn *Runner) applyJobs(list []rowstore.Row, progress map[string][]*workpb.Progress) {
 	var cancelled []string
 	for _, rw := range list {
+		rn.renewer.progressed()
 		if rw.Deleted() {
 			continue
 		}
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -79,6 +79,7 @@
 	// scheduleStartMS is when the restore had ended.
 	scheduleStartMS int64
 
+	renewer    *renewer
 	committing bool
 	// guard limits the commits after one was refused; ownerTurn is set when the owner's rows were the last that could be stored alone.
 	guard         *commitguard.Guard
@@ -129,6 +130,8 @@
 	countsIntervalMS = 600
 	// finishTimeoutMS bounds the wait for the last commit.
 	finishTimeoutMS = 1500
+	// maxDrainMS is for how long queued events are handled before the next planning pass.
+	maxDrainMS = 50
 	// commitRetryMS is the pause before a failed commit is retried.
 	commitRetryMS = 50
 )
@@ -151,6 +154,7 @@
 	rn.pollPace = pollpace.New(deps.LinkBytesPerS)
 	rn.bulk = rn.newBulkReader(deps.LinkBytesPerS)
 	rn.bulk.OnFailure = func(err error) { rn.lg.Fail("restore-read-failed", err) }
+	rn.renewer = newRenewer(rn)
 	rn.guard = commitguard.New(maxProgressRows)
 	rn.waves = newWaves(rn)
 	rn.pools = newPoolResizer(rn)
@@ -168,9 +172,13 @@
 	defer cancel()
 	defer rn.deps.Relays.Update(nil, false)
 	rn.applyRules()
-	if err := rn.restore(ctx, stop); err != nil {
+	sn, err := rn.restore(ctx, stop)
+	if err != nil {
 		return err
 	}
+	rn.renewer.progressed()
+	rn.commits.Go(func() { rn.renewer.run(ctx) })
+	rn.apply(ctx, sn)
 	rn.scheduleStartMS = rn.ck.Now()
 	rn.waits = newWaits(rn, rn.scheduleStartMS)
 	if rn.deps.OnWaits != nil {
@@ -181,6 +189,7 @@
 	tick := time.NewTicker(tickIntervalMS * time.Millisecond)
 	defer tick.Stop()
 	for !rn.ownershipLost {
+		rn.renewer.progressed()
 		select {
 		case <-stop:
 		case fn := <-rn.events:
@@ -250,7 +259,8 @@
 func (rn *Runner) finish() error {
 	wait, cancel := rn.ck.WithTimeout(context.Background(), finishTimeoutMS)
 	defer cancel()
-	for rn.committing && !rn.ownershipLost {
+	rn.renewer.stopped.Store(true)
+	for (rn.committing || !rn.renewer.idle()) && !rn.ownershipLost {
 		select {
 		case fn := <-rn.events:
 			fn()
@@ -264,14 +274,15 @@
 	return nil
 }
 
-// drainEvents runs all queued events, so that one planning pass covers them.
+// drainEvents runs the queued events, so that one planning pass covers them, as far as maxDrainMS allows.
 func (rn *Runner) drainEvents() {
-	for {
+	rn.planDue = true
+	for untilMS := rn.ck.Now() + maxDrainMS; rn.ck.Now() < untilMS; {
 		select {
 		case fn := <-rn.events:
 			fn()
+			rn.renewer.progressed()
 		default:
-			rn.planDue = true
 			return
 		}
 	}
@@ -348,6 +359,7 @@
 
 func (rn *Runner) pollVM(ctx context.Context, req *workpb.LookRequest, maxCopies int) {
 	an := rn.sendPoll(ctx, req, maxCopies)
+	arrivedMS := rn.ck.Now()
 	rn.post(ctx, func() {
 		rn.recordPoll(req, an.verdict, an.tookMS)
 		rn.recordPollSize(an.look)
@@ -361,7 +373,7 @@
 		if an.copy > 1 {
 			rn.ct.HandleRepeatedPoll(req.GetVm())
 		}
-		rn.ct.HandlePoll(req.GetVm(), an.sentMS, an.look, an.verdict)
+		rn.ct.HandleWaitingPoll(req.GetVm(), an.sentMS, arrivedMS, an.look, an.verdict)
 	})
 }
 
@@ -426,6 +438,7 @@
 // commit retries until the commit is applied, the store refuses it for its content, the ownership is lost or the runner stops; once applied, it sends the orders that depend on it. Only the first attempt stores the estimate: a later one would pass it to the entries as a recent one.
 func (rn *Runner) commit(ctx context.Context, bt *jobcontrol.Batch, rows *ownerRows, removed []rowKey) {
 	held := *rows
+	rn.renewer.begin()
 	ch, err := newChange(bt, rows, removed)
 	for err == nil {
 		err = rn.ow.Commit(ctx, ch.writeTo)
@@ -438,6 +451,8 @@
 		}
 		err = rn.ck.Sleep(ctx, commitRetryMS)
 	}
+	version := rn.ow.Version()
+	rn.renewer.end()
 	rn.post(ctx, func() {
 		rn.committing = false
 		rn.planDue = true
@@ -446,12 +461,11 @@
 			return
 		}
 		if err != nil {
-			rn.lg.Fail("scheduling-lost", err, "token", rn.ow.Token())
-			rn.ownershipLost = true
+			rn.loseOwnership(err)
 			return
 		}
 		rn.guard.RecordStored()
-		rn.ct.SetLatestToken(rn.ow.Version())
+		rn.ct.SetLatestToken(version)
 		rn.cleaner.progressRemoved(removed)
 		rn.waves.rowsStored(ctx, rows.waves)
 		if rows.estimate != nil {
@@ -460,3 +474,9 @@
 		rn.enqueue(ctx, rn.ct.ConfirmStored(bt))
 	})
 }
+
+// loseOwnership ends scheduling after a commit that failed for good.
+func (rn *Runner) loseOwnership(err error) {
+	rn.lg.Fail("scheduling-lost", err, "token", rn.ow.Token())
+	rn.ownershipLost = true
+}
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -39,8 +39,8 @@
 	endedRetryMS = 1000
 )
 
-// restore loads the stored rows and starts to follow their changes, unless stop is closed before. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
-func (rn *Runner) restore(ctx context.Context, stop <-chan struct{}) error {
+// restore loads the stored rows, unless stop is closed before. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
+func (rn *Runner) restore(ctx context.Context, stop <-chan struct{}) (*snapshot, error) {
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -67,11 +67,10 @@
 		case rs := <-done:
 			stopTimer()
 			if rs.err != nil {
-				return rs.err
+				return nil, rs.err
 			}
 			rn.ow.EndRestore()
-			rn.apply(ctx, rs.sn)
-			return nil
+			return rs.sn, nil
 		case <-renewal:
 			rn.ow.ReportRestore(rn.bulk.Bytes())
 			if nowMS := rn.ck.Now(); nowMS-loggedMS >= progressLogMS {
@@ -79,7 +78,7 @@
 				rn.lg.Info("restore-progress", "token", rn.ow.Token(), "restored-bytes", rn.bulk.Bytes(), "after-ms", nowMS-rn.startMS)
 			}
 			if err := rn.renew(limited); err != nil {
-				return err
+				return nil, err
 			}
 		}
 	}
@@ -194,6 +193,7 @@
 func (rn *Runner) decodeProgress(sn *snapshot) storedProgress {
 	out := storedProgress{rows: map[string][]*workpb.Progress{}, parts: sn.parts}
 	for _, rw := range append(slices.Clone(sn.progress), sn.parts...) {
+		rn.renewer.progressed()
 		pg := &workpb.Progress{}
 		if err := proto.Unmarshal(rw.Value(), pg); err != nil {
 			rn.lg.Fail("progress-unreadable", err, "job", rw.Key())
