A listed run is compared with a bounded number of its step's tasks

Now the last eight tasks on each of up to sixteen VMs are compared, and their median is computed again after a sixteenth of them has changed or a VM has become slow or recovered; steps of up to 16 tasks are compared as before.

TestSlowVMIsToldUnderALargeStep shows that a slow VM is still told.

--- a/internal/scheduling/taskpace/taskpace.go
+++ b/internal/scheduling/taskpace/taskpace.go
@@ -8,23 +8,17 @@
 // Pace holds what one owner has learned; it isn't safe for concurrent use.
 type Pace struct {
 	queues map[string]*queueTimes
-	steps  map[string]map[int]sibling
+	steps  map[string]*siblings
 	vms    map[string]*vmPace
 	// slow holds those of the VMs that count as slow.
 	slow map[string]*vmPace
+	// slowChanges counts the changes of slow.
+	slowChanges int
 	// retries holds, by queue, whether further runs of tasks that were long on sound VMs helped.
 	retries map[string]*retries
 }
 
-// sibling is how long a task of a step took, or is projected to take.
-type sibling struct {
-	vm     string
-	tookMS int64
-}
-
 const (
-	// minSiblings is the number of other tasks of a step on other VMs from which its duration is known; one of them alone may be an unusual task.
-	minSiblings = 2
 	// minPercent and minProjectedMS are the progress and the time from which a run's duration is projected: progress comes in whole percent, and it is some ten milliseconds old.
 	minPercent     = 5
 	minProjectedMS = 300
@@ -33,7 +27,7 @@
 
 // New returns a pace without observations.
 func New() *Pace {
-	return &Pace{queues: map[string]*queueTimes{}, steps: map[string]map[int]sibling{}, vms: map[string]*vmPace{}, slow: map[string]*vmPace{}, retries: map[string]*retries{}}
+	return &Pace{queues: map[string]*queueTimes{}, steps: map[string]*siblings{}, vms: map[string]*vmPace{}, slow: map[string]*vmPace{}, retries: map[string]*retries{}}
 }
 
 // RecordProgress records the projected duration of a task's run, which began at startMS, on a VM, and reports whether the VM has become slow or has recovered.
@@ -66,9 +60,9 @@
 
 func (pc *Pace) recordSibling(step string, index int, vm string, tookMS int64) {
 	if pc.steps[step] == nil {
-		pc.steps[step] = map[int]sibling{}
+		pc.steps[step] = newSiblings()
 	}
-	pc.steps[step][index] = sibling{vm: vm, tookMS: tookMS}
+	pc.steps[step].record(index, vm, tookMS)
 }
 
 // ForgetStep removes what was learned of a step's tasks.
@@ -77,7 +71,20 @@
 // ForgetVM removes what was learned of a VM, which has restarted or ended.
 func (pc *Pace) ForgetVM(vm string) {
 	delete(pc.vms, vm)
-	delete(pc.slow, vm)
+	pc.setSlow(vm, nil)
+}
+
+// setSlow sets what is known of a VM that counts as slow, nil if it doesn't.
+func (pc *Pace) setSlow(vm string, vp *vmPace) {
+	if pc.VMSlow(vm) == (vp != nil) {
+		return
+	}
+	pc.slowChanges++
+	if vp == nil {
+		delete(pc.slow, vm)
+		return
+	}
+	pc.slow[vm] = vp
 }
 
 // TrialBegun records that a slow VM was given a task to see whether it has recovered.
@@ -97,8 +104,10 @@
 
 // ExpectedMS returns how long a task takes on a VM of normal speed, from its siblings on other VMs or else from its queue, and whether enough is known to tell.
 func (pc *Pace) ExpectedMS(queue, step string, index int, vm string, estimateMS int64) (int64, bool) {
-	if took := pc.siblingTimes(step, index, vm); len(took) >= minSiblings {
-		return lowerMedian(took), true
+	if sb, ok := pc.steps[step]; ok {
+		if tookMS, known := sb.expectedMS(index, vm, pc.VMSlow, pc.slowChanges); known {
+			return tookMS, true
+		}
 	}
 	if qt, ok := pc.queues[queue]; ok {
 		return qt.usualMS(estimateMS)
@@ -106,17 +115,6 @@
 	return 0, false
 }
 
-// siblingTimes returns how long the other tasks of a step take on other VMs that aren't known to be slow.
-func (pc *Pace) siblingTimes(step string, index int, vm string) []int64 {
-	var out []int64
-	for other, sb := range pc.steps[step] {
-		if other != index && sb.vm != vm && !pc.VMSlow(sb.vm) {
-			out = append(out, sb.tookMS)
-		}
-	}
-	return out
-}
-
 // recordVM compares a duration with what is expected elsewhere.
 func (pc *Pace) recordVM(queue, step string, index int, vm string, estimateMS, tookMS, startMS, nowMS int64) bool {
 	expectedMS, ok := pc.ExpectedMS(queue, step, index, vm, estimateMS)
@@ -130,9 +128,9 @@
 	}
 	changed := vp.record(taskKey{step, index}, float64(tookMS)/float64(expectedMS), startMS, nowMS)
 	if vp.verdict == verdictSlow {
-		pc.slow[vm] = vp
+		pc.setSlow(vm, vp)
 	} else {
-		delete(pc.slow, vm)
+		pc.setSlow(vm, nil)
 	}
 	return changed
 }
@@ -167,8 +165,3 @@
 func (pc *Pace) SlowVMs() []string {
 	return slices.Sorted(maps.Keys(pc.slow))
 }
-
-func lowerMedian(list []int64) int64 {
-	slices.Sort(list)
-	return list[(len(list)-1)/2]
-}
