Runs in their first percents aren't taken for slow

What callers saw: tasks of 30 s were stopped in their first second and started again elsewhere, up to twice.

Cause: progress comes in whole percent. 1 may stand for nearly 2, and what is left was computed as if it were 1, so a sound run seemed twice as slow. Projections that compare VMs need 5 percent; the rest of a run didn't.

Below 5 percent the rest is now computed with one percent more. A run that is truly slow is moved as soon as that bound shows it.

--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -22,6 +22,8 @@
 	// learnIntervalMS is the interval at which a run whose projected duration changes by less than one projectionDivisor-th is compared with others; busy VMs list their runs several times a second.
 	learnIntervalMS   = 1000
 	projectionDivisor = 20
+	// minExactPercent is the progress below which up to one more percent is assumed: progress comes in whole percent, so 1 may stand for nearly 2.
+	minExactPercent = 5
 	// minObservedMS is how long a run's progress must have been watched before it is compared.
 	minObservedMS = 300
 )
@@ -84,10 +86,13 @@
 	return rn.listed.atMS - rn.earlier.atMS, rn.listed.percent - rn.earlier.percent
 }
 
-// restMS returns how long what is left of the run takes at its recent rate.
+// restMS returns how long what is left of the run takes at its recent rate, at the least.
 func (rn *run) restMS(nowMS int64) int64 {
 	tookMS, percent := rn.observed()
-	return tookMS*(fullPercent-rn.percent)/max(percent, 1) - (nowMS - rn.listed.atMS)
+	if percent < minExactPercent {
+		percent++
+	}
+	return tookMS*(fullPercent-rn.percent)/percent - (nowMS - rn.listed.atMS)
 }
 
 // learns reports whether a run shows the speed of its VM.
