A VM is given starts at the pace at which it takes them; a step leaves some to others

Cause: tiny tasks are all placed on the VM with the least free CPU, and nothing limited how many starts one VM is given. They waited behind each other in its queue, small jobs' starts with them, until they were too old to be sent after 1 s; each such start cost its run, two commits and a new plan, and the loop kept itself up.

Now each VM has a start window of its own, which follows how long its starts take from the order to the answer; beyond it the next VM is chosen, or the task waits. A planning pass places steps in rounds, in which a step gets at most half of the starts that are left, and 16 of overdue work, so that a large step doesn't take all. Orders in flight to a VM follow how long its answers take: one that takes 20 ms had but one order in flight until 64 waited.

Weighed: handing a start that was too old over again under its run. A new plan may choose another VM, and such starts are rare now. Spreading tiny tasks over all VMs from the start: it would keep VMs from becoming empty, which can move to other pools then. Gangs and long-running tasks keep out of the window: all members of a gang have to start at once.

Two tests relied on how fast starts go out: TestManyEndsAreReadInRoundTrips now waits until all tasks have started before it disturbs them, and TestStartThatIsKeptBackLeavesItsVMInUse has 40 starts in place of 12, of which some are still kept back. Their checks are the same.

--- a/internal/scheduling/jobcontrol/accounts_test.go
+++ b/internal/scheduling/jobcontrol/accounts_test.go
@@ -12,7 +12,7 @@
 	starts, teams := 0, map[string]size.Size{}
 	for id, vm := range ct.vms {
 		unknown, used := 0, size.Size{}
-		ofStep := map[*step]int{}
+		ofStep, ofVM := map[*step]int{}, 0
 		for _, rn := range vm.runs {
 			ofStep[rn.st]++
 			if rn.st == nil {
@@ -20,6 +20,7 @@
 			}
 			if rn.phase.startUnderWay() {
 				starts++
+				ofVM++
 			}
 			if rn.task != nil && rn.task.current != rn {
 				return fmt.Sprintf("%s on %s belongs to a task with another run", rn.key.task, id)
@@ -42,6 +43,9 @@
 		if !maps.Equal(late, vm.lateOfStep) {
 			return fmt.Sprintf("%s counts late starts of %d steps, there are some of %d", id, len(vm.lateOfStep), len(late))
 		}
+		if ofVM != vm.startsUnderWay {
+			return fmt.Sprintf("%d of %d starts under way to %s", vm.startsUnderWay, ofVM, id)
+		}
 		if !maps.Equal(ofStep, vm.ofStep) {
 			return fmt.Sprintf("%s counts runs of %d steps, there are some of %d", id, len(vm.ofStep), len(ofStep))
 		}
--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -310,12 +310,14 @@
 	rn.phase = ph
 	if rn.phase.startUnderWay() {
 		ct.startsUnderWay++
+		rn.vm.startsUnderWay++
 	}
 }
 
 func (ct *Controller) addRun(rn *run) {
 	if rn.phase.startUnderWay() {
 		ct.startsUnderWay++
+		rn.vm.startsUnderWay++
 	}
 	if rn.st == nil {
 		rn.vm.unknownRuns++
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -239,6 +239,7 @@
 		return
 	}
 	rn.vm.nextPollMS = min(rn.vm.nextPollMS, ct.ck.Now()+unresponsivePollIntervalMS)
+	rn.recordStartAnswer(ct.ck.Now())
 	if tk := rn.task; tk != nil && tk.st.row.GetGang() {
 		// The stops of the other members go first.
 		tk.notBeforeMS = ct.ck.Now() + gangBackoffMS
@@ -278,6 +279,7 @@
 		}
 		if rn.phase == phaseOrdered {
 			ct.setPhase(rn, phaseRunning)
+			rn.recordStartAnswer(ct.ck.Now())
 			rn.startedMS = ct.ck.Now()
 			rn.progressMS = rn.startedMS
 			if rn.fromStart {
--- a/internal/scheduling/jobcontrol/manyends_test.go
+++ b/internal/scheduling/jobcontrol/manyends_test.go
@@ -97,10 +97,13 @@
 	const listed, stepsPerPart = 500, 4
 	for _, tasks := range []int32{800, 2000, 5000} {
 		fl := newFleet(t, largeVM("a"))
-		fl.setBehavior(600, workpb.End_END_DONE)
+		fl.setBehavior(1200, workpb.End_END_DONE)
 		fl.submit(jobOf("j1", smallTasks(tasks), smallTasks(1)))
 		fl.jobs["j1"].Steps[1].After = []int32{0}
-		fl.run(100)
+		for beginMS := fl.ck.Now(); len(fl.starts) < int(tasks) && fl.ck.Now() < beginMS+1000; {
+			fl.run(stepMS)
+		}
+		qt.Assert(t, fl.starts, qt.HasLen, int(tasks))
 		fl.ck.Advance(1200)
 		fl.newOwner()
 		steps := 0
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -85,19 +85,39 @@
 	return out
 }
 
-// placeCandidates plans starts of the steps that match.
+// placeCandidates plans starts of the steps that match. It does so in rounds, in each of which a step gets a part of the starts that may still be planned, so that a large one leaves some to those behind it.
 func (ct *Controller) placeCandidates(bt *Batch, ready map[string][]candidate, pools map[string][]*vmState, nowMS int64, match func(candidate) bool) {
 	for service, list := range ready {
-		for _, cd := range list {
-			if !match(cd) {
-				continue
-			}
-			if ct.batchFull() || !ct.mayStartMore() {
-				return
-			}
-			ct.placeStep(bt, cd, pools[service], nowMS)
+		for planned := -1; len(bt.starts) > planned && len(list) > 0; {
+			planned = len(bt.starts)
+			list = ct.placeRound(bt, list, pools[service], nowMS, match)
+		}
+	}
+}
+
+// placeRound plans one round of starts and returns the steps that could have used more.
+func (ct *Controller) placeRound(bt *Batch, list []candidate, pool []*vmState, nowMS int64, match func(candidate) bool) []candidate {
+	var rest []candidate
+	for _, cd := range list {
+		if !match(cd) {
+			continue
+		}
+		if ct.batchFull() || !ct.mayStartMore() {
+			return nil
+		}
+		if more := ct.placeStep(bt, cd, pool, nowMS); more {
+			rest = append(rest, cd)
 		}
 	}
+	return rest
+}
+
+// startsPerRound returns how many tasks of a step may be planned in one round.
+func (ct *Controller) startsPerRound(cd candidate) int {
+	if cd.tier == tierOverdue {
+		return tasksPerTurn
+	}
+	return max((ct.startLimit-ct.startsUnderWay)/2, tasksPerTurn)
 }
 
 // recordWithoutVMs records the long-running steps among the candidates of a service if it has no VM that will be usable.
@@ -259,10 +279,11 @@
 	})
 }
 
-func (ct *Controller) placeStep(bt *Batch, cd candidate, all []*vmState, nowMS int64) {
+// placeStep plans starts of a step's waiting tasks, as many as one round allows, and reports whether that was too few.
+func (ct *Controller) placeStep(bt *Batch, cd candidate, all []*vmState, nowMS int64) bool {
 	service := ct.queueOf(cd.st.oc.jb).GetService()
 	if ct.fitsNone(service, cd) {
-		return
+		return false
 	}
 	pool := all
 	cd.st.paced = ct.paced(cd.st)
@@ -271,14 +292,18 @@
 	}
 	if cd.st.row.GetGang() {
 		ct.placeGang(bt, cd.st, pool)
-		return
+		return false
 	}
+	left := ct.startsPerRound(cd)
 	for tk := range cd.st.waitingTasks(nowMS) {
+		if left == 0 {
+			return true
+		}
 		if !ct.mayStartMore() || !ct.mayStore(tk) {
-			return
+			return false
 		}
 		if !ct.mayUse(cd.st.oc.jb.row.GetTeam(), cd.st.capUse()) {
-			return
+			return false
 		}
 		vm := chooseVM(tk, pool)
 		if vm == nil {
@@ -293,10 +318,12 @@
 				ct.recordUnplaceable(cd.st, all, nowMS)
 				reserveVM(cd.st, pool)
 			}
-			return
+			return false
 		}
 		ct.planStart(bt, vm, tk, tk.run+1)
+		left--
 	}
+	return false
 }
 
 // placeGang plans the starts of all tasks of a step or of none.
@@ -391,7 +418,7 @@
 	var best *vmState
 	var bestCost int64
 	for _, vm := range pool {
-		if !need.Fits(vm.free()) || (vm.reserved && !st.row.GetLasting()) || !allowed(st, vm) || !vm.admitsProbation(tk) {
+		if !vm.takesStart(st) || !need.Fits(vm.free()) || (vm.reserved && !st.row.GetLasting()) || !allowed(st, vm) || !vm.admitsProbation(tk) {
 			continue
 		}
 		cost := placementCost(tk, vm, rack)
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -252,6 +252,9 @@
 			rn = ct.adoptUnknown(vm, key)
 		}
 		if rn.phase == phaseOrdered || rn.phase == phaseInDoubt {
+			if rn.phase == phaseOrdered {
+				rn.recordStartAnswer(nowMS)
+			}
 			ct.setPhase(rn, phaseRunning)
 			rn.startedMS, rn.progressMS = nowMS, nowMS
 			rn.percent = row.GetPercent()
--- a/internal/scheduling/jobcontrol/startwanted.go
+++ b/internal/scheduling/jobcontrol/startwanted.go
@@ -20,6 +20,7 @@
 // startOver records that the start of a run is no longer under way.
 func (ct *Controller) startOver(rn *run) {
 	ct.startsUnderWay--
+	rn.vm.startsUnderWay--
 	ct.startsOver = append(ct.startsOver, rn)
 }
 
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -5,6 +5,7 @@
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/startwindow"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/suspicion"
 )
 
@@ -28,6 +29,9 @@
 	// ofStep counts the runs of each step.
 	ofStep map[*step]int
 	used   size.Size
+	// startsUnderWay counts the starts that are planned or ordered and not answered yet, window limits them.
+	startsUnderWay int
+	window         *startwindow.Window
 	// uncleared counts the runs whose start the VM isn't known to have survived, onProbation those of tasks under which VMs have crashed.
 	uncleared, onProbation int
 	// heldForProbation is set, until heldUntilMS, while the VM takes no other work than a task on probation.
@@ -169,7 +173,7 @@
 }
 
 func newVM(id string) *vmState {
-	return &vmState{id: id, reg: &workpb.VM{Id: id}, runs: map[runKey]*run{}, ofStep: map[*step]int{}, lateStarts: map[runKey]*run{}, lateOfStep: map[*step]int{}, lateUse: map[string]size.Size{}, suspicion: suspicion.New(), pace: fullPercent}
+	return &vmState{id: id, reg: &workpb.VM{Id: id}, runs: map[runKey]*run{}, ofStep: map[*step]int{}, lateStarts: map[runKey]*run{}, lateOfStep: map[*step]int{}, lateUse: map[string]size.Size{}, suspicion: suspicion.New(), window: startwindow.New(), pace: fullPercent}
 }
 
 func (vm *vmState) capacity() size.Size {
--- a/internal/scheduling/jobrunner/ordercopies.go
+++ b/internal/scheduling/jobrunner/ordercopies.go
@@ -71,13 +71,13 @@
 	sentMS := rn.ck.Now()
 	// The call may wait for a connection, or for another entry that doesn't pass it on.
 	allowed := func() bool { return rn.maySendOrder(oc.qo.od) && oc.oq.maySend(oc.qo) }
-	ctx = sendcheck.With(ctx, allowed)
+	checked := sendcheck.With(ctx, allowed)
 	go func() {
 		if !rn.maySendOrder(oc.qo.od) {
 			oc.answers <- oc.unsent()
 			return
 		}
-		vd := rn.deps.Order(ctx, oc.qo.od)
+		vd := rn.deps.Order(checked, oc.qo.od)
 		if vd == workpb.Verdict_NOT_SENT && !allowed() {
 			oc.answers <- oc.unsent()
 			return
@@ -86,7 +86,7 @@
 		if vd == workpb.Verdict_ACCEPTED {
 			rn.startRetry.Record(tookMS)
 		}
-		oc.oq.countUnanswered(vd, sentMS)
+		oc.oq.recordCopy(ctx, vd, sentMS)
 		oc.answers <- orderAnswer{verdict: vd, tookMS: tookMS}
 	}()
 }
--- a/internal/scheduling/jobrunner/orderqueue.go
+++ b/internal/scheduling/jobrunner/orderqueue.go
@@ -19,8 +19,9 @@
 	senders int
 	// unanswered counts the copies of orders sent since answeredMS that got no answer, since the queue was last empty.
 	unanswered int
-	// answeredMS is when the last answer came.
-	answeredMS int64
+	// answeredMS is when the last answer came, meanAnswerMS the moving average of how long answers take.
+	answeredMS   int64
+	meanAnswerMS float64
 }
 
 // queuedOrder is an order that is to be sent.
@@ -55,9 +56,11 @@
 const (
 	// maxSenders is the maximum number of orders in flight to one VM while an answer is late.
 	maxSenders = 4
-	// ordersPerSender is the number of waiting orders for each of which another one is in flight, at most maxDeepSenders, so that starts don't grow too old nor stops late.
+	// ordersPerSender is the number of waiting orders for each of which another one is in flight, at most maxDeepSenders, so that starts don't grow too old nor stops late; where answers take long, fewer orders that would take one sender lateAnswerMS count as many.
 	ordersPerSender = 64
 	maxDeepSenders  = 8
+	// answerWeight is the weight of a new value in the moving average of answers.
+	answerWeight = 0.2
 	// lateAnswerMS is how long an answer may take before the next order is sent beside it.
 	lateAnswerMS = 80
 	// maxUnanswered is the number of unanswered copies of orders in a row after which queued starts are not sent; fewer answers may just be lost.
@@ -137,7 +140,14 @@
 		oq.stops[newStopKey(qo.od)] = true
 	}
 	oq.waiting = append(oq.waiting, qo)
-	if oq.senders < min(1+len(oq.waiting)/ordersPerSender, maxDeepSenders) {
+	oq.matchSenders(ctx)
+}
+
+// matchSenders starts one more sender if too many orders wait for those that there are; the caller holds the lock.
+func (oq *orderQueue) matchSenders(ctx context.Context) {
+	waiting := len(oq.waiting)
+	byTime := int(float64(waiting) * oq.meanAnswerMS / lateAnswerMS)
+	if waiting > 0 && oq.senders < min(1+max(waiting/ordersPerSender, byTime), maxDeepSenders) {
 		oq.senders++
 		go oq.run(ctx)
 	}
@@ -228,7 +238,7 @@
 	}
 	sentMS := oq.rn.ck.Now()
 	vd := oq.rn.deps.Order(ctx, qo.od)
-	oq.countUnanswered(vd, sentMS)
+	oq.recordCopy(ctx, vd, sentMS)
 	return orderAnswer{verdict: vd, tookMS: oq.rn.ck.Now() - sentMS, copies: 1}
 }
 
@@ -265,10 +275,16 @@
 	return qo, oq.unanswered < maxUnanswered || qo.od.GetVerb() != workpb.Verb_START
 }
 
-// countUnanswered records the outcome of a copy that was sent at sentMS.
-func (oq *orderQueue) countUnanswered(vd workpb.Verdict, sentMS int64) {
+// recordCopy records the outcome of a copy that was sent at sentMS.
+func (oq *orderQueue) recordCopy(ctx context.Context, vd workpb.Verdict, sentMS int64) {
 	oq.mu.Lock()
 	defer oq.mu.Unlock()
+	oq.countUnanswered(vd, sentMS)
+	oq.matchSenders(ctx)
+}
+
+// countUnanswered counts a copy by its outcome; the caller holds the lock.
+func (oq *orderQueue) countUnanswered(vd workpb.Verdict, sentMS int64) {
 	switch vd {
 	case workpb.Verdict_NOT_SENT:
 		oq.unanswered = maxUnanswered
@@ -278,6 +294,7 @@
 		}
 	default:
 		oq.unanswered, oq.answeredMS = 0, oq.rn.ck.Now()
+		oq.meanAnswerMS += answerWeight * (float64(oq.answeredMS-sentMS) - oq.meanAnswerMS)
 	}
 }
 
--- a/internal/scheduling/jobrunner/unsent_test.go
+++ b/internal/scheduling/jobrunner/unsent_test.go
@@ -37,7 +37,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				const starts = 12
+				const starts = 40
 				ck := clock.New()
 				ow := ownership.New(rowstoretest.New(ck).Rowstore(), ck, "one", "one.1", 1)
 				_, err := ow.Poll(t.Context())
