--- a/internal/scheduling/jobcontrol/accounts_test.go
+++ b/internal/scheduling/jobcontrol/accounts_test.go
@@ -79,13 +79,20 @@
 		for _, oc := range jb.occurrences {
 			runs := 0
 			for _, st := range oc.steps {
+				onProbation := 0
 				for at, tk := range st.tasks {
 					if tk.current != nil {
 						runs++
 					}
-					if st.unassigned.Test(uint(at)) != (tk.current == nil && !tk.done) {
+					if st.unassigned.Test(uint(at)) != (tk.current == nil && !tk.done) || (tk.first() != nil && !st.hadRun) {
 						return id
 					}
+					if tk.crashes.probation {
+						onProbation++
+					}
+				}
+				if onProbation != st.onProbation {
+					return id
 				}
 			}
 			if runs != oc.runs {
--- a/internal/scheduling/jobcontrol/crashes.go
+++ b/internal/scheduling/jobcontrol/crashes.go
@@ -123,7 +123,7 @@
 // putOnProbation handles a crash that one of a number of tasks may have caused.
 func (ct *Controller) putOnProbation(vm *vmState, tk *task, suspects int) {
 	cr := &tk.crashes
-	cr.probation = true
+	tk.setProbation(true)
 	if suspects == 1 {
 		cr.blamed++
 	}
@@ -144,9 +144,10 @@
 	cr, ageMS := &rn.task.crashes, sentMS-rn.startedMS
 	if !rn.cleared && ageMS >= cr.clearedMS() {
 		rn.setCleared()
-		cr.probation = false
+		rn.task.setProbation(false)
 	}
 	if ageMS >= forgivenAfterMS {
+		rn.task.setProbation(false)
 		*cr = crashes{}
 	}
 }
--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -148,7 +148,10 @@
 
 // started reports whether a task of the step has a run or is done.
 func (st *step) started() bool {
-	return slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.done || tk.current != nil || tk.first() != nil })
+	if st.assigned() > 0 {
+		return true
+	}
+	return st.hadRun && slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.first() != nil })
 }
 
 // demandMilli returns the CPU capacity, in thousandths of a core, with which the rest of an occurrence's work would finish within its critical path.
@@ -170,14 +173,17 @@
 	return st.remainingMS(unreachable) * st.row.GetCpuMilli() / milli
 }
 
-// remainingMS returns how long the step's remaining tasks take in sum, without those that match.
+// remainingMS returns how long the step's remaining tasks take in sum, without those that match; except looks at nothing but the run that a task has.
 func (st *step) remainingMS(except func(*task) bool) int64 {
 	rest := int64(0)
-	for _, tk := range st.tasks {
-		if tk.done || except(tk) {
-			continue
+	if first, ok := st.unassigned.NextSet(0); ok && !except(st.tasks[first]) {
+		// All tasks without a run match alike.
+		rest = int64(st.unassigned.Count()) * st.expectedTaskMS()
+	}
+	for index, ok := st.unassigned.NextClear(0); ok; index, ok = st.unassigned.NextClear(index + 1) {
+		if tk := st.tasks[index]; !tk.done && !except(tk) {
+			rest += tk.remainingMS()
 		}
-		rest += tk.remainingMS()
 	}
 	return rest
 }
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -68,8 +68,12 @@
 	tasks  []*task
 	// unassigned holds the indices of the tasks that neither have a run nor are done.
 	unassigned *bitset.BitSet
-	done       int
-	failures   int32
+	// hadRun is set once a task had a run.
+	hadRun bool
+	// onProbation counts the tasks on probation.
+	onProbation int
+	done        int
+	failures    int32
 	// failedRun is the number of the gang run whose failure was counted last.
 	failedRun int64
 	// tickets and refused hold by VM id the VMs that may and may not run the step, on queues whose placement needs advice.
@@ -224,6 +228,22 @@
 
 func (tk *task) job() *job { return tk.st.oc.jb }
 
+// setProbation sets whether the task is on probation.
+func (tk *task) setProbation(on bool) {
+	if tk.crashes.probation == on {
+		return
+	}
+	tk.crashes.probation = on
+	if on {
+		tk.st.onProbation++
+	} else {
+		tk.st.onProbation--
+	}
+}
+
+// assigned returns the number of tasks that have a run or are done.
+func (st *step) assigned() int { return len(st.tasks) - int(st.unassigned.Count()) }
+
 // setDone records that the task is done.
 func (tk *task) setDone() {
 	tk.done = true
@@ -234,6 +254,7 @@
 // setCurrent sets the run that the task has, nil for none.
 func (tk *task) setCurrent(rn *run) {
 	had, has := tk.current != nil, rn != nil
+	tk.st.hadRun = tk.st.hadRun || has
 	tk.current = rn
 	tk.st.unassigned.SetTo(uint(tk.index), !has && !tk.done)
 	switch {
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -178,7 +178,7 @@
 	if cd.lasting() || cd.st.need().Fits(ct.room[service].most) || ct.queueOf(cd.st.oc.jb).GetAdvised() {
 		return false
 	}
-	return !slices.ContainsFunc(cd.st.tasks, func(tk *task) bool { return tk.crashes.probation })
+	return cd.st.onProbation == 0
 }
 
 // fittingFirst moves the candidates for which a VM may have room to the front, and returns their number.
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -116,7 +116,8 @@
 	tk.failures = tr.GetFailures()
 	tk.checkpoint = tr.GetCheckpoint()
 	if cr := tr.GetCrashes(); cr != nil {
-		tk.crashes = crashes{confirmed: cr.GetConfirmed(), doubtful: cr.GetDoubtful(), blamed: cr.GetBlamed(), probation: true}
+		tk.crashes = crashes{confirmed: cr.GetConfirmed(), doubtful: cr.GetDoubtful(), blamed: cr.GetBlamed()}
+		tk.setProbation(true)
 	}
 	tk.st.failures = max(tk.st.failures, tr.GetFailures())
 	switch tr.GetPhase() {
