--- a/internal/scheduling/jobrunner/renewer.go
+++ b/internal/scheduling/jobrunner/renewer.go
@@ -74,7 +74,9 @@
 	default:
 		return
 	}
-	rw.commitMS.Store(rw.rn.ck.Now())
+	nowMS := rw.rn.ck.Now()
+	rw.commitMS.Store(nowMS)
+	rw.rn.lg.Info("ownership-renewed-while-busy", "token", rw.rn.ow.Token(), "busy-ms", nowMS-rw.turnMS.Load())
 	err := rw.rn.renew(ctx)
 	rw.end()
 	rw.rn.post(ctx, func() {
