Progress that goes back doesn't end the owner

Since the rest of a run below five percent is divided by its observed progress and one more; a VM that lists one percent less than before makes that 0, and the division ends the process, and that of each successor.

Red before: TestProgressThatGoesBackDoesNotEndTheOwner (panic: integer divide by zero).

--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -90,7 +90,7 @@
 func (rn *run) restMS(nowMS int64) int64 {
 	tookMS, percent := rn.observed()
 	if percent < minExactPercent {
-		percent++
+		percent = max(percent, 0) + 1
 	}
 	return tookMS*(fullPercent-rn.percent)/percent - (nowMS - rn.listed.atMS)
 }
--- a/internal/scheduling/jobcontrol/youngruns_test.go
+++ b/internal/scheduling/jobcontrol/youngruns_test.go
@@ -34,3 +34,26 @@
 		qt.Check(t, fl.starts[name], qt.Equals, 1, qt.Commentf(name))
 	}
 }
+
+// Guards against an owner that ends with a division by zero, and each successor after it, since a VM lists less progress of a run than before.
+func TestProgressThatGoesBackDoesNotEndTheOwner(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	rules := testRules()
+	rules.Teams[0].Weight = 1
+	fl.setRules(rules)
+	fl.run(200)
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	step := stepOf(1)
+	step.EstimateMs = 60_000
+	fl.submit(jobOf("j1", step))
+	fl.run(200)
+	for _, percent := range []int64{10, 10, 10, 10, 10, 10, 10, 10, 9, 9, 8, 0} {
+		fl.ck.Advance(500)
+		lk, vd := fl.workers["a"].Poll(&workpb.LookRequest{Vm: "a", Token: fl.token, LeaseUntilMs: 1_000_000})
+		qt.Assert(t, lk.GetRunning(), qt.HasLen, 1)
+		lk.Running[0].Percent = percent
+		fl.ct.HandlePoll("a", fl.ck.Now(), lk, vd)
+		fl.ct.Plan(true)
+	}
+	qt.Check(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
