A stopped owner renews nothing while it probes the store; shorter names and less written twice

A stopped owner begins nothing until its first probe of the store has ended, so that no commit holds up the handover; the renewer did, and could begin a renewal between the last look for a commit and the release. It asks again once it holds the commit, and is stopped while the probe is under way. Right after a restore it no longer makes a needless renewal.

Red before: TestStoppedOwnerDoesNotRenewWhileItProbesTheStore (1 renewal).

The event is named ownership-renewed, so that the table of sentences stays as it was. Orders have one key in place of two, the benchmarks one table of backlogs; turn means the turn of overdue work only. A task that moves to a VM beyond those that are compared counts as a change.

--- a/internal/scheduling/jobcontrol/backlog_bench_test.go
+++ b/internal/scheduling/jobcontrol/backlog_bench_test.go
@@ -21,11 +21,11 @@
 	tinyCPUMilli = 2
 )
 
-// backlog is an owner of nine VMs of 32 cores whose clock doesn't go on by itself.
+// backlog is an owner of nine VMs of 32 cores with accepted work, on a clock that the benchmark advances.
 type backlog struct {
-	ck  *clock.Clock
-	ct  *jobcontrol.Controller
-	row []*workpb.Job
+	ck   *clock.Clock
+	ct   *jobcontrol.Controller
+	jobs []*workpb.Job
 }
 
 func newBacklog() *backlog {
@@ -51,7 +51,7 @@
 
 func (bl *backlog) submit(jb *workpb.Job) {
 	jb.Queue, jb.AcceptedMs = "q", bl.ck.Now()
-	bl.row = append(bl.row, jb)
+	bl.jobs = append(bl.jobs, jb)
 	bl.ct.Submit(jb)
 }
 
@@ -87,34 +87,35 @@
 	return running, stored
 }
 
-// BenchmarkPassBesideBacklog makes planning passes on full VMs: beside 30, 300 and 3,000 schedules with 20,000 due times each, and beside one, ten and a hundred times three jobs of 20,000 tiny tasks.
+// backlogs are the sizes of accepted work: schedules, and large jobs of which those tasks run that fit.
+var backlogs = []struct {
+	name string
+	fill func(bl *backlog)
+}{
+	{"due-times-x1", func(bl *backlog) { bl.submitSchedules(30) }},
+	{"due-times-x10", func(bl *backlog) { bl.submitSchedules(300) }},
+	{"due-times-x100", func(bl *backlog) { bl.submitSchedules(3000) }},
+	{"large-jobs-x1", func(bl *backlog) { bl.submitLarge(3) }},
+	{"large-jobs-x10", func(bl *backlog) { bl.submitLarge(30) }},
+	{"large-jobs-x100", func(bl *backlog) { bl.submitLarge(300) }},
+}
+
+// BenchmarkPassBesideBacklog makes planning passes beside each backlog.
 func BenchmarkPassBesideBacklog(b *testing.B) {
-	for _, factor := range []int{1, 10, 100} {
-		b.Run(fmt.Sprintf("due-times-x%d", factor), func(b *testing.B) {
-			bl := newBacklog()
-			bl.submitSchedules(30 * factor)
-			bl.start()
-			bl.timePasses(b)
-		})
-	}
-	for _, factor := range []int{1, 10, 100} {
-		b.Run(fmt.Sprintf("large-jobs-x%d", factor), func(b *testing.B) {
+	for _, tc := range backlogs {
+		b.Run(tc.name, func(b *testing.B) {
 			bl := newBacklog()
-			bl.submitLarge(3 * factor)
+			tc.fill(bl)
 			bl.start()
-			bl.timePasses(b)
+			b.ReportAllocs()
+			for b.Loop() {
+				bl.ck.Advance(20)
+				bl.ct.Plan(true)
+			}
 		})
 	}
 }
 
-func (bl *backlog) timePasses(b *testing.B) {
-	b.ReportAllocs()
-	for b.Loop() {
-		bl.ck.Advance(20)
-		bl.ct.Plan(true)
-	}
-}
-
 // BenchmarkPollOfLargeJobs handles a list of a VM's running tasks: a hundredth, a tenth and all of the 16,000 that a VM holds of three jobs of 20,000 tasks.
 func BenchmarkPollOfLargeJobs(b *testing.B) {
 	for _, divisor := range []int{100, 10, 1} {
@@ -146,19 +147,9 @@
 	}
 }
 
-// BenchmarkRestoreOfBacklog builds a new owner's state from the stored rows of schedules with 20,000 due times each, or of three, thirty and 300 jobs of 20,000 tasks, of which those run that fit.
+// BenchmarkRestoreOfBacklog builds a new owner's state from the stored rows of each backlog.
 func BenchmarkRestoreOfBacklog(b *testing.B) {
-	for _, tc := range []struct {
-		name string
-		fill func(bl *backlog)
-	}{
-		{"due-times-x1", func(bl *backlog) { bl.submitSchedules(30) }},
-		{"due-times-x10", func(bl *backlog) { bl.submitSchedules(300) }},
-		{"due-times-x100", func(bl *backlog) { bl.submitSchedules(3000) }},
-		{"large-jobs-x1", func(bl *backlog) { bl.submitLarge(3) }},
-		{"large-jobs-x10", func(bl *backlog) { bl.submitLarge(30) }},
-		{"large-jobs-x100", func(bl *backlog) { bl.submitLarge(300) }},
-	} {
+	for _, tc := range backlogs {
 		b.Run(tc.name, func(b *testing.B) {
 			bl := newBacklog()
 			tc.fill(bl)
@@ -172,7 +163,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				bl.newOwner()
-				for _, jb := range bl.row {
+				for _, jb := range bl.jobs {
 					bl.ct.Restore(jb, rows[jb.GetId()])
 				}
 				bl.ct.Plan(true)
--- a/internal/scheduling/jobcontrol/vmstarts.go
+++ b/internal/scheduling/jobcontrol/vmstarts.go
@@ -5,7 +5,7 @@
 	return vm.startsUnderWay < vm.window.Limit() || st.row.GetLasting() || st.row.GetGang()
 }
 
-// recordStartAnswer records that the start of a run was answered, or found to be executed.
+// recordStartAnswer records that the start of a run was answered, found to be executed, or given up since it waited for too long.
 func (rn *run) recordStartAnswer(nowMS int64) {
 	rn.vm.window.Record(nowMS, nowMS-rn.startedMS)
 }
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -74,7 +74,7 @@
 	events      chan func()
 	orderQueues map[string]*orderQueue
 	// openStarts holds the starts whose outcome isn't known.
-	openStarts map[startKey]*queuedOrder
+	openStarts map[orderKey]*queuedOrder
 	startMS    int64
 	// scheduleStartMS is when the restore had ended.
 	scheduleStartMS int64
@@ -148,7 +148,7 @@
 	rn := &Runner{
 		deps: deps, ck: ck, lg: lg, ow: ow,
 		ct:     jobcontrol.New(ck, lg, ow.Token(), runLeaseMS),
-		events: make(chan func(), eventBuffer), orderQueues: map[string]*orderQueue{}, openStarts: map[startKey]*queuedOrder{},
+		events: make(chan func(), eventBuffer), orderQueues: map[string]*orderQueue{}, openStarts: map[orderKey]*queuedOrder{},
 		startMS: ck.Now(), lastCommitMS: ck.Now(), planDue: true, lag: lag.New(), load: ownerload.New(), planPace: planpace.New(), starts: startwindow.New(), startRetry: startretry.New(), pollRetry: startretry.New(),
 	}
 	rn.pollPace = pollpace.New(deps.LinkBytesPerS)
@@ -201,11 +201,13 @@
 		if rn.stopRequestedMS == 0 && closed(stop) {
 			// Whichever of several ready cases was chosen, nothing is begun after a stop.
 			rn.stopRequestedMS, stop = rn.ck.Now(), nil
+			rn.renewer.stopped.Store(true)
 			go rn.probeStore(ctx)
 		}
 		if rn.handoverDue() {
 			return rn.finish()
 		}
+		rn.renewer.stopped.Store(rn.awaitsProbe())
 		if rn.awaitsProbe() {
 			continue
 		}
--- a/internal/scheduling/jobrunner/orderqueue.go
+++ b/internal/scheduling/jobrunner/orderqueue.go
@@ -15,7 +15,7 @@
 	mu      sync.Mutex
 	waiting []*queuedOrder
 	// stops holds the runs whose stops are waiting.
-	stops   map[stopKey]bool
+	stops   map[orderKey]bool
 	senders int
 	// unanswered counts the copies of orders sent since answeredMS that got no answer, since the queue was last empty.
 	unanswered int
@@ -35,28 +35,20 @@
 	withdrawn bool
 }
 
-// stopKey identifies the stops of a run on one VM.
-type stopKey struct {
-	task string
-	run  int64
-}
-
-func newStopKey(od *workpb.Order) stopKey { return stopKey{od.GetTask(), od.GetRun()} }
-
-// startKey identifies the start of a run.
-type startKey struct {
+// orderKey identifies the run on a VM that an order concerns.
+type orderKey struct {
 	vm, task string
 	run      int64
 }
 
-func newStartKey(od *workpb.Order) startKey {
-	return startKey{od.GetVm(), od.GetTask(), od.GetRun()}
+func newOrderKey(od *workpb.Order) orderKey {
+	return orderKey{od.GetVm(), od.GetTask(), od.GetRun()}
 }
 
 const (
 	// maxSenders is the maximum number of orders in flight to one VM while an answer is late.
 	maxSenders = 4
-	// ordersPerSender is the number of waiting orders for each of which another one is in flight, at most maxDeepSenders, so that starts don't grow too old nor stops late; where answers take long, fewer orders that would take one sender lateAnswerMS count as many.
+	// ordersPerSender is the number of waiting orders for each of which another one is in flight, at most maxDeepSenders, so that starts don't grow too old nor stops late. Where answers take long, it is the number whose answers take lateAnswerMS in sum.
 	ordersPerSender = 64
 	maxDeepSenders  = 8
 	// answerWeight is the weight of a new value in the moving average of answers.
@@ -74,7 +66,7 @@
 	for _, od := range orders {
 		oq, ok := rn.orderQueues[od.GetVm()]
 		if !ok {
-			oq = &orderQueue{rn: rn, stops: map[stopKey]bool{}}
+			oq = &orderQueue{rn: rn, stops: map[orderKey]bool{}}
 			rn.orderQueues[od.GetVm()] = oq
 		}
 		if od.GetVerb() == workpb.Verb_STOP && (rn.withdrawStart(od) || !rn.ct.StopWanted(od)) {
@@ -83,7 +75,7 @@
 		nowMS := rn.ck.Now()
 		qo := &queuedOrder{oq: oq, od: od, queuedMS: nowMS, untilMS: nowMS + maxStartAgeMS}
 		if od.GetVerb() == workpb.Verb_START {
-			rn.openStarts[newStartKey(od)] = qo
+			rn.openStarts[newOrderKey(od)] = qo
 		}
 		oq.add(ctx, qo)
 	}
@@ -91,7 +83,7 @@
 
 // withdrawStart withdraws the start of an order's run, and reports whether it was waiting.
 func (rn *Runner) withdrawStart(od *workpb.Order) bool {
-	key := newStartKey(od)
+	key := newOrderKey(od)
 	qo, ok := rn.openStarts[key]
 	if !ok || !qo.withdraw() {
 		return false
@@ -104,17 +96,12 @@
 // withdrawUnwantedStarts withdraws the starts of runs that have begun, have ended or are to be stopped, whether or not a stop is sent.
 func (rn *Runner) withdrawUnwantedStarts() {
 	rn.ct.EachStartOver(func(vm, task string, run int64) {
-		if qo, ok := rn.openStarts[startKey{vm, task, run}]; ok && !rn.ct.StartWanted(qo.od) {
+		if qo, ok := rn.openStarts[orderKey{vm, task, run}]; ok && !rn.ct.StartWanted(qo.od) {
 			rn.withdrawStart(qo.od)
 		}
 	})
 }
 
-// sameRun reports whether two orders concern the same run.
-func sameRun(one, other *workpb.Order) bool {
-	return one.GetTask() == other.GetTask() && one.GetRun() == other.GetRun()
-}
-
 // withdraw keeps a start from being sent, or sent again, and reports whether it was waiting.
 func (qo *queuedOrder) withdraw() bool {
 	oq := qo.oq
@@ -134,10 +121,10 @@
 	oq.mu.Lock()
 	defer oq.mu.Unlock()
 	if qo.od.GetVerb() == workpb.Verb_STOP {
-		if oq.stops[newStopKey(qo.od)] {
+		if oq.stops[newOrderKey(qo.od)] {
 			return
 		}
-		oq.stops[newStopKey(qo.od)] = true
+		oq.stops[newOrderKey(qo.od)] = true
 	}
 	oq.waiting = append(oq.waiting, qo)
 	oq.matchSenders(ctx)
@@ -190,7 +177,7 @@
 // handleOutcome passes the outcome of an order, which came waitedMS after it was queued, on to the controller, on the runner's goroutine.
 func (rn *Runner) handleOutcome(od *workpb.Order, an orderAnswer, withdrawn bool, waitedMS int64) {
 	if od.GetVerb() == workpb.Verb_START {
-		delete(rn.openStarts, newStartKey(od))
+		delete(rn.openStarts, newOrderKey(od))
 	}
 	if withdrawn || an.unsent != "" {
 		rn.orderQueues[od.GetVm()].dropStop(od)
@@ -246,12 +233,12 @@
 func (oq *orderQueue) dropStop(od *workpb.Order) {
 	oq.mu.Lock()
 	defer oq.mu.Unlock()
-	if !oq.stops[newStopKey(od)] {
+	if !oq.stops[newOrderKey(od)] {
 		return
 	}
-	delete(oq.stops, newStopKey(od))
+	delete(oq.stops, newOrderKey(od))
 	oq.waiting = slices.DeleteFunc(oq.waiting, func(other *queuedOrder) bool {
-		return other.od.GetVerb() == workpb.Verb_STOP && sameRun(od, other.od)
+		return other.od.GetVerb() == workpb.Verb_STOP && newOrderKey(other.od) == newOrderKey(od)
 	})
 }
 
@@ -270,7 +257,7 @@
 	qo = oq.waiting[0]
 	oq.waiting = oq.waiting[1:]
 	if qo.od.GetVerb() == workpb.Verb_STOP {
-		delete(oq.stops, newStopKey(qo.od))
+		delete(oq.stops, newOrderKey(qo.od))
 	}
 	return qo, oq.unanswered < maxUnanswered || qo.od.GetVerb() != workpb.Verb_START
 }
--- a/internal/scheduling/jobrunner/renewer.go
+++ b/internal/scheduling/jobrunner/renewer.go
@@ -10,36 +10,39 @@
 	rn *Runner
 	// committing holds one element from the begin of a commit until its outcome is known: the ownership isn't safe for concurrent use.
 	committing chan struct{}
-	// turnMS is when the runner's goroutine was last seen to go on, commitMS when the last commit began.
-	turnMS   atomic.Int64
-	commitMS atomic.Int64
-	// stopped is set once no further renewal may begin.
+	// progressMS is when the runner's goroutine was last seen to go on, commitMS when the last commit began.
+	progressMS atomic.Int64
+	commitMS   atomic.Int64
+	// stopped is set while no renewal may begin.
 	stopped atomic.Bool
 }
 
 const (
 	// overdueRenewalMS is how long after the begin of the last commit the renewer acts; the runner's own commits come before.
 	overdueRenewalMS = 450
-	// minRenewerSleepMS is the minimum time between two looks at the time of the last commit.
+	// minRenewerSleepMS is the minimum time between two checks whether a renewal is due.
 	minRenewerSleepMS = 50
-	// maxTurnMS is how long the runner's goroutine may be busy with one piece of work before its ownership is left to expire: two such turns, from the answer to one poll to the begin of the next, must fit into the lease of runs.
-	maxTurnMS = 1800
+	// maxBusyMS is how long the runner's goroutine may be busy with one piece of work before its ownership is left to expire. The leases of runs must last twice as long: a poll's answer may wait for one such piece, and the next poll for another.
+	maxBusyMS = 1800
 )
 
 func newRenewer(rn *Runner) *renewer {
 	rw := &renewer{rn: rn, committing: make(chan struct{}, 1)}
-	rw.commitMS.Store(rn.ck.Now())
+	rw.recordCommit()
 	rw.progressed()
 	return rw
 }
 
 // progressed records that the runner's goroutine goes on.
-func (rw *renewer) progressed() { rw.turnMS.Store(rw.rn.ck.Now()) }
+func (rw *renewer) progressed() { rw.progressMS.Store(rw.rn.ck.Now()) }
 
-// begin waits for its turn to commit and records that a commit begins.
+// recordCommit records that a commit begins.
+func (rw *renewer) recordCommit() { rw.commitMS.Store(rw.rn.ck.Now()) }
+
+// begin waits until no other commit is under way and records that one begins.
 func (rw *renewer) begin() {
 	rw.committing <- struct{}{}
-	rw.commitMS.Store(rw.rn.ck.Now())
+	rw.recordCommit()
 }
 
 // end records that the outcome of a commit is known.
@@ -64,7 +67,7 @@
 // due reports whether a renewal is overdue and the runner's goroutine isn't stuck.
 func (rw *renewer) due() bool {
 	nowMS := rw.rn.ck.Now()
-	return !rw.stopped.Load() && nowMS-rw.commitMS.Load() >= overdueRenewalMS && nowMS-rw.turnMS.Load() <= maxTurnMS
+	return !rw.stopped.Load() && nowMS-rw.commitMS.Load() >= overdueRenewalMS && nowMS-rw.progressMS.Load() <= maxBusyMS
 }
 
 // renew renews the ownership unless another commit is under way.
@@ -74,11 +77,15 @@
 	default:
 		return
 	}
-	nowMS := rw.rn.ck.Now()
-	rw.commitMS.Store(nowMS)
-	rw.rn.lg.Info("ownership-renewed-while-busy", "token", rw.rn.ow.Token(), "busy-ms", nowMS-rw.turnMS.Load())
+	if rw.stopped.Load() {
+		// It was stopped since the renewal was found to be due, and idle may have been asked before.
+		rw.end()
+		return
+	}
+	rw.rn.lg.Info("ownership-renewed", "token", rw.rn.ow.Token(), "busy-ms", rw.rn.ck.Now()-rw.progressMS.Load())
 	err := rw.rn.renew(ctx)
 	rw.end()
+	// It also wakes a runner that waits for the renewal before it releases the ownership.
 	rw.rn.post(ctx, func() {
 		if err != nil {
 			rw.rn.loseOwnership(err)
--- a/internal/scheduling/jobrunner/renewer_test.go
+++ b/internal/scheduling/jobrunner/renewer_test.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/membership/ownership"
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobrunner"
 )
 
@@ -86,3 +87,24 @@
 		qt.Check(t, owners.Load(), qt.Equals, int64(2))
 	})
 }
+
+// Guards against a handover that waits for a renewal: a stopped owner begins nothing while it probes the store.
+func TestStoppedOwnerDoesNotRenewWhileItProbesTheStore(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		renewals := &atomic.Int64{}
+		si.lg = event.Discard()
+		si.lg.OnEvent(func(name string, _ []any) {
+			if name == "ownership-renewed" {
+				renewals.Add(1)
+			}
+		})
+		si.start("one")
+		si.wait(2000)
+		si.mu.Lock()
+		si.unansweredTable = intake.ProgressTable
+		si.mu.Unlock()
+		si.entries["one"].cancel()
+		si.wait(1500)
+		qt.Check(t, renewals.Load(), qt.Equals, int64(0))
+	})
+}
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -94,6 +94,7 @@
 // renew renews the ownership lease without other changes, until the outcome is certain.
 func (rn *Runner) renew(ctx context.Context) error {
 	for {
+		rn.renewer.recordCommit()
 		err := rn.ow.Commit(ctx, func(*rowstore.Tx) {})
 		if err == nil || code.Of(err) == code.LeaseLapsed {
 			return err
--- a/internal/scheduling/taskpace/siblings.go
+++ b/internal/scheduling/taskpace/siblings.go
@@ -50,6 +50,7 @@
 	if other, ok := sb.vmOf[index]; ok && other != vm {
 		sb.vms[other].remove(index)
 		delete(sb.vmOf, index)
+		sb.changes++
 	}
 	sv, ok := sb.vms[vm]
 	if !ok {
