Large steps leave half of the starts that may be under way to small ones

Cause: a small job whose first start misses its objective is ranked behind large ones that can still be in time.

A step with more than 16 waiting tasks now plans, in the first round of a pass, only while less than half of either window is taken. Steps with fewer come next, and the large one gets what they leave in the second round, so no start is unused.

--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -85,6 +85,8 @@
 	adviceRequestedMS int64
 	// placed is a task that had a run when the rack of a colocated step was last looked for, nil if there was none.
 	placed *task
+	// leavesHalf is set while the step leaves half of the starts that may be under way to others.
+	leavesHalf bool
 	// paced is set while what was learned of VMs and work decides where the step's tasks run.
 	paced bool
 	// paceKey names the step where its durations are learned, empty until then.
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -85,18 +85,24 @@
 	return out
 }
 
-// placeCandidates plans starts of the steps that match. It does so in rounds, in each of which a step gets a part of the starts that may still be planned, so that a large one leaves some to those behind it.
+// placeCandidates plans starts of the steps that match. It does so in rounds, in each of which a step gets a part of the starts that may still be planned, so that large ones leave some to those behind them.
 func (ct *Controller) placeCandidates(bt *Batch, ready map[string][]candidate, pools map[string][]*vmState, nowMS int64, match func(candidate) bool) {
 	for service, list := range ready {
-		for planned := -1; len(bt.starts) > planned && len(list) > 0; {
-			planned = len(bt.starts)
-			list = ct.placeRound(bt, list, pools[service], nowMS, match)
+		for round := firstRound; len(list) > 0; round++ {
+			planned := len(bt.starts)
+			list = ct.placeRound(bt, list, pools[service], nowMS, round, match)
+			if round > firstRound && len(bt.starts) == planned {
+				break
+			}
 		}
 	}
 }
 
+// firstRound is the round in which steps with many waiting tasks leave half of the starts that may be under way, in all and to each VM, to the others.
+const firstRound = 0
+
 // placeRound plans one round of starts and returns the steps that could have used more.
-func (ct *Controller) placeRound(bt *Batch, list []candidate, pool []*vmState, nowMS int64, match func(candidate) bool) []candidate {
+func (ct *Controller) placeRound(bt *Batch, list []candidate, pool []*vmState, nowMS int64, round int, match func(candidate) bool) []candidate {
 	var rest []candidate
 	for _, cd := range list {
 		if !match(cd) {
@@ -105,19 +111,23 @@
 		if ct.batchFull() || !ct.mayStartMore() {
 			return nil
 		}
-		if more := ct.placeStep(bt, cd, pool, nowMS); more {
+		if more := ct.placeStep(bt, cd, pool, nowMS, round); more {
 			rest = append(rest, cd)
 		}
 	}
 	return rest
 }
 
-// startsPerRound returns how many tasks of a step may be planned in one round.
-func (ct *Controller) startsPerRound(cd candidate) int {
-	if cd.tier == tierOverdue {
-		return tasksPerTurn
+// startsInRound returns how many tasks of a step may be planned in the round under way.
+func (ct *Controller) startsInRound(cd candidate) int {
+	most := tasksPerTurn
+	if cd.tier != tierOverdue {
+		most = max((ct.startLimit-ct.startsUnderWay)/2, tasksPerTurn)
 	}
-	return max((ct.startLimit-ct.startsUnderWay)/2, tasksPerTurn)
+	if cd.st.leavesHalf {
+		most = min(most, max(ct.startLimit/2-ct.startsUnderWay, 0))
+	}
+	return most
 }
 
 // recordWithoutVMs records the long-running steps among the candidates of a service if it has no VM that will be usable.
@@ -280,7 +290,7 @@
 }
 
 // placeStep plans starts of a step's waiting tasks, as many as one round allows, and reports whether that was too few.
-func (ct *Controller) placeStep(bt *Batch, cd candidate, all []*vmState, nowMS int64) bool {
+func (ct *Controller) placeStep(bt *Batch, cd candidate, all []*vmState, nowMS int64, round int) bool {
 	service := ct.queueOf(cd.st.oc.jb).GetService()
 	if ct.fitsNone(service, cd) {
 		return false
@@ -294,7 +304,8 @@
 		ct.placeGang(bt, cd.st, pool)
 		return false
 	}
-	left := ct.startsPerRound(cd)
+	cd.st.leavesHalf = round == firstRound && cd.st.unassigned.Count() > tasksPerTurn
+	left := ct.startsInRound(cd)
 	for tk := range cd.st.waitingTasks(nowMS) {
 		if left == 0 {
 			return true
@@ -318,7 +329,7 @@
 				ct.recordUnplaceable(cd.st, all, nowMS)
 				reserveVM(cd.st, pool)
 			}
-			return false
+			return cd.st.leavesHalf
 		}
 		ct.planStart(bt, vm, tk, tk.run+1)
 		left--
