Logs tell by which proof a run without its VM's word was given up

The users' record of two runs of one task at once holds no line that says why the owner took the first run for over: releases by lease, by the list of machines, by a 421 and by an earlier owner's token were logged per VM and as information only, or not at all, and the VM's clock in the answer to a start was dropped.

- run-given-up, a warning with the task's name: the proof, the run's age and token, how long the VM has been silent and its lease over.
- start-on-restarted-vm, a warning: a start was accepted by a later incarnation of its VM than that for whose clock its deadline was computed; with the lease that it asked for there.
An order's outcome now holds the VM's clock, also through another entry (Result.vm_clock_ms), and nothing decides by it yet.
- ownership-taken is a warning.

The stand-in's VMs answer orders with their clock, as the platform's do.

--- a/internal/observability/callmetrics/callmetrics.go
+++ b/internal/observability/callmetrics/callmetrics.go
@@ -51,12 +51,12 @@
 }
 
 // Order wraps the function that sends an order, so that calls are counted by verb and verdict, and their durations recorded by verb.
-func (ca *Calls) Order(inner func(context.Context, *workpb.Order) workpb.Verdict) func(context.Context, *workpb.Order) workpb.Verdict {
-	return func(ctx context.Context, od *workpb.Order) workpb.Verdict {
+func (ca *Calls) Order(inner func(context.Context, *workpb.Order) *workpb.Outcome) func(context.Context, *workpb.Order) *workpb.Outcome {
+	return func(ctx context.Context, od *workpb.Order) *workpb.Outcome {
 		startMS := ca.ck.Now()
-		vd := inner(ctx, od)
-		ca.record("order", od.GetVerb().String(), vd.String(), startMS)
-		return vd
+		oc := inner(ctx, od)
+		ca.record("order", od.GetVerb().String(), oc.GetVerdict().String(), startMS)
+		return oc
 	}
 }
 
--- a/internal/observability/callmetrics/callmetrics_test.go
+++ b/internal/observability/callmetrics/callmetrics_test.go
@@ -30,7 +30,9 @@
 	st.SetDown(true)
 	_, err = rs.Partitions(ctx, "t")
 	qt.Assert(t, err, qt.IsNotNil)
-	order := ca.Order(func(context.Context, *workpb.Order) workpb.Verdict { return workpb.Verdict_FENCED })
+	order := ca.Order(func(context.Context, *workpb.Order) *workpb.Outcome {
+		return &workpb.Outcome{Verdict: workpb.Verdict_FENCED}
+	})
 	order(ctx, &workpb.Order{Verb: workpb.Verb_STOP})
 	for _, name := range []string{"store.commit.ok", "store.commit.conflict", "store.read.ok", "store.parts.table-unavailable", "order.STOP.FENCED"} {
 		qt.Check(t, rg.Counter(name), qt.Equals, int64(1), qt.Commentf(name))
--- a/internal/observability/event/event.go
+++ b/internal/observability/event/event.go
@@ -41,6 +41,18 @@
 	write(lg.logger.Info().Str(logline.EventField, name).KeysAndValues(pairs...), suppressed)
 }
 
+// Warn writes an event that operators should see when they look for the cause of a failure; pairs alternates kebab-case names and values.
+func (lg *Log) Warn(name string, pairs ...any) {
+	if lg.onEvent != nil {
+		lg.onEvent(name, pairs)
+	}
+	suppressed, ok := lg.rateLimiter.admit(name)
+	if !ok {
+		return
+	}
+	write(lg.logger.Warn().Str(logline.EventField, name).KeysAndValues(pairs...), suppressed)
+}
+
 // Fail writes an event for an operation that failed, with the error and its result code.
 func (lg *Log) Fail(name string, err error, pairs ...any) {
 	if lg.onEvent != nil {
--- a/internal/scheduling/jobcontrol/backlog_bench_test.go
+++ b/internal/scheduling/jobcontrol/backlog_bench_test.go
@@ -79,7 +79,7 @@
 		}
 		for _, od := range bl.ct.ConfirmStored(bt) {
 			idle = 0
-			bl.ct.HandleVerdict(od, workpb.Verdict_ACCEPTED)
+			bl.ct.HandleOutcome(od, outcome(workpb.Verdict_ACCEPTED))
 			running[od.GetVm()] = append(running[od.GetVm()], &workpb.RunningRun{Task: od.GetTask(), Run: od.GetRun()})
 		}
 		bl.ck.Advance(60)
--- a/internal/scheduling/jobcontrol/counted_test.go
+++ b/internal/scheduling/jobcontrol/counted_test.go
@@ -58,16 +58,16 @@
 		end func(fl *fleet, od *workpb.Order)
 	}{
 		{name: "run in doubt that was stopped", end: func(fl *fleet, od *workpb.Order) {
-			fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 		}},
 		{name: "run listed as failed", end: func(fl *fleet, od *workpb.Order) {
 			fl.setBehavior(100, workpb.End_END_FAILED)
 			fl.ct.HandleRepeated(od)
-			fl.ct.HandleVerdict(od, fl.workers[od.GetVm()].Order(od))
+			fl.ct.HandleOutcome(od, fl.workers[od.GetVm()].Answer(od))
 		}},
 		{name: "run vanished in an earlier restart", end: func(fl *fleet, od *workpb.Order) {
 			fl.ct.HandleRepeated(od)
-			fl.ct.HandleVerdict(od, fl.workers[od.GetVm()].Order(od))
+			fl.ct.HandleOutcome(od, fl.workers[od.GetVm()].Answer(od))
 			fl.run(500)
 			fl.workers[od.GetVm()].Restart()
 		}},
@@ -104,24 +104,24 @@
 		lateMS int64
 	}{
 		{name: "unanswered", lateMS: 8000, doubt: func(fl *fleet, od *workpb.Order) {
-			fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 		}},
 		{name: "unanswered, VM unregistered", lateMS: 8000, doubt: func(fl *fleet, od *workpb.Order) {
-			fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 			fl.ct.DropVM(od.GetVm())
 		}},
 		{name: "unanswered, stop unanswered", lateMS: 8000, doubt: func(fl *fleet, od *workpb.Order) {
-			fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 			fl.loseAnswer = func(other *workpb.Order) bool { return other.GetVerb() == workpb.Verb_STOP }
 			fl.run(200)
 		}},
 		{name: "one of two copies unanswered", lateMS: 8000, doubt: func(fl *fleet, od *workpb.Order) {
 			fl.ct.HandleRepeated(od)
-			fl.ct.HandleVerdict(od, fl.workers[od.GetVm()].Order(od))
+			fl.ct.HandleOutcome(od, fl.workers[od.GetVm()].Answer(od))
 		}},
 		{name: "sent late and unanswered", lateMS: 11_500, doubt: func(fl *fleet, od *workpb.Order) {
 			fl.run(3000)
-			fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 		}},
 		{name: "unanswered under an earlier owner", lateMS: 11_500, doubt: func(fl *fleet, _ *workpb.Order) {
 			fl.newOwner()
@@ -153,7 +153,7 @@
 	for id := range fl.workers {
 		fl.ct.Cordon(id, true)
 	}
-	fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+	fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 	fl.run(1000)
 	fl.workers[host].Restart()
 	fl.workers[host].Order(od)
@@ -177,7 +177,7 @@
 		stop = other
 		return true
 	}
-	fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+	fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 	for stop == nil {
 		fl.run(stepMS)
 	}
@@ -185,7 +185,7 @@
 	fl.workers[od.GetVm()].Restart()
 	fl.register(od.GetVm())
 	fl.run(stepMS)
-	fl.ct.HandleVerdict(stop, workpb.Verdict_ACCEPTED)
+	fl.ct.HandleOutcome(stop, outcome(workpb.Verdict_ACCEPTED))
 	fl.run(200)
 	fl.workers[od.GetVm()].Order(od)
 	fl.run(500)
@@ -199,7 +199,7 @@
 	fl.setBehavior(60_000, workpb.End_END_DONE)
 	fl.run(settledMS)
 	od := fl.holdStart(jobOf("j1", stepOf(1)))
-	fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+	fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 	fl.crash(od.GetVm())
 	fl.run(8000)
 	fl.workers[od.GetVm()].Restart()
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -184,12 +184,16 @@
 	return jb.queue
 }
 
-// HandleVerdict records the outcome of an order.
-func (ct *Controller) HandleVerdict(od *workpb.Order, vd workpb.Verdict) {
+// HandleOutcome records the outcome of an order.
+func (ct *Controller) HandleOutcome(od *workpb.Order, oc *workpb.Outcome) {
 	vm, ok := ct.vms[od.GetVm()]
 	if !ok {
 		return
 	}
+	vd := oc.GetVerdict()
+	if od.GetVerb() == workpb.Verb_START && vd == workpb.Verdict_ACCEPTED && ct.startedByLaterIncarnation(od, oc) {
+		ct.logStartOnRestartedVM(od, oc)
+	}
 	key := runKey{od.GetTask(), od.GetRun()}
 	rn, ok := vm.runs[key]
 	if !ok {
--- a/internal/scheduling/jobcontrol/fleet_test.go
+++ b/internal/scheduling/jobcontrol/fleet_test.go
@@ -200,7 +200,7 @@
 	for _, od := range orders {
 		wk, ok := fl.workers[od.GetVm()]
 		if !ok || fl.unresponsive[od.GetVm()] {
-			fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 			continue
 		}
 		fl.beforeOrder(od)
@@ -208,14 +208,17 @@
 			fl.held = append(fl.held, od)
 			continue
 		}
-		vd := wk.Order(od)
+		oc := wk.Answer(od)
 		if fl.loseAnswer(od) {
-			vd = workpb.Verdict_IN_DOUBT
+			oc = outcome(workpb.Verdict_IN_DOUBT)
 		}
-		fl.ct.HandleVerdict(od, vd)
+		fl.ct.HandleOutcome(od, oc)
 	}
 }
 
+// outcome returns the outcome of an order without the VM's clock.
+func outcome(vd workpb.Verdict) *workpb.Outcome { return &workpb.Outcome{Verdict: vd} }
+
 func (fl *fleet) state(id string) workpb.State { return fl.stored.state(id) }
 
 func jobOf(id string, steps ...*workpb.Step) *workpb.Job {
--- a/internal/scheduling/jobcontrol/growth_test.go
+++ b/internal/scheduling/jobcontrol/growth_test.go
@@ -91,7 +91,7 @@
 			return
 		}
 		for _, od := range orders {
-			fl.ct.HandleVerdict(od, workpb.Verdict_ACCEPTED)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_ACCEPTED))
 		}
 	}
 }
--- a/internal/scheduling/jobcontrol/historycalls_test.go
+++ b/internal/scheduling/jobcontrol/historycalls_test.go
@@ -34,7 +34,7 @@
 	copies   int
 	open     int
 	inDoubt  bool
-	refusal  workpb.Verdict
+	refusal  *workpb.Outcome
 	refused  bool
 	answered bool
 	// incarnation and known are the VM's incarnation and that of which the owner knew when the order was sent.
@@ -95,7 +95,7 @@
 		od := qu.waiting[0]
 		qu.waiting = qu.waiting[1:]
 		if od.GetVerb() == workpb.Verb_START && qu.unanswered >= maxUnansweredOrders {
-			hs.ct.HandleVerdict(od, workpb.Verdict_NOT_SENT)
+			hs.ct.HandleOutcome(od, outcome(workpb.Verdict_NOT_SENT))
 			continue
 		}
 		so := &sentOrder{od: od, qu: qu, sentMS: hs.ck.Now()}
@@ -117,19 +117,19 @@
 		so.incarnation, so.known = ht.incarnation, ht.knownIncarnation
 	}
 	sent := *so
-	execute := func() workpb.Verdict { return hs.execute(&sent) }
+	execute := func() *workpb.Outcome { return hs.execute(&sent) }
 	ht := hs.listening(so.od.GetAddress())
 	switch {
 	case ht == nil && hs.draw(2, "dark", call) == 0:
-		hs.answerCopy(so, 0, workpb.Verdict_NOT_SENT)
+		hs.answerCopy(so, 0, outcome(workpb.Verdict_NOT_SENT))
 	case ht == nil || ht.cut || hs.hits(lostOrders, call):
-		hs.answerCopy(so, answerTimeoutMS, workpb.Verdict_IN_DOUBT)
+		hs.answerCopy(so, answerTimeoutMS, outcome(workpb.Verdict_IN_DOUBT))
 	case hs.hits(lateOrders, call):
 		hs.after(minLateMS+hs.draw(maxLateMS-minLateMS, "late", call), func() { execute() })
-		hs.answerCopy(so, answerTimeoutMS, workpb.Verdict_IN_DOUBT)
+		hs.answerCopy(so, answerTimeoutMS, outcome(workpb.Verdict_IN_DOUBT))
 	case hs.hits(lostAnswers, call):
 		hs.after(hs.draw(maxLatencyMS, "arrives", call), func() { execute() })
-		hs.answerCopy(so, answerTimeoutMS, workpb.Verdict_IN_DOUBT)
+		hs.answerCopy(so, answerTimeoutMS, outcome(workpb.Verdict_IN_DOUBT))
 	default:
 		hs.after(hs.draw(maxLatencyMS, "arrives", call), func() { hs.answerCopy(so, hs.latency(call), execute()) })
 	}
@@ -165,26 +165,26 @@
 }
 
 // execute executes a copy of an order at its address, if a VM runs there by then.
-func (hs *history) execute(so *sentOrder) workpb.Verdict {
+func (hs *history) execute(so *sentOrder) *workpb.Outcome {
 	ht := hs.listening(so.od.GetAddress())
 	if ht == nil || ht.cut {
-		return workpb.Verdict_IN_DOUBT
+		return outcome(workpb.Verdict_IN_DOUBT)
 	}
 	if ht.vm.GetId() != so.od.GetVm() {
-		return workpb.Verdict_OTHER_VM
+		return outcome(workpb.Verdict_OTHER_VM)
 	}
 	hs.executing = so
-	vd := ht.wk.Order(so.od)
+	oc := ht.wk.Answer(so.od)
 	hs.executing = nil
-	if vd == workpb.Verdict_ACCEPTED {
+	if oc.GetVerdict() == workpb.Verdict_ACCEPTED {
 		ht.leaseMS = max(ht.leaseMS, so.od.GetLeaseUntilMs())
 	}
-	return vd
+	return oc
 }
 
 // answerCopy delivers the outcome of one copy; the order is answered once a copy was accepted or none is left.
-func (hs *history) answerCopy(so *sentOrder, delayMS int64, vd workpb.Verdict) {
-	if vd == workpb.Verdict_IN_DOUBT {
+func (hs *history) answerCopy(so *sentOrder, delayMS int64, oc *workpb.Outcome) {
+	if oc.GetVerdict() == workpb.Verdict_IN_DOUBT {
 		delayMS = max(delayMS, answerTimeoutMS)
 	}
 	hs.toOwner(delayMS, func() {
@@ -192,29 +192,29 @@
 			return
 		}
 		so.open--
-		switch vd {
+		switch oc.GetVerdict() {
 		case workpb.Verdict_ACCEPTED, workpb.Verdict_FENCED:
-			hs.answerOrder(so, vd)
+			hs.answerOrder(so, oc)
 			return
 		case workpb.Verdict_IN_DOUBT:
 			so.inDoubt = true
 		default:
-			so.refused, so.refusal = true, vd
+			so.refused, so.refusal = true, oc
 		}
 		switch {
 		case so.open > 0:
 		case so.inDoubt:
-			hs.answerOrder(so, workpb.Verdict_IN_DOUBT)
+			hs.answerOrder(so, outcome(workpb.Verdict_IN_DOUBT))
 		default:
 			hs.answerOrder(so, so.refusal)
 		}
 	})
 }
 
-func (hs *history) answerOrder(so *sentOrder, vd workpb.Verdict) {
+func (hs *history) answerOrder(so *sentOrder, oc *workpb.Outcome) {
 	so.answered = true
 	delete(so.qu.inFlight, so)
-	switch vd {
+	switch oc.GetVerdict() {
 	case workpb.Verdict_NOT_SENT:
 		so.qu.unanswered = maxUnansweredOrders
 	case workpb.Verdict_IN_DOUBT:
@@ -226,10 +226,10 @@
 		hs.ct.HandleRepeated(so.od)
 	}
 	switch {
-	case vd != workpb.Verdict_FENCED:
-		hs.ct.HandleVerdict(so.od, vd)
+	case oc.GetVerdict() != workpb.Verdict_FENCED:
+		hs.ct.HandleOutcome(so.od, oc)
 	case so.od.GetToken() < hs.ct.TokenOf(so.od.GetVm()):
-		hs.ct.HandleVerdict(so.od, workpb.Verdict_IN_DOUBT)
+		hs.ct.HandleOutcome(so.od, outcome(workpb.Verdict_IN_DOUBT))
 	}
 }
 
--- a/internal/scheduling/jobcontrol/lateend_test.go
+++ b/internal/scheduling/jobcontrol/lateend_test.go
@@ -20,7 +20,7 @@
 	fl := newLimitFleet(t, vmOf("a"), vmOf("b"))
 	fl.setRules(smallCapRules())
 	od := fl.holdStart(jobOf("j1", onePerVM(1)))
-	fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+	fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 	fl.run(1000)
 	fl.submit(jobOf("j2", onePerVM(1)))
 	return fl, od
@@ -54,12 +54,12 @@
 	fl.setBehavior(stepMS, workpb.End_END_DONE)
 	fl.run(settledMS)
 	first := fl.holdStart(jobOf("j1", stepOf(1)))
-	fl.ct.HandleVerdict(first, workpb.Verdict_IN_DOUBT)
+	fl.ct.HandleOutcome(first, outcome(workpb.Verdict_IN_DOUBT))
 	fl.holdStarts = true
 	fl.run(1500)
 	fl.holdStarts = false
 	qt.Assert(t, len(fl.held), qt.Equals, 2)
-	fl.ct.HandleVerdict(fl.held[1], workpb.Verdict_IN_DOUBT)
+	fl.ct.HandleOutcome(fl.held[1], outcome(workpb.Verdict_IN_DOUBT))
 	fl.workers["a"].Restart()
 	fl.workers["a"].Order(first)
 	fl.register("a")
--- a/internal/scheduling/jobcontrol/latestart_bench_test.go
+++ b/internal/scheduling/jobcontrol/latestart_bench_test.go
@@ -48,7 +48,7 @@
 		ct.Submit(jb)
 		for _, od := range ct.ConfirmStored(ct.Plan(true)) {
 			ct.HandleRepeated(od)
-			ct.HandleVerdict(od, workpb.Verdict_ACCEPTED)
+			ct.HandleOutcome(od, outcome(workpb.Verdict_ACCEPTED))
 			number[od.GetVm()]++
 			ended[od.GetVm()] = append(ended[od.GetVm()], &workpb.EndedRun{Number: number[od.GetVm()], Task: od.GetTask(), Run: od.GetRun(), End: workpb.End_END_DONE})
 		}
@@ -66,7 +66,7 @@
 		}
 		b.StopTimer()
 		for _, od := range ct.ConfirmStored(bt) {
-			ct.HandleVerdict(od, workpb.Verdict_NO_ROOM)
+			ct.HandleOutcome(od, outcome(workpb.Verdict_NO_ROOM))
 		}
 		ct.Cancel(jb.GetId())
 		ct.ConfirmStored(ct.Plan(false))
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -71,7 +71,7 @@
 	for _, rn := range vm.runs {
 		confirmed := rn.phase == phaseRunning && nowMS >= rn.mayStartUntilMS
 		if rn.startedMS < readMS && (rn.settled || confirmed) {
-			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
+			ct.giveUpRun(rn, proofMachineDown)
 		}
 	}
 	if ended := before - len(vm.runs); ended > 0 {
@@ -155,7 +155,7 @@
 }
 
 // expireRuns ends the runs of a VM whose leases have expired, except for those whose start may still be executed once the VM starts again under its id. The VM may have done so already.
-func (ct *Controller) expireRuns(vm *vmState) {
+func (ct *Controller) expireRuns(vm *vmState, why proof) {
 	nowMS := ct.ck.Now()
 	before := len(vm.runs)
 	for _, rn := range vm.runs {
@@ -165,7 +165,7 @@
 			ct.setPhase(rn, phaseStopping)
 			rn.stoppedMS = 0
 		default:
-			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
+			ct.giveUpRun(rn, why)
 		}
 	}
 	if ended := before - len(vm.runs); ended > 0 {
@@ -180,7 +180,7 @@
 	for _, rn := range vm.runs {
 		if rn.phase != phasePlanned {
 			rn.mayStartUntilMS = 0
-			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
+			ct.giveUpRun(rn, proofMachineEnded)
 		}
 	}
 }
--- a/internal/scheduling/jobcontrol/oddinput_test.go
+++ b/internal/scheduling/jobcontrol/oddinput_test.go
@@ -112,7 +112,7 @@
 	case 3:
 		fl.ct.Cancel(os.text())
 	case 4:
-		fl.ct.HandleVerdict(&workpb.Order{Verb: workpb.Verb(os.small()), Vm: "odd", Task: os.text(), Run: os.number(), Token: os.number()}, workpb.Verdict(os.small()))
+		fl.ct.HandleOutcome(&workpb.Order{Verb: workpb.Verb(os.small()), Vm: "odd", Task: os.text(), Run: os.number(), Token: os.number(), LeaseUntilMs: os.number()}, &workpb.Outcome{Verdict: workpb.Verdict(os.small()), ClockMs: os.number()})
 	case 5:
 		fl.ct.DropVM(os.text())
 	default:
@@ -133,11 +133,11 @@
 	}
 	orders := fl.ct.ConfirmStored(fl.ct.Plan(true))
 	for _, od := range append(orders, fl.ct.Outbox()...) {
-		vd := workpb.Verdict(os.rd.IntN(12))
+		oc := &workpb.Outcome{Verdict: workpb.Verdict(os.rd.IntN(12)), ClockMs: os.number()}
 		if wk := fl.workers[od.GetVm()]; wk != nil {
-			vd = wk.Order(od)
+			oc = wk.Answer(od)
 		}
-		fl.ct.HandleVerdict(od, vd)
+		fl.ct.HandleOutcome(od, oc)
 	}
 	for _, rq := range fl.ct.AdviceRequests() {
 		fl.ct.HandleAdvice(rq, fl.ck.Now(), os.advice())
--- a/internal/scheduling/jobcontrol/owner_bench_test.go
+++ b/internal/scheduling/jobcontrol/owner_bench_test.go
@@ -139,7 +139,7 @@
 			bo.vms[od.GetVm()].running[od] = bo.ck.Now() + bo.taskMS*int64(80+bo.rg.IntN(40))/100
 		}
 		beginNS := time.Now()
-		bo.ct.HandleVerdict(od, workpb.Verdict_ACCEPTED)
+		bo.ct.HandleOutcome(od, outcome(workpb.Verdict_ACCEPTED))
 		bo.planNS += time.Since(beginNS).Nanoseconds()
 	}
 }
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -28,7 +28,7 @@
 		}
 		if len(vm.runs) > 0 && nowMS-vm.answeredMS > ct.maxLeaseMS() {
 			vm.synced = false
-			ct.expireRuns(vm)
+			ct.expireRuns(vm, proofLeaseExpired)
 		}
 		if !vm.registered && len(vm.runs) == 0 && len(vm.lateStarts) == 0 && !vm.polling {
 			ct.forgetVM(vm)
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -236,7 +236,7 @@
 	if vd == workpb.Verdict_OTHER_VM {
 		// Another VM has the address, so the addressed one has ended.
 		vm.synced, vm.machineLost = false, true
-		ct.expireRuns(vm)
+		ct.expireRuns(vm, proofOtherVM)
 	}
 }
 
--- a/internal/scheduling/jobcontrol/reconcile.go
+++ b/internal/scheduling/jobcontrol/reconcile.go
@@ -38,7 +38,7 @@
 			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 		case rn.phase == phaseInDoubt && rn.token < ct.token:
 			// The VM has seen this owner's token, so it will no longer execute an earlier owner's order.
-			ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
+			ct.giveUpRun(rn, proofEarlierFenced)
 			ended[key.task] = true
 		case rn.phase == phaseInDoubt:
 			ct.stop(rn)
--- a/internal/scheduling/jobcontrol/repeatedstart_test.go
+++ b/internal/scheduling/jobcontrol/repeatedstart_test.go
@@ -18,7 +18,7 @@
 		fl.run(100)
 		qt.Assert(t, len(fl.held), qt.Equals, 1)
 		od := fl.held[0]
-		fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+		fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 		fl.holdStarts = false
 		fl.crash(od.GetVm())
 		next(fl)
@@ -81,9 +81,9 @@
 			fl.holdStarts = false
 			od := fl.held[0]
 			host := od.GetVm()
-			vd := fl.workers[host].Order(od)
+			oc := fl.workers[host].Answer(od)
 			fl.ct.HandleRepeated(od)
-			fl.ct.HandleVerdict(od, vd)
+			fl.ct.HandleOutcome(od, oc)
 			fl.run(1000)
 			fl.crash(host)
 			fl.runWithLists(tc.downMS, fl.machinesWithDown)
--- a/internal/scheduling/jobcontrol/review_test.go
+++ b/internal/scheduling/jobcontrol/review_test.go
@@ -31,7 +31,7 @@
 			if tc.copies > 1 {
 				fl.ct.HandleRepeated(od)
 			}
-			fl.ct.HandleVerdict(od, tc.verdict)
+			fl.ct.HandleOutcome(od, outcome(tc.verdict))
 			fl.run(1000)
 			qt.Assert(t, len(fl.starts), qt.Equals, tc.starts)
 		})
@@ -48,7 +48,7 @@
 	fl.ck.Advance(100)
 	fl.pollAll()
 	fl.ct.HandleRepeated(od)
-	fl.ct.HandleVerdict(od, workpb.Verdict_ACCEPTED)
+	fl.ct.HandleOutcome(od, outcome(workpb.Verdict_ACCEPTED))
 	fl.run(11_000)
 	qt.Assert(t, len(fl.starts), qt.Equals, 1)
 }
@@ -76,7 +76,7 @@
 			od := fl.holdStart(jobOf("j1", stepOf(1)))
 			host := od.GetVm()
 			fl.ct.Cordon(map[string]string{"a": "b", "b": "a"}[host], true)
-			fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 			fl.run(1000)
 			qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
 			fl.ct.Cordon("a", false)
@@ -108,7 +108,7 @@
 	host, other := od.GetVm(), map[string]string{"a": "b", "b": "a"}[od.GetVm()]
 	fl.ct.Cordon(host, true)
 	fl.workers[other].Behave = func(string, int64) (int64, workpb.End) { return 1500, workpb.End_END_FAILED }
-	fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+	fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 	fl.run(1000)
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
 	fl.ct.Cordon(other, true)
@@ -131,7 +131,7 @@
 	fl.run(settledMS)
 	od := fl.holdStart(jobOf("j1", stepOf(1)))
 	fl.loseAnswer = func(other *workpb.Order) bool { return other.GetVerb() == workpb.Verb_STOP }
-	fl.ct.HandleVerdict(od, workpb.Verdict_IN_DOUBT)
+	fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 	fl.run(12_500)
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 0)
 	fl.run(3000)
--- a/internal/scheduling/jobcontrol/waiting_bench_test.go
+++ b/internal/scheduling/jobcontrol/waiting_bench_test.go
@@ -50,7 +50,7 @@
 	}
 	for range 20 {
 		for _, od := range ct.ConfirmStored(ct.Plan(true)) {
-			ct.HandleVerdict(od, workpb.Verdict_ACCEPTED)
+			ct.HandleOutcome(od, outcome(workpb.Verdict_ACCEPTED))
 		}
 	}
 	for b.Loop() {
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -30,7 +30,7 @@
 type Dependencies struct {
 	Store *rowstore.Store
 	// Order sends an order to a VM; Poll renews the run leases on a VM and returns its running and ended runs.
-	Order func(ctx context.Context, od *workpb.Order) workpb.Verdict
+	Order func(ctx context.Context, od *workpb.Order) *workpb.Outcome
 	Poll  func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict)
 	// Relays carries orders and polls through other entries where this entry's link doesn't suffice.
 	Relays *relay.Relay
--- a/internal/scheduling/jobrunner/jobrunner_test.go
+++ b/internal/scheduling/jobrunner/jobrunner_test.go
@@ -215,11 +215,11 @@
 	ow := ownership.New(st, si.ck, name, fmt.Sprintf("%s.%d", name, si.ck.Now()), strength).WithLink(link.rate())
 	deps := &jobrunner.Dependencies{
 		Store: st,
-		Order: func(ctx context.Context, od *workpb.Order) workpb.Verdict {
+		Order: func(ctx context.Context, od *workpb.Order) *workpb.Outcome {
 			link.transfer(ctx, callBytes+int64(len(od.GetPayload())))
 			if en.delay() || si.answerLost(od.GetVm()) {
 				si.wait(orderTimeoutMS)
-				return workpb.Verdict_IN_DOUBT
+				return &workpb.Outcome{Verdict: workpb.Verdict_IN_DOUBT}
 			}
 			return si.order(ctx, od)
 		},
@@ -348,7 +348,7 @@
 	return func() *rulesindex.Index { return ix }
 }
 
-func (si *simulation) order(_ context.Context, od *workpb.Order) workpb.Verdict {
+func (si *simulation) order(_ context.Context, od *workpb.Order) *workpb.Outcome {
 	si.mu.Lock()
 	arrivalMS := si.arrivalDelayMS
 	si.mu.Unlock()
@@ -358,13 +358,13 @@
 	if si.intercept(od) {
 		si.mu.Unlock()
 		si.wait(unansweredMS)
-		return workpb.Verdict_IN_DOUBT
+		return &workpb.Outcome{Verdict: workpb.Verdict_IN_DOUBT}
 	}
-	vd := si.workers[od.GetVm()].Order(od)
+	oc := si.workers[od.GetVm()].Answer(od)
 	delayMS := si.answerDelayMS[od.GetVm()]
 	si.mu.Unlock()
 	si.wait(delayMS)
-	return vd
+	return oc
 }
 
 // checkStopped fails the test if an entry sends the start of a run after its stop; the caller holds the simulation's lock.
--- a/internal/scheduling/jobrunner/manystops_test.go
+++ b/internal/scheduling/jobrunner/manystops_test.go
@@ -20,9 +20,9 @@
 func queueStops(t *testing.T, runs int32) time.Duration {
 	ck := clock.NewFake(1000)
 	ow := ownership.New(rowstoretest.New(ck).Rowstore(), ck, "one", "one.1", 1)
-	order := func(ctx context.Context, _ *workpb.Order) workpb.Verdict {
+	order := func(ctx context.Context, _ *workpb.Order) *workpb.Outcome {
 		<-ctx.Done()
-		return workpb.Verdict_IN_DOUBT
+		return &workpb.Outcome{Verdict: workpb.Verdict_IN_DOUBT}
 	}
 	rn := jobrunner.New(&jobrunner.Dependencies{Order: order}, ck, event.Discard(), ow, 4000, 0)
 	ct := rn.Controller()
@@ -38,7 +38,7 @@
 		qt.Assert(t, len(orders) > 0, qt.IsTrue)
 		started += len(orders)
 		for _, od := range orders {
-			ct.HandleVerdict(od, workpb.Verdict_ACCEPTED)
+			ct.HandleOutcome(od, &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED, ClockMs: ck.Now()})
 		}
 	}
 	ct.Cancel(largeJobID)
--- a/internal/scheduling/jobrunner/ordercopies.go
+++ b/internal/scheduling/jobrunner/ordercopies.go
@@ -43,9 +43,9 @@
 			if refusal.unsent != "" {
 				refusal = an
 			}
-		case an.verdict == workpb.Verdict_ACCEPTED || an.verdict == workpb.Verdict_FENCED:
+		case an.verdict() == workpb.Verdict_ACCEPTED || an.verdict() == workpb.Verdict_FENCED:
 			return an
-		case an.verdict == workpb.Verdict_IN_DOUBT:
+		case an.verdict() == workpb.Verdict_IN_DOUBT:
 			oc.inDoubt, doubt = true, an
 		default:
 			oc.refused, refusal = true, an
@@ -77,7 +77,8 @@
 			oc.answers <- oc.unsent()
 			return
 		}
-		vd := rn.deps.Order(checked, oc.qo.od)
+		out := rn.deps.Order(checked, oc.qo.od)
+		vd := out.GetVerdict()
 		if vd == workpb.Verdict_NOT_SENT && !allowed() {
 			oc.answers <- oc.unsent()
 			return
@@ -87,7 +88,7 @@
 			rn.startRetry.Record(tookMS)
 		}
 		oc.oq.recordCopy(ctx, vd, sentMS)
-		oc.answers <- orderAnswer{verdict: vd, tookMS: tookMS}
+		oc.answers <- orderAnswer{outcome: out, tookMS: tookMS}
 	}()
 }
 
@@ -97,7 +98,7 @@
 	if !oc.oq.rn.maySendOrder(oc.qo.od) {
 		reason = unsentLeaseExpired
 	}
-	return orderAnswer{verdict: workpb.Verdict_NOT_SENT, unsent: reason}
+	return orderAnswer{outcome: notSent(), unsent: reason}
 }
 
 // wait waits for the answer to a copy, or until another copy may be sent.
--- a/internal/scheduling/jobrunner/orderqueue.go
+++ b/internal/scheduling/jobrunner/orderqueue.go
@@ -157,7 +157,7 @@
 		if qo == nil {
 			return
 		}
-		an := orderAnswer{verdict: workpb.Verdict_NOT_SENT}
+		an := orderAnswer{outcome: notSent()}
 		if send {
 			an = oq.send(ctx, qo)
 		}
@@ -191,23 +191,28 @@
 		rn.ct.HandleUnsent(od)
 		return
 	}
-	rn.recordCall(od.GetZone(), an.verdict, an.tookMS)
-	rn.recordOrder(an.verdict, an.tookMS)
+	rn.recordCall(od.GetZone(), an.verdict(), an.tookMS)
+	rn.recordOrder(an.verdict(), an.tookMS)
 	if an.copies > 1 && od.GetVerb() == workpb.Verb_START {
 		rn.ct.HandleRepeated(od)
 	}
-	rn.handleAnswer(od, an.verdict)
+	rn.handleAnswer(od, an.outcome)
 }
 
-// orderAnswer is the outcome of an order: its verdict, how long the copy that decided it took, and how many copies were sent.
+// orderAnswer is the outcome of an order, how long the copy that decided it took, and how many copies were sent.
 type orderAnswer struct {
-	verdict workpb.Verdict
+	outcome *workpb.Outcome
 	tookMS  int64
 	copies  int
 	// unsent is set if no copy left this entry for a reason that has nothing to do with the VM.
 	unsent unsentReason
 }
 
+func (an orderAnswer) verdict() workpb.Verdict { return an.outcome.GetVerdict() }
+
+// notSent returns the outcome of an order that was not sent.
+func notSent() *workpb.Outcome { return &workpb.Outcome{Verdict: workpb.Verdict_NOT_SENT} }
+
 // unsentReason says why a start was not sent.
 type unsentReason string
 
@@ -224,9 +229,9 @@
 		return oq.sendCopies(ctx, qo)
 	}
 	sentMS := oq.rn.ck.Now()
-	vd := oq.rn.deps.Order(ctx, qo.od)
-	oq.recordCopy(ctx, vd, sentMS)
-	return orderAnswer{verdict: vd, tookMS: oq.rn.ck.Now() - sentMS, copies: 1}
+	out := oq.rn.deps.Order(ctx, qo.od)
+	oq.recordCopy(ctx, out.GetVerdict(), sentMS)
+	return orderAnswer{outcome: out, tookMS: oq.rn.ck.Now() - sentMS, copies: 1}
 }
 
 // dropStop removes the waiting stop of an order's run, of whose start the VM has never heard.
@@ -311,17 +316,18 @@
 	return od.GetVerb() != workpb.Verb_START || rn.ow.Held()
 }
 
-func (rn *Runner) handleAnswer(od *workpb.Order, vd workpb.Verdict) {
+func (rn *Runner) handleAnswer(od *workpb.Order, out *workpb.Outcome) {
+	vd := out.GetVerdict()
 	if vd == workpb.Verdict_FENCED && !rn.outdated(od.GetVm(), od.GetToken()) {
 		rn.handleFenced(od.GetVm(), od.GetToken())
 		return
 	}
 	if vd == workpb.Verdict_FENCED {
-		vd = workpb.Verdict_IN_DOUBT
+		out = &workpb.Outcome{Verdict: workpb.Verdict_IN_DOUBT}
 	}
 	if !rn.startAccepted && od.GetVerb() == workpb.Verb_START && vd == workpb.Verdict_ACCEPTED {
 		rn.startAccepted = true
 		rn.lg.Info("first-start-accepted", "token", rn.ow.Token(), "after-ms", rn.ck.Now()-rn.startMS)
 	}
-	rn.ct.HandleVerdict(od, vd)
+	rn.ct.HandleOutcome(od, out)
 }
--- a/internal/scheduling/jobrunner/processor_test.go
+++ b/internal/scheduling/jobrunner/processor_test.go
@@ -107,17 +107,17 @@
 	si.startWith(name, nil, strength, func(deps *jobrunner.Dependencies, ow *ownership.Ownership) {
 		ow.WithRelay(name, "")
 		order, poll, rules := deps.Order, deps.Poll, deps.Rules
-		deps.Relays.Order = func(ctx context.Context, od *workpb.Order) workpb.Verdict {
+		deps.Relays.Order = func(ctx context.Context, od *workpb.Order) *workpb.Outcome {
 			ctx, cancel := si.ck.WithTimeout(ctx, orderTimeoutMS)
 			defer cancel()
 			if !pr.use(ctx, directCallUS) {
-				return workpb.Verdict_NOT_SENT
+				return &workpb.Outcome{Verdict: workpb.Verdict_NOT_SENT}
 			}
-			vd := order(ctx, od)
+			oc := order(ctx, od)
 			if !pr.use(ctx, directCallUS) {
-				return workpb.Verdict_IN_DOUBT
+				return &workpb.Outcome{Verdict: workpb.Verdict_IN_DOUBT}
 			}
-			return vd
+			return oc
 		}
 		deps.Relays.Poll = func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
 			ctx, cancel := si.ck.WithTimeout(ctx, lr.GetWaitMs()+pollMarginMS)
--- a/internal/scheduling/jobrunner/queuehistory_test.go
+++ b/internal/scheduling/jobrunner/queuehistory_test.go
@@ -106,7 +106,7 @@
 }
 
 // order checks an order that leaves, and answers soon, late, with a refusal or not at all.
-func (qh *queueHistory) order(_ context.Context, od *workpb.Order) workpb.Verdict {
+func (qh *queueHistory) order(_ context.Context, od *workpb.Order) *workpb.Outcome {
 	if od.GetVerb() == workpb.Verb_START {
 		qh.check(od)
 	}
@@ -114,18 +114,18 @@
 	switch draw := rng.IntN(100); {
 	case draw < 50:
 		qh.wait(rng.Int64N(20))
-		return workpb.Verdict_ACCEPTED
+		return &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED}
 	case draw < 75:
 		qh.wait(rng.Int64N(maxQueueAnswerMS))
-		return workpb.Verdict_ACCEPTED
+		return &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED}
 	case draw < 90:
 		qh.wait(unansweredMS)
-		return workpb.Verdict_IN_DOUBT
+		return &workpb.Outcome{Verdict: workpb.Verdict_IN_DOUBT}
 	case draw < 96:
 		qh.wait(rng.Int64N(20))
-		return workpb.Verdict_STALE_RUN
+		return &workpb.Outcome{Verdict: workpb.Verdict_STALE_RUN}
 	default:
-		return workpb.Verdict_NOT_SENT
+		return &workpb.Outcome{Verdict: workpb.Verdict_NOT_SENT}
 	}
 }
 
--- a/internal/scheduling/jobrunner/restore_bench_test.go
+++ b/internal/scheduling/jobrunner/restore_bench_test.go
@@ -165,12 +165,12 @@
 	started := make(chan int64, 1)
 	deps := &jobrunner.Dependencies{
 		Store: ls.rowstore(),
-		Order: func(context.Context, *workpb.Order) workpb.Verdict {
+		Order: func(context.Context, *workpb.Order) *workpb.Outcome {
 			select {
 			case started <- ls.ck.Now():
 			default:
 			}
-			return workpb.Verdict_ACCEPTED
+			return &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED}
 		},
 		Poll: func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
 			_ = ls.ck.Sleep(ctx, lr.GetWaitMs())
--- a/internal/scheduling/jobrunner/scheduler.go
+++ b/internal/scheduling/jobrunner/scheduler.go
@@ -96,7 +96,7 @@
 
 func (sc *Scheduler) runAsOwner(ctx context.Context) {
 	rn := New(sc.deps, sc.ck, sc.lg, sc.ow, sc.runLeaseMS, sc.retentionMS)
-	sc.lg.Info("ownership-taken", "token", sc.ow.Token())
+	sc.lg.Warn("ownership-taken", "token", sc.ow.Token())
 	sc.OnTakeover()
 	err := rn.Run(ctx)
 	if err != nil {
--- a/internal/scheduling/jobrunner/unsent_test.go
+++ b/internal/scheduling/jobrunner/unsent_test.go
@@ -43,10 +43,10 @@
 				_, err := ow.Poll(t.Context())
 				qt.Assert(t, err, qt.IsNil)
 				sent := sync.Map{}
-				order := func(_ context.Context, od *workpb.Order) workpb.Verdict {
+				order := func(_ context.Context, od *workpb.Order) *workpb.Outcome {
 					sent.Store(od.GetTask(), true)
 					time.Sleep(time.Duration(tc.answerMS) * time.Millisecond)
-					return tc.verdict
+					return &workpb.Outcome{Verdict: tc.verdict}
 				}
 				rn := jobrunner.New(&jobrunner.Dependencies{Order: order}, ck, event.Discard(), ow, 4000, 0)
 				orders := plannedStarts(t, rn, ck, starts)
@@ -97,13 +97,13 @@
 		_, err := ow.Poll(t.Context())
 		qt.Assert(t, err, qt.IsNil)
 		var late atomic.Int64
-		order := func(ctx context.Context, _ *workpb.Order) workpb.Verdict {
+		order := func(ctx context.Context, _ *workpb.Order) *workpb.Outcome {
 			time.Sleep((ownership.LeaseMS + 1) * time.Millisecond)
 			if !sendcheck.Allowed(ctx) {
-				return workpb.Verdict_NOT_SENT
+				return &workpb.Outcome{Verdict: workpb.Verdict_NOT_SENT}
 			}
 			late.Add(1)
-			return workpb.Verdict_ACCEPTED
+			return &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED}
 		}
 		rn := jobrunner.New(&jobrunner.Dependencies{Order: order}, ck, event.Discard(), ow, 4000, 0)
 		rn.Enqueue(t.Context(), plannedStarts(t, rn, ck, 3)...)
--- a/internal/scheduling/relay/relay.go
+++ b/internal/scheduling/relay/relay.go
@@ -23,7 +23,7 @@
 	// Dial opens a stream to the entry at an address.
 	Dial func(ctx context.Context, address string) (relaypb.DRPCRelay_CarryClient, error)
 	// Order and Poll call a VM directly.
-	Order func(ctx context.Context, od *workpb.Order) workpb.Verdict
+	Order func(ctx context.Context, od *workpb.Order) *workpb.Outcome
 	Poll  func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict)
 
 	mu    sync.Mutex
@@ -129,7 +129,7 @@
 }
 
 // SendOrder sends an order to a VM. Where this entry's link is short, orders that start a run are passed on without their payload, which the other entry reads from the store. An order that the other entry certainly didn't send is sent directly, since the fault may be that entry's. No call is sent on once this entry doesn't wait for it any more.
-func (re *Relay) SendOrder(ctx context.Context, od *workpb.Order) workpb.Verdict {
+func (re *Relay) SendOrder(ctx context.Context, od *workpb.Order) *workpb.Outcome {
 	lk := re.linkTo(od.GetVm(), od.GetZone())
 	if lk == nil {
 		return re.Order(ctx, od)
@@ -147,9 +147,9 @@
 	case outcome == notSent || (outcome == answered && rs.GetVerdict() == workpb.Verdict_NOT_SENT):
 		return re.Order(ctx, od)
 	case outcome == answered:
-		return rs.GetVerdict()
+		return &workpb.Outcome{Verdict: rs.GetVerdict(), ClockMs: rs.GetVmClockMs()}
 	default:
-		return workpb.Verdict_IN_DOUBT
+		return &workpb.Outcome{Verdict: workpb.Verdict_IN_DOUBT}
 	}
 }
 
--- a/internal/scheduling/relay/relay_test.go
+++ b/internal/scheduling/relay/relay_test.go
@@ -162,13 +162,13 @@
 	fl.callers[vm] = append(fl.callers[vm], caller)
 }
 
-func (fl *fleet) orderFrom(caller string) func(context.Context, *workpb.Order) workpb.Verdict {
-	return func(_ context.Context, od *workpb.Order) workpb.Verdict {
+func (fl *fleet) orderFrom(caller string) func(context.Context, *workpb.Order) *workpb.Outcome {
+	return func(_ context.Context, od *workpb.Order) *workpb.Outcome {
 		fl.record(od.GetVm(), caller)
 		fl.mu.Lock()
 		defer fl.mu.Unlock()
 		fl.payloads = append(fl.payloads, od.GetPayload())
-		return workpb.Verdict_ACCEPTED
+		return &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED, ClockMs: vmClockMS}
 	}
 }
 
@@ -178,16 +178,34 @@
 		if fl.withoutLists && caller != directCaller {
 			return nil, workpb.Verdict_ACCEPTED
 		}
-		return &workpb.Look{ClockMs: 7}, workpb.Verdict_ACCEPTED
+		return &workpb.Look{ClockMs: vmClockMS}, workpb.Verdict_ACCEPTED
 	}
 }
 
-func (fl *fleet) start(vm, zone string) workpb.Verdict {
+// vmClockMS is the clock in the VMs' answers.
+const vmClockMS = 7
+
+func (fl *fleet) start(vm, zone string) workpb.Verdict { return fl.startOutcome(vm, zone).GetVerdict() }
+
+func (fl *fleet) startOutcome(vm, zone string) *workpb.Outcome {
 	return fl.re.SendOrder(context.Background(), &workpb.Order{
 		Verb: workpb.Verb_START, Vm: vm, Zone: zone, Task: "00000000000000aa.0.0.0", Run: 1, Payload: "payload of 00000000000000aa",
 	})
 }
 
+// The clock in a VM's answer tells which of its incarnations started a run, whoever made the call.
+func TestOutcomeOfAStartHoldsTheClockOfItsVM(t *testing.T) {
+	play(t, func(fl *fleet) {
+		for _, zone := range []string{"b", "c"} {
+			oc := fl.startOutcome("vm-"+zone, zone)
+			qt.Check(t, oc.GetVerdict(), qt.Equals, workpb.Verdict_ACCEPTED)
+			qt.Check(t, oc.GetClockMs(), qt.Equals, int64(vmClockMS))
+		}
+		qt.Check(t, fl.callers["vm-b"], qt.DeepEquals, []string{"b1"})
+		qt.Check(t, fl.callers["vm-c"], qt.DeepEquals, []string{directCaller})
+	})
+}
+
 // play runs a test under virtual time with two entries in zone a and one in zone b.
 func play(t *testing.T, run func(fl *fleet)) { playWith(t, clock.New, run) }
 
@@ -305,7 +323,7 @@
 			return vd
 		}, []string{directCaller}},
 		{"pace", func(fl *fleet) workpb.Verdict {
-			return fl.re.SendOrder(context.Background(), &workpb.Order{Verb: workpb.Verb_PACE, Vm: "vm-1", Zone: "b", Percent: 20})
+			return fl.re.SendOrder(context.Background(), &workpb.Order{Verb: workpb.Verb_PACE, Vm: "vm-1", Zone: "b", Percent: 20}).GetVerdict()
 		}, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/scheduling/relayserver/relayserver.go
+++ b/internal/scheduling/relayserver/relayserver.go
@@ -17,7 +17,7 @@
 	ck *clock.Clock
 	lg *event.Log
 	// Order sends an order to a VM, Poll polls one; both bound their own duration.
-	Order func(ctx context.Context, od *workpb.Order) workpb.Verdict
+	Order func(ctx context.Context, od *workpb.Order) *workpb.Outcome
 	Poll  func(ctx context.Context, lr *workpb.LookRequest) (*workpb.Look, workpb.Verdict)
 	// ReadPayload returns the stored payload of a job.
 	ReadPayload func(ctx context.Context, job string) (string, error)
@@ -81,7 +81,8 @@
 		rs.Look, rs.Verdict = sv.Poll(ctx, lr)
 		return rs
 	}
-	rs.Verdict = sv.Order(ctx, od)
+	oc := sv.Order(ctx, od)
+	rs.Verdict, rs.VmClockMs = oc.GetVerdict(), oc.GetClockMs()
 	return rs
 }
 
--- a/internal/scheduling/relayserver/relayserver_test.go
+++ b/internal/scheduling/relayserver/relayserver_test.go
@@ -58,9 +58,9 @@
 	} {
 		made := 0
 		sv := relayserver.New(clock.New(), event.Discard())
-		sv.Order = func(context.Context, *workpb.Order) workpb.Verdict {
+		sv.Order = func(context.Context, *workpb.Order) *workpb.Outcome {
 			made++
-			return workpb.Verdict_ACCEPTED
+			return &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED}
 		}
 		sv.Poll = func(context.Context, *workpb.LookRequest) (*workpb.Look, workpb.Verdict) {
 			made++
@@ -84,12 +84,12 @@
 	}{{400, workpb.Verdict_ACCEPTED}, {600, workpb.Verdict_NOT_SENT}} {
 		ck := clock.NewFake(1000)
 		sv := relayserver.New(ck, event.Discard())
-		sv.Order = func(ctx context.Context, _ *workpb.Order) workpb.Verdict {
+		sv.Order = func(ctx context.Context, _ *workpb.Order) *workpb.Outcome {
 			ck.Advance(tc.pauseMS)
 			if !sendcheck.Allowed(ctx) {
-				return workpb.Verdict_NOT_SENT
+				return &workpb.Outcome{Verdict: workpb.Verdict_NOT_SENT}
 			}
-			return workpb.Verdict_ACCEPTED
+			return &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED}
 		}
 		sm := &stream{ctx: t.Context(), calls: make(chan *relaypb.Call, 1), results: make(chan *relaypb.Result, 1)}
 		sm.calls <- &relaypb.Call{Id: 1, Order: &workpb.Order{Verb: workpb.Verb_START}, LatestMs: 1500}
--- a/internal/testbed/workertest/workertest.go
+++ b/internal/testbed/workertest/workertest.go
@@ -138,6 +138,11 @@
 	wk.Record(wk.reg.GetId(), ky.task, ky.run, false, end)
 }
 
+// Answer executes an order like Order and returns the VM's clock with the verdict.
+func (wk *Worker) Answer(od *workpb.Order) *workpb.Outcome {
+	return &workpb.Outcome{Verdict: wk.Order(od), ClockMs: wk.ClockMS()}
+}
+
 // Order executes an order, unless its fencing token is older than the newest seen.
 func (wk *Worker) Order(od *workpb.Order) workpb.Verdict {
 	wk.advance()
