A start that reaches a restarted VM gets the longest lease: failing test

Its deadline lies on the clock of the incarnation before, which has run for 20 s; that of the new one begins at 0, so it grants its longest lease, 10 s, in place of the 5 s asked for. The VM is silent from then on, and the owner starts the task elsewhere when the lease that it asked for must be over.

Fails here, where nothing decides otherwise than on: "task j1.0.0.0 run 2 starts on b while the task runs on a", for a step that ends and for one that lasts; under a new owner it holds, and is kept as a guard.

The simulated VM of the tests granted any deadline and kept one lease for each run. Now it does as the platform's: at most LongestLeaseMS, one lease for all that runs there, never shortened.

--- /dev/null
+++ b/internal/scheduling/jobcontrol/longlease_test.go
@@ -0,0 +1,47 @@
+package jobcontrol_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+)
+
+// oldClockMS is the clock of VMs that have run for much longer than any lease.
+const oldClockMS = 20_000
+
+// A VM that restarts while a start is under way grants it the longest lease, as the deadline is one on the clock of the incarnation before.
+func TestRunThatARestartedVMStartedIsNotRepeatedElsewhereWhileItsLongLeaseLasts(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		step *workpb.Step
+		// silent is called once the VM is silent.
+		silent func(fl *fleet)
+	}{
+		{name: "step that ends", step: stepOf(1)},
+		{name: "step that lasts", step: lastingStep(1)},
+		{name: "under a new owner", step: lastingStep(1), silent: func(fl *fleet) { fl.newOwner() }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t, vmOf("a"), vmOf("b"))
+			fl.setBehavior(60_000, workpb.End_END_DONE)
+			fl.workers["a"].SlowPercent, fl.workers["b"].SlowPercent = maxSlowPercent, maxSlowPercent
+			fl.run(oldClockMS)
+			tc.step.EstimateMs = 60_000
+			od := fl.holdStart(jobOf("j1", tc.step))
+			host := od.GetVm()
+			fl.workers[host].Restart()
+			fl.ct.HandleOutcome(od, fl.workers[host].Answer(od))
+			fl.unresponsive[host] = true
+			if tc.silent != nil {
+				tc.silent(fl)
+			}
+			fl.run(fl.workers[host].LongestLeaseMS)
+			qt.Assert(t, fl.workers[host].Running(), qt.Equals, 1)
+			qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+			fl.run(20_000)
+			qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+		})
+	}
+}
--- a/internal/testbed/workertest/workertest.go
+++ b/internal/testbed/workertest/workertest.go
@@ -22,12 +22,16 @@
 	// listedEnd is the highest number of an ended run that was listed.
 	listedEnd  int64
 	highestRun map[string]int64
+	// leaseUntilMS is the VM's clock at which all runs end; calls may move it forward only.
+	leaseUntilMS int64
 	// advancedMS is when the runs were advanced last, endsAtOnce is set if one was started since that takes no time.
 	advancedMS int64
 	endsAtOnce bool
 
 	// Behave returns the duration of a run and how it ends; a run with END_UNKNOWN doesn't end by itself.
 	Behave func(task string, run int64) (workMS int64, end workpb.End)
+	// LongestLeaseMS bounds the lease that a call grants, on the VM's clock.
+	LongestLeaseMS int64
 	// SlowPercent is by how much the VM's clock runs slow.
 	SlowPercent int64
 	// SlowdownPercent is how long runs take on the VM relative to others; it may change during runs.
@@ -50,19 +54,20 @@
 }
 
 type run struct {
-	workMS       int64
-	doneMS       int64
-	advancedMS   int64
-	end          workpb.End
-	leaseUntilMS int64
-	stopAtMS     int64
-	stopping     bool
+	workMS     int64
+	doneMS     int64
+	advancedMS int64
+	end        workpb.End
+	stopAtMS   int64
+	stopping   bool
 }
 
 const (
 	defaultWorkMS = 800
 	stopDelayMS   = 100
-	percent       = 100
+	// defaultLongestLeaseMS is the LongestLeaseMS of a new VM.
+	defaultLongestLeaseMS = 10_000
+	percent               = 100
 	// maxListedEnds is the number of ended runs that an answer lists at most.
 	maxListedEnds = 500
 )
@@ -70,7 +75,7 @@
 // New returns a VM that starts now; it sets the start time in the registration.
 func New(ck *clock.Clock, reg *workpb.VM) *Worker {
 	reg.BornMs = ck.Now()
-	wk := &Worker{ck: ck, reg: reg, startedMS: ck.Now(), running: map[key]*run{}, highestRun: map[string]int64{}, Percent: percent, SlowdownPercent: percent, Pace: map[string]int64{}}
+	wk := &Worker{ck: ck, reg: reg, startedMS: ck.Now(), running: map[key]*run{}, highestRun: map[string]int64{}, Percent: percent, SlowdownPercent: percent, LongestLeaseMS: defaultLongestLeaseMS, Pace: map[string]int64{}}
 	wk.Saves = func(string) bool { return false }
 	wk.Gauge = func(string) int64 { return 0 }
 	wk.Behave = func(string, int64) (int64, workpb.End) { return defaultWorkMS, workpb.End_END_DONE }
@@ -88,7 +93,7 @@
 		rn.stopping = true
 	}
 	wk.reg.BornMs = wk.ck.Now()
-	wk.startedMS, wk.token, wk.lastEndNumber, wk.listedEnd, wk.endsAtOnce = wk.ck.Now(), 0, 0, 0, true
+	wk.startedMS, wk.token, wk.lastEndNumber, wk.listedEnd, wk.leaseUntilMS, wk.endsAtOnce = wk.ck.Now(), 0, 0, 0, 0, true
 	wk.running, wk.ended, wk.highestRun = map[key]*run{}, nil, map[string]int64{}
 }
 
@@ -122,7 +127,7 @@
 		switch {
 		case rn.stopping && nowMS >= rn.stopAtMS:
 			wk.finish(ky, workpb.End_END_STOPPED)
-		case nowMS >= rn.leaseUntilMS:
+		case nowMS >= wk.leaseUntilMS:
 			wk.finish(ky, workpb.End_END_LEASE_EXPIRED)
 		case rn.end != workpb.End_END_UNKNOWN && rn.doneMS >= rn.workMS:
 			wk.finish(ky, rn.end)
@@ -166,6 +171,14 @@
 	}
 }
 
+// LeaseUntilMS returns the VM's clock at which all runs end unless their lease is extended.
+func (wk *Worker) LeaseUntilMS() int64 { return wk.leaseUntilMS }
+
+// extendLease extends the lease of all runs to a deadline on the VM's clock, as far as the VM grants it.
+func (wk *Worker) extendLease(deadlineMS int64) {
+	wk.leaseUntilMS = max(wk.leaseUntilMS, min(deadlineMS, wk.ClockMS()+wk.LongestLeaseMS))
+}
+
 func (wk *Worker) start(ky key, od *workpb.Order) workpb.Verdict {
 	if _, ok := wk.running[ky]; ok {
 		return workpb.Verdict_ACCEPTED
@@ -177,7 +190,8 @@
 		return workpb.Verdict_LEASE_PASSED
 	}
 	workMS, end := wk.Behave(ky.task, ky.run)
-	rn := &run{advancedMS: wk.ClockMS(), workMS: workMS, end: end, leaseUntilMS: od.GetLeaseUntilMs()}
+	rn := &run{advancedMS: wk.ClockMS(), workMS: workMS, end: end}
+	wk.extendLease(od.GetLeaseUntilMs())
 	if saved, err := strconv.ParseInt(od.GetCheckpoint(), 10, 64); err == nil && wk.Saves(ky.task) {
 		rn.doneMS = workMS * saved / percent
 	}
@@ -195,8 +209,8 @@
 	}
 	wk.token = lr.GetToken()
 	lk := &workpb.Look{BornMs: wk.reg.GetBornMs(), ClockMs: wk.ClockMS()}
+	wk.extendLease(lr.GetLeaseUntilMs())
 	for ky, rn := range wk.running {
-		rn.leaseUntilMS = max(rn.leaseUntilMS, lr.GetLeaseUntilMs())
 		row := &workpb.RunningRun{Task: ky.task, Run: ky.run, Percent: wk.progress(rn), Gauge: wk.Gauge(ky.task)}
 		if wk.Saves(ky.task) {
 			row.Checkpoint = strconv.FormatInt(row.GetPercent(), 10)
