A lease counts as over only once that of a restarted VM is, too

What callers saw: a task of theirs ran on two VMs at once (TWICE), though its orders were sent in time and answered.

Cause: a deadline on a VM's clock bounds a lease only in the incarnation for whose clock it was computed. The clock of each incarnation begins at 0, so one that a call for the incarnation before reaches grants its longest lease (max_hold_ms, 10 s) in place of 4 s. The owner learned of a restart only from polls; the clock in the answer to a start was dropped.

Why it works: the answer to a start tells the VM's clock. If the deadline lies further ahead of it than the lease that was asked for, another incarnation has answered: every run there may go on until the longest lease after the last call that was made for the incarnation before and may still be executed. The VM is polled at once and gets no renewal until its lists are known. The same wait follows a restart that a poll tells (it was 13 s, too short for a poll that is executed late), a clock that goes back in a poll, and an answer without a clock. Meanwhile runs there aren't settled, so that a new owner doesn't count with the ordinary lease.

--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -23,9 +23,10 @@
 	token int64
 	// latestToken is the highest fencing token that this ownership may use, 0 if it uses but one.
 	latestToken int64
-	// runLeaseMS is the lease that each start and each poll grants to runs.
-	runLeaseMS int64
-	startedMS  int64
+	// runLeaseMS is the lease that each start and each poll grants to runs, longestLeaseMS the longest that VMs grant.
+	runLeaseMS     int64
+	longestLeaseMS int64
+	startedMS      int64
 
 	rules *rulesindex.Index
 	// services holds the names of the services under the rules.
@@ -125,7 +126,7 @@
 // New returns a controller without jobs for an ownership's fencing token; runLeaseMS is the duration of run leases.
 func New(ck *clock.Clock, lg *event.Log, token, runLeaseMS int64) *Controller {
 	return &Controller{
-		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, startedMS: ck.Now(),
+		ck: ck, lg: lg, token: token, runLeaseMS: runLeaseMS, longestLeaseMS: defaultLongestLeaseMS, startedMS: ck.Now(),
 		services: map[string]bool{}, caps: map[string]size.Size{}, weights: map[string]float64{}, shares: map[string]*teamshare.Shares{}, sizes: map[string]*sizefairness.History{}, undecided: map[*occurrence]int64{}, choices: map[string]choice{}, loggedChoices: map[string]loggedChoice{}, loggedLevels: map[string]map[string]int32{},
 		pace: taskpace.New(), room: map[string]poolRoom{},
 		jobs: map[string]*job{}, active: map[string]*job{}, completed: map[string]bool{}, shortRows: map[string]*workpb.Job{},
@@ -280,8 +281,11 @@
 func compareID(vm *vmState, id string) int { return strings.Compare(vm.id, id) }
 
 // maxLeaseMS returns how long after a renewal every run on a VM has certainly ended, even if the VM's clock runs slow.
-func (ct *Controller) maxLeaseMS() int64 {
-	return ct.runLeaseMS*fullPercent/minClockRatePercent + leaseMarginMS
+func (ct *Controller) maxLeaseMS() int64 { return ct.waitForLeaseMS(ct.runLeaseMS) }
+
+// waitForLeaseMS returns how long a lease of a VM lasts at most, even if the VM's clock runs slow, and a margin.
+func (ct *Controller) waitForLeaseMS(leaseMS int64) int64 {
+	return leaseMS*fullPercent/minClockRatePercent + leaseMarginMS
 }
 
 // allocate creates the run for a task's current run number and allocates its resources on a VM.
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -191,9 +191,7 @@
 		return
 	}
 	vd := oc.GetVerdict()
-	if od.GetVerb() == workpb.Verb_START && vd == workpb.Verdict_ACCEPTED && ct.startedByLaterIncarnation(od, oc) {
-		ct.logStartOnRestartedVM(od, oc)
-	}
+	ct.checkIncarnation(vm, od, oc)
 	key := runKey{od.GetTask(), od.GetRun()}
 	rn, ok := vm.runs[key]
 	if !ok {
@@ -300,7 +298,7 @@
 // settleStart records that the only copy of a run's start was answered. A long-running task is marked as settled for later owners at once; other runs share a later write.
 func (ct *Controller) settleStart(rn *run) {
 	rn.mayStartUntilMS = 0
-	if rn.lasting() && !rn.settled {
+	if rn.lasting() && !rn.settled && !rn.vm.mayHoldLongLeases(ct.ck.Now()) {
 		rn.settled = true
 		ct.markTask(rn.task)
 	}
--- a/internal/scheduling/jobcontrol/giveup.go
+++ b/internal/scheduling/jobcontrol/giveup.go
@@ -20,14 +20,3 @@
 		"age-ms", nowMS-rn.startedMS, "silent-ms", nowMS-max(vm.answeredMS, vm.firstSeenMS), "lease-over-ms", nowMS-vm.leaseUntilMS, "born", vm.incarnation())
 	ct.endRun(rn, workpb.End_END_LEASE_EXPIRED, "")
 }
-
-// startedByLaterIncarnation reports whether the answer to a start shows that the VM had restarted since the start's deadline was computed: the clock of each incarnation begins at 0. It returns true if the answer doesn't show the clock.
-func (ct *Controller) startedByLaterIncarnation(od *workpb.Order, oc *workpb.Outcome) bool {
-	return oc.GetClockMs() <= 0 || od.GetLeaseUntilMs()-oc.GetClockMs() > ct.runLeaseMS
-}
-
-// logStartOnRestartedVM records that a VM accepted a start whose deadline was computed for the clock of an earlier incarnation.
-func (ct *Controller) logStartOnRestartedVM(od *workpb.Order, oc *workpb.Outcome) {
-	ct.lg.Warn("start-on-restarted-vm", "vm", od.GetVm(), "task", od.GetTask(), "run", od.GetRun(), "token", od.GetToken(),
-		"lease-ms", od.GetLeaseUntilMs()-oc.GetClockMs(), "clock-ms", oc.GetClockMs(), "born", od.GetVmBornMs())
-}
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -146,8 +146,7 @@
 	vm.unstoredEnds = nil
 	vm.pace = fullPercent
 	ct.forgetVMPace(vm.id)
-	// A start whose deadline was computed for the earlier incarnation's clock may have got the longest possible lease.
-	vm.leaseUntilMS = max(vm.leaseUntilMS, ct.ck.Now()+inDoubtMS)
+	ct.expectLongLeases(vm)
 	for _, rn := range vm.runs {
 		rn.stoppedMS = 0
 	}
--- /dev/null
+++ b/internal/scheduling/jobcontrol/longlease.go
@@ -0,0 +1,55 @@
+package jobcontrol
+
+import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+
+// defaultLongestLeaseMS is the longest lease that VMs grant if the settings name none.
+const defaultLongestLeaseMS = 10_000
+
+// SetLongestLease sets the longest lease, in milliseconds of a VM's clock, that VMs grant whatever deadline a call carries; 0 if it is unknown.
+func (ct *Controller) SetLongestLease(ms int64) {
+	ct.longestLeaseMS = ms
+	if ms <= 0 {
+		ct.longestLeaseMS = defaultLongestLeaseMS
+	}
+}
+
+// longestLeaseOverMS returns how long after a VM granted its longest lease every run there has certainly ended, even if the VM's clock runs slow.
+func (ct *Controller) longestLeaseOverMS() int64 { return ct.waitForLeaseMS(ct.longestLeaseMS) }
+
+// expectLongLeases extends the time by which the runs on a restarted VM have certainly ended: calls whose deadlines were computed for the clock of the incarnation before may be executed for a while, and each grants the longest lease.
+func (ct *Controller) expectLongLeases(vm *vmState) {
+	vm.longLeasesUntilMS = ct.ck.Now() + inDoubtMS + ct.longestLeaseOverMS()
+	vm.leaseUntilMS = max(vm.leaseUntilMS, vm.longLeasesUntilMS)
+}
+
+// mayHoldLongLeases reports whether the runs on a VM may hold longer leases than this owner asked for.
+func (vm *vmState) mayHoldLongLeases(nowMS int64) bool { return nowMS < vm.longLeasesUntilMS }
+
+// checkIncarnation compares the clock in the answer to a start with the start's deadline. The clock of each incarnation begins at 0, so a deadline that is too far ahead was computed for an earlier one; so was any, for all that is known, if the answer lacks the clock.
+func (ct *Controller) checkIncarnation(vm *vmState, od *workpb.Order, oc *workpb.Outcome) {
+	leaseMS := od.GetLeaseUntilMs() - oc.GetClockMs()
+	if !extendsLease(od, oc) || (oc.GetClockMs() > 0 && leaseMS <= ct.runLeaseMS) {
+		return
+	}
+	ct.lg.Warn("start-on-restarted-vm", "vm", vm.id, "task", od.GetTask(), "run", od.GetRun(), "token", od.GetToken(),
+		"lease-ms", leaseMS, "clock-ms", oc.GetClockMs(), "born", od.GetVmBornMs())
+	ct.expectLongLeases(vm)
+	if oc.GetClockMs() > 0 {
+		// Nothing is known of this incarnation until it has been polled, and a poll must not extend its leases further.
+		vm.synced = false
+		vm.nextPollMS = ct.ck.Now()
+	}
+}
+
+// extendsLease reports whether a VM extended the lease of its runs to the deadline of an order: it also does so for a start that it refuses as an old one or for want of room.
+func extendsLease(od *workpb.Order, oc *workpb.Outcome) bool {
+	if od.GetVerb() != workpb.Verb_START {
+		return false
+	}
+	switch oc.GetVerdict() {
+	case workpb.Verdict_ACCEPTED, workpb.Verdict_STALE_RUN, workpb.Verdict_NO_ROOM:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -189,6 +189,9 @@
 		}
 		vm.startMS = lk.GetBornMs()
 	}
+	if lk.GetClockMs() < vm.lastClockMS {
+		ct.expectLongLeases(vm)
+	}
 	vm.acknowledged = max(vm.acknowledged, vm.acknowledging)
 	vm.lastClockMS, vm.lastClockAtMS = lk.GetClockMs(), arrivedMS
 	vm.moreEnds = lk.GetMoreEnded()
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -58,7 +58,9 @@
 	acknowledging int64
 	// leaseUntilMS is when every run there has certainly ended unless its lease is renewed.
 	leaseUntilMS int64
-	answeredMS   int64
+	// longLeasesUntilMS is until when runs may hold longer leases than this owner asked for.
+	longLeasesUntilMS int64
+	answeredMS        int64
 	// firstSeenMS is when the VM became known.
 	firstSeenMS int64
 	polling     bool
@@ -136,7 +138,7 @@
 	capUse size.Size
 	phase  phase
 	token  int64
-	// settled is set once no order can start the run any more: it was confirmed, and its start was sent once, or inDoubtMS has passed since.
+	// settled is set once no order can start the run any more and its lease is no longer than usual: it was confirmed, and its start was sent once, or inDoubtMS has passed since.
 	settled bool
 	// mayStartUntilMS is until when an unanswered copy of the run's start may still be executed, 0 if there is none.
 	mayStartUntilMS int64
--- a/internal/scheduling/jobrunner/scheduler.go
+++ b/internal/scheduling/jobrunner/scheduler.go
@@ -11,12 +11,14 @@
 
 // Scheduler acquires the ownership of scheduling whenever it is free and runs a Runner while it holds it.
 type Scheduler struct {
-	deps        *Dependencies
-	ck          *clock.Clock
-	lg          *event.Log
-	ow          *ownership.Ownership
-	runLeaseMS  int64
-	retentionMS int64
+	deps *Dependencies
+	ck   *clock.Clock
+	lg   *event.Log
+	ow   *ownership.Ownership
+	// runLeaseMS is the lease of runs, longestLeaseMS the longest that VMs grant, 0 if it is unknown.
+	runLeaseMS     int64
+	longestLeaseMS int64
+	retentionMS    int64
 	// backoffUntilMS is until when this entry leaves the ownership to others after having yielded it.
 	backoffUntilMS int64
 	// OnTakeover is called after each takeover, OnUnfinishedTakeover after each one that ended before it scheduled.
@@ -39,13 +41,13 @@
 	failedBackoffMS = 1500
 )
 
-// NewScheduler returns the scheduler of an entry; maxLeaseMS is the longest lease that VMs grant, retentionMS how long the rows of ended jobs are kept, 0 for no limit.
+// NewScheduler returns the scheduler of an entry; maxLeaseMS is the longest lease that VMs grant, 0 if it is unknown, retentionMS how long the rows of ended jobs are kept, 0 for no limit.
 func NewScheduler(deps *Dependencies, ck *clock.Clock, lg *event.Log, ow *ownership.Ownership, maxLeaseMS, retentionMS int64) *Scheduler {
 	lease := int64(runLeaseMS)
 	if maxLeaseMS > 0 {
 		lease = min(lease, maxLeaseMS)
 	}
-	return &Scheduler{deps: deps, ck: ck, lg: lg, ow: ow, runLeaseMS: lease, retentionMS: retentionMS, OnTakeover: func() {}, OnUnfinishedTakeover: func() {}}
+	return &Scheduler{deps: deps, ck: ck, lg: lg, ow: ow, runLeaseMS: lease, longestLeaseMS: maxLeaseMS, retentionMS: retentionMS, OnTakeover: func() {}, OnUnfinishedTakeover: func() {}}
 }
 
 // Run polls the ownership row and schedules while this entry is the owner; it releases the ownership when the context ends.
@@ -96,6 +98,7 @@
 
 func (sc *Scheduler) runAsOwner(ctx context.Context) {
 	rn := New(sc.deps, sc.ck, sc.lg, sc.ow, sc.runLeaseMS, sc.retentionMS)
+	rn.ct.SetLongestLease(sc.longestLeaseMS)
 	sc.lg.Warn("ownership-taken", "token", sc.ow.Token())
 	sc.OnTakeover()
 	err := rn.Run(ctx)
