An unanswered start on a silent VM counts until its longest lease is over

What callers saw: two runs of a task at once (TWICE), if the start of the first was left unanswered and the VM's next incarnation, silent to the owner, executes it up to 12 s later.

The start is in doubt for 13 s, but its deadline lies on the clock of an earlier incarnation, so the run that it begins has the longest lease, and calls that are executed late extend that again.

Why it works: a run on a silent VM whose start has an unanswered copy is given up only once no call can be executed there any more and the longest lease after that is over; 23.4 s in place of 13 s with max_hold_ms of 10 s. An answered poll ends the doubt as before. So does a list of machines, read after the 13 s, that shows the machine as down: it ends such runs now, which it did not before.

Not covered: the starts of an earlier owner. Most of them were answered, which the store doesn't tell, so their runs are given up after 13 s as before; longer waits break "owner replaced while a VM is unresponsive", which is to end within 16 s, and "run on no VM" of TestOddRowsDoNotStopScheduling.

Tests of jobcontrol and jobrunner pass.

--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -64,13 +64,14 @@
 	}
 }
 
-// endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept.
+// endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept as long as they may be executed.
 func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
 	before, nowMS := len(vm.runs), ct.ck.Now()
 	ct.recordCrash(vm, func(rn *run) bool { return rn.startedMS >= readMS })
 	for _, rn := range vm.runs {
 		confirmed := rn.phase == phaseRunning && nowMS >= rn.mayStartUntilMS
-		if rn.startedMS < readMS && (rn.settled || confirmed) {
+		tooLate := rn.mayStartUntilMS > 0 && readMS >= rn.mayStartUntilMS
+		if rn.startedMS < readMS && (rn.settled || confirmed || tooLate) {
 			ct.giveUpRun(rn, proofMachineDown)
 		}
 	}
@@ -153,14 +154,14 @@
 	ct.restoreLateStarts(vm)
 }
 
-// expireRuns ends the runs of a VM whose leases have expired, except for those whose start may still be executed once the VM starts again under its id. The VM may have done so already.
+// expireRuns ends the runs of a VM whose leases have expired, except for those whose start may still be executed once the VM starts again under its id, or may have been by an incarnation that nobody has heard of.
 func (ct *Controller) expireRuns(vm *vmState, why proof) {
 	nowMS := ct.ck.Now()
 	before := len(vm.runs)
 	for _, rn := range vm.runs {
 		switch {
 		case rn.phase == phasePlanned:
-		case nowMS < rn.mayStartUntilMS:
+		case nowMS < ct.mayRunUntilMS(rn):
 			ct.setPhase(rn, phaseStopping)
 			rn.stoppedMS = 0
 		default:
--- a/internal/scheduling/jobcontrol/longlease.go
+++ b/internal/scheduling/jobcontrol/longlease.go
@@ -22,6 +22,18 @@
 	vm.leaseUntilMS = max(vm.leaseUntilMS, vm.longLeasesUntilMS)
 }
 
+// mayRunUntilMS returns until when a silent VM may go on with a run of which a copy of the start is unanswered, 0 if none is, or the VM has answered since it can't be executed any more. The VM's next incarnation may execute it, and calls that were made for the clock of the one before, of which each grants the longest lease. The starts of an earlier owner were most likely answered, so their runs don't wait for that.
+func (ct *Controller) mayRunUntilMS(rn *run) int64 {
+	switch {
+	case rn.mayStartUntilMS <= rn.vm.answeredMS:
+		return 0
+	case rn.token < ct.token:
+		return rn.mayStartUntilMS
+	default:
+		return max(rn.mayStartUntilMS, rn.vm.grantedMS+inDoubtMS) + ct.longestLeaseOverMS()
+	}
+}
+
 // mayHoldLongLeases reports whether the runs on a VM may hold longer leases than this owner asked for.
 func (vm *vmState) mayHoldLongLeases(nowMS int64) bool { return nowMS < vm.longLeasesUntilMS }
 
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -154,6 +154,7 @@
 // extendLease returns the lease deadline, on the VM's clock, for a start or renewal that is sent now, and extends the time by which the VM's runs have certainly ended.
 func (ct *Controller) extendLease(vm *vmState) int64 {
 	nowMS := ct.ck.Now()
+	vm.grantedMS = max(vm.grantedMS, nowMS)
 	vm.leaseUntilMS = max(vm.leaseUntilMS, nowMS+ct.maxLeaseMS())
 	return vm.clockLowerBound(nowMS) + ct.runLeaseMS
 }
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -58,6 +58,8 @@
 	acknowledging int64
 	// leaseUntilMS is when every run there has certainly ended unless its lease is renewed.
 	leaseUntilMS int64
+	// grantedMS is when this owner made a call with a deadline last.
+	grantedMS int64
 	// longLeasesUntilMS is until when runs may hold longer leases than this owner asked for.
 	longLeasesUntilMS int64
 	answeredMS        int64
