--- a/internal/scheduling/jobcontrol/longlease_test.go
+++ b/internal/scheduling/jobcontrol/longlease_test.go
@@ -45,3 +45,23 @@
 		})
 	}
 }
+
+// A new owner doesn't know that a start was left unanswered, which its silent VM's next incarnation executes with the longest lease.
+func TestRunOfAnEarlierOwnersLateStartOnASilentVMIsNotRepeatedElsewhereBeforeItsLeaseEnds(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	fl.run(oldClockMS)
+	st := stepOf(1)
+	st.EstimateMs = 60_000
+	od := fl.holdStart(jobOf("j1", st))
+	fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
+	fl.crash(od.GetVm())
+	fl.newOwner()
+	fl.run(8000)
+	fl.workers[od.GetVm()].Restart()
+	fl.workers[od.GetVm()].Order(od)
+	for range fl.workers["a"].LongestLeaseMS / stepMS {
+		fl.run(stepMS)
+		qt.Assert(t, fl.workers["a"].Running()+fl.workers["b"].Running() <= 1, qt.IsTrue)
+	}
+}
