A VM that the list of machines shows as hosted isn't taken for ended

A task that must run once starts a second time while its first run goes on.

Cause: the row of a VM was looked up by the machine in its registration alone. If that names another machine (a registration of an earlier life that reaches the store late, another writer), the state of that machine ended the VM's runs, though the same list shows the VM on a machine that is up.

Evidence: four cases of the new test each fail before (the machine named hosts another VM, moves, is down, isn't listed): "run 2 starts on b while the task runs on a".

Why it works: PROTOCOL.md has each entry of the list hold the id of the machine's minion. The row that names the VM itself comes first, and it never shows the VM as ended.

--- /dev/null
+++ b/internal/scheduling/jobcontrol/falseproof_test.go
@@ -0,0 +1,49 @@
+package jobcontrol_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+)
+
+// newLongTask starts one long task on one of the VMs, whose clocks run as slow as they may, and returns the VM's id.
+func newLongTask(t *testing.T, vms ...*workpb.VM) (*fleet, string) {
+	fl := newFleet(t, vms...)
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	for _, wk := range fl.workers {
+		wk.SlowPercent = maxSlowPercent
+	}
+	fl.run(settledMS)
+	st := stepOf(1)
+	st.EstimateMs = 60_000
+	fl.submit(jobOf("j1", st))
+	fl.run(1000)
+	return fl, fl.runningOn["j1.0.0.0"]
+}
+
+func TestVMThatTheListShowsOnAnotherMachineIsNotTakenForEnded(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		row  *workpb.Machine
+	}{
+		{"machine hosts another VM", &workpb.Machine{Id: "m-wrong", Vm: "other", Up: true}},
+		{"machine is being moved", &workpb.Machine{Id: "m-wrong", Moving: true}},
+		{"machine is down", &workpb.Machine{Id: "m-wrong", Down: true}},
+		{"machine isn't listed", &workpb.Machine{Id: "m-third", Vm: "third", Up: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl, host := newLongTask(t, hostedVM("a"), hostedVM("b"))
+			wrong := proto.Clone(fl.workers[host].VM()).(*workpb.VM)
+			wrong.Machine = "m-wrong"
+			fl.ct.SetVM(wrong)
+			fl.unresponsive[host] = true
+			fl.runWithLists(3000, func() []*workpb.Machine { return append(fl.machines(), tc.row) })
+			fl.unresponsive[host] = false
+			fl.run(1000)
+			qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+		})
+	}
+}
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -1,6 +1,10 @@
 package jobcontrol
 
-import "github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+import (
+	"cmp"
+
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+)
 
 // SetVM applies a VM's registration.
 func (ct *Controller) SetVM(reg *workpb.VM) {
@@ -32,7 +36,7 @@
 // minUnlistedReads is how many lists in a row, without an answer of its VM, must lack a machine before it counts as removed: a list is read in pages, and a machine may be missed while others come and go.
 const minUnlistedReads = 2
 
-// SetMachines applies a list of machines whose read began at readMS and ends the runs of VMs that, by this list, have ended.
+// SetMachines applies a list of machines whose read began at readMS and ends the runs of VMs that, by this list, have ended. A VM that the list shows as hosted hasn't, whatever machine it was registered on.
 func (ct *Controller) SetMachines(readMS int64, list []*workpb.Machine) {
 	if len(list) == 0 {
 		return
@@ -41,8 +45,14 @@
 	for _, row := range list {
 		rows[row.GetId()] = row
 	}
+	hosts := make(map[string]*workpb.Machine, len(rows))
+	for _, row := range rows {
+		if row.GetUp() {
+			hosts[row.GetVm()] = row
+		}
+	}
 	for _, vm := range ct.vms {
-		row := rows[vm.reg.GetMachine()]
+		row := cmp.Or(hosts[vm.id], rows[vm.reg.GetMachine()])
 		vm.countUnlisted(row)
 		ct.logUnresolved(vm, row)
 		if vm.firstSeenMS >= readMS || vm.answeredMS >= readMS {
