A VM whose poll is held open isn't taken for removed by two lists

Two lists of machines in a row that lack a machine ended the runs of its VM though the VM answers: a poll that is held open for a run's end counts as no answer, and an answer in time may come 1,070 ms after the one before (pause of 120 ms, 600 ms held, 350 ms on the way), lists each 700 ms.

Evidence: the new test fails before: "run 2 starts on b while the task runs on a".

--- a/internal/scheduling/jobcontrol/falseproof_test.go
+++ b/internal/scheduling/jobcontrol/falseproof_test.go
@@ -47,3 +47,31 @@
 		})
 	}
 }
+
+// renewalOf returns the next poll of a VM that extends leases, which isn't executed.
+func (fl *fleet) renewalOf(id string) *workpb.LookRequest {
+	var renewal *workpb.LookRequest
+	for renewal == nil {
+		fl.ck.Advance(stepMS)
+		for _, lr := range fl.ct.DuePolls() {
+			if lr.GetVm() == id && lr.GetLeaseUntilMs() > 0 {
+				renewal = lr
+				continue
+			}
+			fl.poll(lr)
+		}
+	}
+	return renewal
+}
+
+func TestVMWhosePollIsHeldOpenIsNotTakenForRemoved(t *testing.T) {
+	fl, host := newLongTask(t, hostedVM("a"), hostedVM("b"))
+	held := fl.renewalOf(host)
+	fl.runWithLists(listIntervalMS+2*stepMS, func() []*workpb.Machine {
+		return []*workpb.Machine{{Id: "m-other", Vm: "other", Up: true}}
+	})
+	fl.poll(held)
+	fl.run(1000)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, host)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -100,10 +100,10 @@
 	vm.unlistedReads++
 }
 
-// endedBy reports whether the row of the VM's machine proves that the VM has ended: the machine is removed for good, hosts another VM, or hosts none because it is being moved or maintained.
+// endedBy reports whether the row of the VM's machine proves that the VM has ended: the machine is removed for good and the VM doesn't answer, or it hosts another VM, or none because it is being moved or maintained.
 func (vm *vmState) endedBy(row *workpb.Machine) bool {
 	if row == nil {
-		return vm.unlistedReads >= minUnlistedReads
+		return vm.unresponsive && vm.unlistedReads >= minUnlistedReads
 	}
 	replaced := row.GetUp() && row.GetVm() != "" && row.GetVm() != vm.id
 	return replaced || row.GetMoving() || row.GetInUpkeep()
