A VM that restarts around a change of owner may hold the longest lease

Cause: what a new owner counted for a VM was the ordinary lease of the earlier owner, 9.3 s after the takeover. If the VM starts again under its id around the takeover, a renewal that the earlier owner made for the incarnation before is executed by the next one, up to the new owner's first call. It grants the longest lease (10 s) to everything on the VM, also to what the new owner starts there. Silent VMs are all released in the same planning pass, since the time counts from the takeover.

Evidence: the new test fails before ("run 2 starts on b while the task runs on a"): the start is in time, only the renewal is late.

Why it works: until a VM first answers an owner it may have executed older calls, from then on it refuses them for their lower token. So the longest lease counts from that answer, for VMs known within the time in which calls of an earlier owner can arrive, and only for incarnations so young that the earlier owner may not have known them.

--- a/internal/scheduling/jobcontrol/falseproof_test.go
+++ b/internal/scheduling/jobcontrol/falseproof_test.go
@@ -75,3 +75,28 @@
 	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, host)
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
 }
+
+// A renewal that the last owner made for the VM's incarnation before grants the longest lease, also to what the new owner starts.
+func TestRunOnAVMThatRestartedAroundAChangeOfOwnerIsNotRepeatedElsewhereWhileItsLongLeaseLasts(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	fl.workers["a"].SlowPercent, fl.workers["b"].SlowPercent = maxSlowPercent, maxSlowPercent
+	fl.run(oldClockMS)
+	renewal := fl.renewalOf("a")
+	fl.workers["a"].Restart()
+	fl.unresponsive["a"], fl.unresponsive["b"] = true, true
+	fl.newOwner()
+	fl.run(3000)
+	_, vd := fl.workers["a"].Poll(renewal)
+	qt.Assert(t, vd, qt.Equals, workpb.Verdict_ACCEPTED)
+	fl.unresponsive["a"] = false
+	fl.run(500)
+	st := stepOf(1)
+	st.EstimateMs = 60_000
+	fl.submit(jobOf("j1", st))
+	fl.run(200)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, "a")
+	fl.unresponsive["a"], fl.unresponsive["b"] = true, false
+	fl.run(40_000)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+}
--- a/internal/scheduling/jobcontrol/longlease.go
+++ b/internal/scheduling/jobcontrol/longlease.go
@@ -5,6 +5,9 @@
 // defaultLongestLeaseMS is the longest lease that VMs grant if the settings name none.
 const defaultLongestLeaseMS = 10_000
 
+// unnoticedRestartMS is how long after a VM's start calls for its earlier incarnation may still be executed: an owner polls each VM within inDoubtMS, and calls are executed up to inDoubtMS after they were sent.
+const unnoticedRestartMS = 2 * inDoubtMS
+
 // SetLongestLease sets the longest lease, in milliseconds of a VM's clock, that VMs grant whatever deadline a call carries; 0 if it is unknown.
 func (ct *Controller) SetLongestLease(ms int64) {
 	ct.longestLeaseMS = ms
@@ -22,6 +25,16 @@
 	vm.leaseUntilMS = max(vm.leaseUntilMS, vm.longLeasesUntilMS)
 }
 
+// expectInheritedLeases extends the time by which the runs on a VM that answers this owner for the first time have certainly ended: until then it executed calls of the earlier owner, who may have made them for the clock of an earlier incarnation, so that each granted the longest lease. There are none for a VM that became known later, nor for one whose incarnation the earlier owner knew.
+func (ct *Controller) expectInheritedLeases(vm *vmState, clockMS int64) {
+	ownedMS := ct.ck.Now() - ct.startedMS
+	if vm.firstSeenMS-ct.startedMS >= RenewalWindowMS+inDoubtMS || clockMS >= ownedMS+unnoticedRestartMS {
+		return
+	}
+	vm.longLeasesUntilMS = ct.ck.Now() + ct.longestLeaseOverMS()
+	vm.leaseUntilMS = max(vm.leaseUntilMS, vm.longLeasesUntilMS)
+}
+
 // mayRunUntilMS returns until when a silent VM may go on with a run of which a copy of the start is unanswered, 0 if none is, or the VM has answered since it can't be executed any more. The VM's next incarnation may execute it, and calls that were made for the clock of the one before, of which each grants the longest lease. The starts of an earlier owner were most likely answered, so their runs don't wait for that.
 func (ct *Controller) mayRunUntilMS(rn *run) int64 {
 	switch {
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -182,6 +182,9 @@
 	vm.unresponsive, vm.machineLost = false, false
 	vm.failedPolls = 0
 	ct.zoneAnswered(vm.reg.GetZone())
+	if vm.answeredMS == 0 {
+		ct.expectInheritedLeases(vm, lk.GetClockMs())
+	}
 	vm.answeredMS = nowMS
 	vm.unlistedReads = 0
 	if lk.GetBornMs() != 0 && lk.GetBornMs() != vm.startMS {
