A VM isn't forgotten while it may execute a call with a deadline

Cause: the owner forgot a VM without runs some 4.5 s after its registration had gone, and with it that it had called it. A renewal without an answer is executed up to 12 s later. If the VM has started again under its id by then, the deadline is one on the clock of the incarnation before, and the VM grants its longest lease to all of its runs; the owner took it for a new VM and counted 4.3 s.

Evidence: the new test fails before ("run 2 starts on b while the task runs on a"): the start is in time, only the renewal is late.

Why it works: the VM is kept for 13 s after the last call with a deadline, so its first answer shows the restart, which is taken to allow long leases.

--- a/internal/scheduling/jobcontrol/falseproof_test.go
+++ b/internal/scheduling/jobcontrol/falseproof_test.go
@@ -100,3 +100,29 @@
 	fl.run(40_000)
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
 }
+
+// A renewal that is executed late, by the next incarnation of a VM that was unregistered meanwhile, grants the longest lease.
+func TestRunOnAVMThatRegisteredAgainIsNotRepeatedElsewhereWhileItsLongLeaseLasts(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"))
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	fl.workers["a"].SlowPercent, fl.workers["b"].SlowPercent = maxSlowPercent, maxSlowPercent
+	fl.run(oldClockMS)
+	renewal := fl.renewalOf("a")
+	fl.ct.HandlePoll("a", fl.ck.Now(), nil, workpb.Verdict_IN_DOUBT)
+	fl.unresponsive["a"], fl.unresponsive["b"] = true, true
+	fl.ct.DropVM("a")
+	fl.run(8000)
+	fl.workers["a"].Restart()
+	_, vd := fl.workers["a"].Poll(renewal)
+	qt.Assert(t, vd, qt.Equals, workpb.Verdict_ACCEPTED)
+	fl.unresponsive["a"] = false
+	fl.register("a")
+	st := stepOf(1)
+	st.EstimateMs = 60_000
+	fl.submit(jobOf("j1", st))
+	fl.run(1000)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, "a")
+	fl.unresponsive["a"], fl.unresponsive["b"] = true, false
+	fl.run(40_000)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+}
--- a/internal/scheduling/jobcontrol/plan.go
+++ b/internal/scheduling/jobcontrol/plan.go
@@ -19,7 +19,7 @@
 	return bt
 }
 
-// expireVMs ends the runs on VMs whose leases have certainly expired, and removes VMs that are no longer registered and have no runs.
+// expireVMs ends the runs on VMs whose leases have certainly expired, and removes VMs that are no longer registered, have no runs and can't execute a call with a deadline any more.
 func (ct *Controller) expireVMs(nowMS int64) {
 	for _, vm := range ct.vms {
 		ct.dropLateStarts(vm, nowMS)
@@ -30,7 +30,7 @@
 			vm.synced = false
 			ct.expireRuns(vm, proofLeaseExpired)
 		}
-		if !vm.registered && len(vm.runs) == 0 && len(vm.lateStarts) == 0 && !vm.polling {
+		if !vm.registered && len(vm.runs) == 0 && len(vm.lateStarts) == 0 && !vm.polling && nowMS >= vm.grantedMS+inDoubtMS {
 			ct.forgetVM(vm)
 		}
 	}
