Another VM at a VM's former address ends no run

Cause: a 421 from the address that the registration names ended all runs of the VM at once. A registration that the VM wrote before it started again at another address may reach the store after the next one, and name an address that another VM has by now; the runs go on where the VM answered.

Why it works: X-Expected-Instance is answered with 421 by "any other incarnation", so the answer proves that the VM isn't at that address, and nothing of another one. It counts only from the address at which the VM answered last, or at which an earlier owner started its runs; else the runs end with their leases, which aren't renewed.

--- a/internal/scheduling/jobcontrol/falseproof_test.go
+++ b/internal/scheduling/jobcontrol/falseproof_test.go
@@ -126,3 +126,26 @@
 	fl.run(40_000)
 	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
 }
+
+// A registration that a VM wrote before it started again elsewhere may reach the store later than the next one, and another VM may have its address.
+func TestAnotherVMAtAFormerAddressEndsNoRun(t *testing.T) {
+	fl, host := newLongTask(t, vmOf("a"), vmOf("b"))
+	former := proto.Clone(fl.workers[host].VM()).(*workpb.VM)
+	former.Address, former.BornMs = "former", former.GetBornMs()-60_000
+	fl.ct.SetVM(former)
+	fl.ck.Advance(2 * stepMS)
+	for range 3 {
+		fl.ck.Advance(500)
+		for _, lr := range fl.ct.DuePolls() {
+			if lr.GetVm() == host && lr.GetAddress() == "former" {
+				fl.ct.HandlePoll(host, fl.ck.Now(), nil, workpb.Verdict_OTHER_VM)
+				continue
+			}
+			fl.poll(lr)
+		}
+	}
+	fl.register(host)
+	fl.run(1000)
+	qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, host)
+	qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 1)
+}
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -80,7 +80,7 @@
 
 // newPoll returns a poll of a VM and marks it as sent.
 func (ct *Controller) newPoll(vm *vmState) *workpb.LookRequest {
-	vm.polling = true
+	vm.polling, vm.polledAddress = true, vm.reg.GetAddress()
 	vm.acknowledging = vm.unacknowledged()
 	req := &workpb.LookRequest{Vm: vm.id, Address: vm.reg.GetAddress(), Token: ct.tokenOf(vm), Acknowledged: vm.acknowledging, Zone: vm.reg.GetZone()}
 	if vm.synced && !vm.unresponsive {
@@ -185,7 +185,7 @@
 	if vm.answeredMS == 0 {
 		ct.expectInheritedLeases(vm, lk.GetClockMs())
 	}
-	vm.answeredMS = nowMS
+	vm.answeredMS, vm.answeredAddress = nowMS, vm.polledAddress
 	vm.unlistedReads = 0
 	if lk.GetBornMs() != 0 && lk.GetBornMs() != vm.startMS {
 		if vm.startMS != 0 {
@@ -240,7 +240,7 @@
 	}
 	vm.unresponsive = true
 	vm.nextPollMS = ct.ck.Now() + unresponsivePollIntervalMS
-	if vd == workpb.Verdict_OTHER_VM {
+	if vd == workpb.Verdict_OTHER_VM && (vm.answeredAddress == "" || vm.answeredAddress == vm.polledAddress) {
 		// Another VM has the address, so the addressed one has ended.
 		vm.synced, vm.machineLost = false, true
 		ct.expireRuns(vm, proofOtherVM)
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -151,6 +151,7 @@
 func (ct *Controller) restoreHost(host *workpb.Host) *vmState {
 	vm := ct.ensureVM(host.GetVm())
 	vm.reg.Machine, vm.reg.Address, vm.reg.Zone = host.GetMachine(), host.GetAddress(), host.GetZone()
+	vm.answeredAddress = host.GetAddress()
 	return vm
 }
 
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -63,6 +63,8 @@
 	// longLeasesUntilMS is until when runs may hold longer leases than this owner asked for.
 	longLeasesUntilMS int64
 	answeredMS        int64
+	// polledAddress is where the VM was polled last, answeredAddress where it answered last, or where an earlier owner's runs were started.
+	polledAddress, answeredAddress string
 	// firstSeenMS is when the VM became known.
 	firstSeenMS int64
 	polling     bool
