A restarted VM's runs are settled as others are

Cause: 'settled' was to tell two things, that no order can start a run any more and that its lease is no longer than usual. A list that shows the machine as down needs only the first.

Why it works: settled means orders alone, as before.

--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -253,7 +253,7 @@
 	})
 }
 
-// ensureVM returns the state of a VM, creating it if the VM is unknown. A new VM's lease deadline covers leases that the previous owner may have renewed up to RenewalWindowMS after this controller's start.
+// ensureVM returns the state of a VM, creating it if the VM is unknown. A new VM's lease deadline covers leases that the previous owner may have renewed up to RenewalWindowMS after this controller's start, and the longest lease if it was granted before.
 func (ct *Controller) ensureVM(id string) *vmState {
 	if got, ok := ct.vms[id]; ok {
 		return got
@@ -262,7 +262,7 @@
 	got.firstSeenMS = ct.ck.Now()
 	// It may have been known before, under any token of this ownership.
 	got.token = ct.latestToken
-	got.leaseUntilMS = ct.startedMS + RenewalWindowMS + ct.maxLeaseMS()
+	got.leaseUntilMS = ct.startedMS + max(RenewalWindowMS+ct.maxLeaseMS(), ct.longestLeaseOverMS())
 	ct.vms[id] = got
 	at, _ := slices.BinarySearchFunc(ct.sortedVMs, id, compareID)
 	ct.sortedVMs = slices.Insert(ct.sortedVMs, at, got)
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -298,7 +298,7 @@
 // settleStart records that the only copy of a run's start was answered. A long-running task is marked as settled for later owners at once; other runs share a later write.
 func (ct *Controller) settleStart(rn *run) {
 	rn.mayStartUntilMS = 0
-	if rn.lasting() && !rn.settled && !rn.vm.mayHoldLongLeases(ct.ck.Now()) {
+	if rn.lasting() && !rn.settled {
 		rn.settled = true
 		ct.markTask(rn.task)
 	}
--- a/internal/scheduling/jobcontrol/longlease.go
+++ b/internal/scheduling/jobcontrol/longlease.go
@@ -21,8 +21,7 @@
 
 // expectLongLeases extends the time by which the runs on a restarted VM have certainly ended: calls whose deadlines were computed for the clock of the incarnation before may be executed for a while, and each grants the longest lease.
 func (ct *Controller) expectLongLeases(vm *vmState) {
-	vm.longLeasesUntilMS = ct.ck.Now() + inDoubtMS + ct.longestLeaseOverMS()
-	vm.leaseUntilMS = max(vm.leaseUntilMS, vm.longLeasesUntilMS)
+	vm.leaseUntilMS = max(vm.leaseUntilMS, ct.ck.Now()+inDoubtMS+ct.longestLeaseOverMS())
 }
 
 // expectInheritedLeases extends the time by which the runs on a VM that answers this owner for the first time have certainly ended: until then it executed calls of the earlier owner, who may have made them for the clock of an earlier incarnation, so that each granted the longest lease. There are none for a VM that became known later, nor for one whose incarnation the earlier owner knew.
@@ -31,8 +30,7 @@
 	if vm.firstSeenMS-ct.startedMS >= RenewalWindowMS+inDoubtMS || clockMS >= ownedMS+unnoticedRestartMS {
 		return
 	}
-	vm.longLeasesUntilMS = ct.ck.Now() + ct.longestLeaseOverMS()
-	vm.leaseUntilMS = max(vm.leaseUntilMS, vm.longLeasesUntilMS)
+	vm.leaseUntilMS = max(vm.leaseUntilMS, ct.ck.Now()+ct.longestLeaseOverMS())
 }
 
 // mayRunUntilMS returns until when a silent VM may go on with a run of which a copy of the start is unanswered, 0 if none is, or the VM has answered since it can't be executed any more. The VM's next incarnation may execute it, and calls that were made for the clock of the one before, of which each grants the longest lease. The starts of an earlier owner were most likely answered, so their runs don't wait for that.
@@ -47,9 +45,6 @@
 	}
 }
 
-// mayHoldLongLeases reports whether the runs on a VM may hold longer leases than this owner asked for.
-func (vm *vmState) mayHoldLongLeases(nowMS int64) bool { return nowMS < vm.longLeasesUntilMS }
-
 // checkIncarnation compares the clock in the answer to a start with the start's deadline. The clock of each incarnation begins at 0, so a deadline that is too far ahead was computed for an earlier one; so was any, for all that is known, if the answer lacks the clock.
 func (ct *Controller) checkIncarnation(vm *vmState, od *workpb.Order, oc *workpb.Outcome) {
 	leaseMS := od.GetLeaseUntilMs() - oc.GetClockMs()
--- a/internal/scheduling/jobcontrol/longlease_test.go
+++ b/internal/scheduling/jobcontrol/longlease_test.go
@@ -65,3 +65,39 @@
 		qt.Assert(t, fl.workers["a"].Running()+fl.workers["b"].Running() <= 1, qt.IsTrue)
 	}
 }
+
+// What proves that a machine is down ends its runs whatever leases they hold, also those of a VM that had restarted.
+func TestLastingTaskOfARestartedVMDoesNotWaitForItsLeaseOnceItsMachineIsDown(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		ageMS int64
+		crash func(fl *fleet)
+	}{
+		{"new owner, soon", 1000, func(fl *fleet) { fl.newOwner() }},
+		{"new owner, later", 15_000, func(fl *fleet) { fl.newOwner() }},
+		{"being moved off", 1000, func(fl *fleet) {
+			fl.ct.Cordon("a", true)
+			fl.ct.Evacuate("a", false)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t, hostedVM("a"), hostedVM("b"))
+			fl.setBehavior(0, workpb.End_END_UNKNOWN)
+			fl.run(oldClockMS)
+			fl.ct.Cordon("b", true)
+			fl.workers["a"].Restart()
+			fl.register("a")
+			fl.run(200)
+			st := lastingStep(1)
+			st.DisruptionBudget = 1
+			fl.submit(jobOf("j1", st))
+			fl.run(tc.ageMS)
+			qt.Assert(t, fl.runningOn["j1.0.0.0"], qt.Equals, "a")
+			fl.ct.Cordon("b", false)
+			tc.crash(fl)
+			fl.crash("a")
+			fl.runWithLists(6000, fl.machinesWithDown)
+			qt.Assert(t, fl.starts["j1.0.0.0"], qt.Equals, 2)
+		})
+	}
+}
--- a/internal/scheduling/jobcontrol/reconcile.go
+++ b/internal/scheduling/jobcontrol/reconcile.go
@@ -75,11 +75,11 @@
 
 // settleRuns marks the runs of a job that can't be started by any order any more as settled, for later owners too, some time after one of them can't, so that they share a write.
 func (ct *Controller) settleRuns(rn *run, nowMS int64) {
-	if rn.settled || rn.task == nil || rn.phase != phaseRunning || nowMS-rn.startedMS < inDoubtMS+settleDelayMS || nowMS < rn.mayStartUntilMS || rn.vm.mayHoldLongLeases(nowMS) {
+	if rn.settled || rn.task == nil || rn.phase != phaseRunning || nowMS-rn.startedMS < inDoubtMS+settleDelayMS || nowMS < rn.mayStartUntilMS {
 		return
 	}
 	rn.task.job().eachTask(func(tk *task) {
-		if cur := tk.current; cur != nil && !cur.settled && cur.phase == phaseRunning && nowMS-cur.startedMS >= inDoubtMS && nowMS >= cur.mayStartUntilMS && !cur.vm.mayHoldLongLeases(nowMS) {
+		if cur := tk.current; cur != nil && !cur.settled && cur.phase == phaseRunning && nowMS-cur.startedMS >= inDoubtMS && nowMS >= cur.mayStartUntilMS {
 			cur.settled = true
 			ct.markTask(tk)
 		}
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -60,8 +60,6 @@
 	leaseUntilMS int64
 	// grantedMS is when this owner made a call with a deadline last.
 	grantedMS int64
-	// longLeasesUntilMS is until when runs may hold longer leases than this owner asked for.
-	longLeasesUntilMS int64
 	answeredMS        int64
 	// polledAddress is where the VM was polled last, answeredAddress where it answered last, or where an earlier owner's runs were started.
 	polledAddress, answeredAddress string
@@ -142,7 +140,7 @@
 	capUse size.Size
 	phase  phase
 	token  int64
-	// settled is set once no order can start the run any more and its lease is no longer than usual: it was confirmed, and its start was sent once, or inDoubtMS has passed since.
+	// settled is set once no order can start the run any more: it was confirmed, and its start was sent once, or inDoubtMS has passed since.
 	settled bool
 	// mayStartUntilMS is until when an unanswered copy of the run's start may still be executed, 0 if there is none.
 	mayStartUntilMS int64
