A start that nobody answered isn't counted as a crash for certain

What callers saw: nothing yet; found by the review. A job of which nothing ever ran was given up as failed: its start was left unanswered three times, by VMs that were silent for 15 s and then started again.

Why it works: a run whose start was neither answered nor listed stays doubtful however long it is kept.

--- a/internal/scheduling/jobcontrol/crashes.go
+++ b/internal/scheduling/jobcontrol/crashes.go
@@ -48,7 +48,7 @@
 	case phaseOrdered, phaseInDoubt:
 		return true
 	case phaseStopping:
-		return ct.ck.Now() < rn.mayStartUntilMS
+		return rn.unanswered || ct.ck.Now() < rn.mayStartUntilMS
 	default:
 		return false
 	}
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -271,6 +271,7 @@
 		ct.lg.Info("start-in-doubt", "vm", rn.vm.id, "task", rn.key.task, "run", rn.key.run)
 		rn.mayStartUntilMS = ct.ck.Now() + inDoubtMS
 		if rn.phase == phaseOrdered {
+			rn.unanswered = true
 			ct.setPhase(rn, phaseInDoubt)
 		}
 		return
--- a/internal/scheduling/jobcontrol/longlease_test.go
+++ b/internal/scheduling/jobcontrol/longlease_test.go
@@ -101,3 +101,29 @@
 		})
 	}
 }
+
+// A start that nobody has answered may never have begun, however long its run is kept.
+func TestJobIsNotGivenUpForStartsThatWereLeftUnanswered(t *testing.T) {
+	fl := newFleet(t, vmOf("a"), vmOf("b"), vmOf("c"), vmOf("d"))
+	fl.setBehavior(60_000, workpb.End_END_DONE)
+	fl.run(oldClockMS)
+	fl.submit(jobOf("j1", stepOf(1)))
+	for range 3 {
+		fl.holdStarts, fl.held = true, nil
+		for range 40_000 / stepMS {
+			if len(fl.held) == 0 {
+				fl.run(stepMS)
+			}
+		}
+		qt.Assert(t, fl.held, qt.Not(qt.HasLen), 0)
+		od := fl.held[0]
+		fl.ct.Cordon(od.GetVm(), true)
+		fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
+		fl.crash(od.GetVm())
+		fl.run(15_000)
+		fl.startAgain(od.GetVm())
+		fl.run(1000)
+	}
+	qt.Assert(t, fl.state("j1") == workpb.State_FAILED, qt.IsFalse)
+	qt.Assert(t, fl.starts, qt.HasLen, 0)
+}
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -258,6 +258,7 @@
 		if !ok {
 			rn = ct.adoptUnknown(vm, key)
 		}
+		rn.unanswered = false
 		if rn.phase == phaseOrdered || rn.phase == phaseInDoubt {
 			if rn.phase == phaseOrdered {
 				rn.recordStartAnswer(nowMS)
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -59,8 +59,8 @@
 	// leaseUntilMS is when every run there has certainly ended unless its lease is renewed.
 	leaseUntilMS int64
 	// grantedMS is when this owner made a call with a deadline last.
-	grantedMS int64
-	answeredMS        int64
+	grantedMS  int64
+	answeredMS int64
 	// polledAddress is where the VM was polled last, answeredAddress where it answered last, or where an earlier owner's runs were started.
 	polledAddress, answeredAddress string
 	// firstSeenMS is when the VM became known.
@@ -144,6 +144,8 @@
 	settled bool
 	// mayStartUntilMS is until when an unanswered copy of the run's start may still be executed, 0 if there is none.
 	mayStartUntilMS int64
+	// unanswered is set while the VM has neither answered the run's start nor listed the run.
+	unanswered bool
 	// cleared is set once the VM has survived the run's start, crashed once a crash of the VM was counted for the run's task.
 	cleared, crashed bool
 	// onProbation is set if the run's task was on probation when the run was created.
