--- a/internal/scheduling/jobcontrol/longlease.go
+++ b/internal/scheduling/jobcontrol/longlease.go
@@ -8,6 +8,9 @@
 // unnoticedRestartMS is how long after a VM's start calls for its earlier incarnation may still be executed: an owner polls each VM within inDoubtMS, and calls are executed up to inDoubtMS after they were sent.
 const unnoticedRestartMS = 2 * inDoubtMS
 
+// clockToleranceMS is by how much an answer's clock may lie below what was expected: clocks are cut to whole milliseconds, and run at the lowest rate at the worst.
+const clockToleranceMS = 10
+
 // SetLongestLease sets the longest lease, in milliseconds of a VM's clock, that VMs grant whatever deadline a call carries; 0 if it is unknown.
 func (ct *Controller) SetLongestLease(ms int64) {
 	ct.longestLeaseMS = ms
@@ -48,7 +51,7 @@
 // checkIncarnation compares the clock in the answer to a start with the start's deadline. The clock of each incarnation begins at 0, so a deadline that is too far ahead was computed for an earlier one; so was any, for all that is known, if the answer lacks the clock.
 func (ct *Controller) checkIncarnation(vm *vmState, od *workpb.Order, oc *workpb.Outcome) {
 	leaseMS := od.GetLeaseUntilMs() - oc.GetClockMs()
-	if !extendsLease(od, oc) || (oc.GetClockMs() > 0 && leaseMS <= ct.runLeaseMS) {
+	if !extendsLease(od, oc) || (oc.GetClockMs() > 0 && leaseMS <= ct.runLeaseMS+clockToleranceMS) {
 		return
 	}
 	ct.lg.Warn("start-on-restarted-vm", "vm", vm.id, "task", od.GetTask(), "run", od.GetRun(), "token", od.GetToken(),
