What a start shows of a restart isn't undone by an older poll

What callers would have seen: a task runs again after it was done.

Cause: a poll that the incarnation before had answered, handled after the answer to a start had shown a restart, made the VM count as known again; so did a clock of 0. The next poll acknowledged ends by the numbers of the incarnation before, and the VM dropped one that nobody had read.

--- a/internal/scheduling/jobcontrol/longlease_test.go
+++ b/internal/scheduling/jobcontrol/longlease_test.go
@@ -160,3 +160,50 @@
 	fl.ct.HandleOutcome(orders[0], &workpb.Outcome{Verdict: workpb.Verdict_ACCEPTED, ClockMs: 21_015})
 	qt.Assert(t, restarts, qt.Equals, 0)
 }
+
+// A poll that was sent before a start showed a restart may be answered by the incarnation before, and says nothing of the present one.
+func TestEndIsNotLostWhenAnOlderPollIsAnsweredAfterAStartShowedARestart(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		clockMS int64
+		// stale is set if the poll is answered after the start.
+		stale bool
+	}{
+		{"poll answered last", 20, true},
+		{"poll answered first", 20, false},
+		{"poll answered first, clock at 0", 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t, vmOf("a"))
+			fl.raiseTokens()
+			fl.setBehavior(300, workpb.End_END_DONE)
+			fl.run(oldClockMS)
+			fl.submit(jobOf("j0", stepOf(5)))
+			fl.run(2000)
+			fl.submit(jobOf("j1", stepOf(1)))
+			fl.run(3 * stepMS)
+			for fl.workers["a"].Running() > 0 {
+				fl.ck.Advance(stepMS)
+			}
+			lr := fl.nextPoll("a")
+			sentMS := fl.ck.Now()
+			lk, vd := fl.workers["a"].Poll(lr)
+			if !tc.stale {
+				fl.ct.HandlePoll("a", sentMS, lk, vd)
+			}
+			od := fl.holdStart(jobOf("j2", stepOf(1)))
+			fl.workers["a"].Restart()
+			fl.ck.Advance(tc.clockMS)
+			fl.ct.HandleOutcome(od, fl.workers["a"].Answer(od))
+			fl.ck.Advance(320)
+			fl.workers["a"].Running()
+			if tc.stale {
+				fl.ct.HandlePoll("a", sentMS, lk, vd)
+			}
+			fl.run(200)
+			fl.register("a")
+			fl.run(10_000)
+			qt.Assert(t, fl.starts["j2.0.0.0"], qt.Equals, 1)
+		})
+	}
+}
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -203,9 +203,12 @@
 	ct.applyEnded(vm, lk.GetEnded(), listed)
 	ct.reconcile(vm, sentMS, listed)
 	ct.stopUnadmitted(vm)
-	vm.synced = true
+	vm.synced = sentMS >= vm.unknownSinceMS
 	ct.adjustPace(vm)
-	vm.nextPollMS = nowMS + ct.pollInterval(vm)
+	vm.nextPollMS = nowMS
+	if vm.synced {
+		vm.nextPollMS += ct.pollInterval(vm)
+	}
 }
 
 func (ct *Controller) pollInterval(vm *vmState) int64 {
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -17,6 +17,8 @@
 	registered bool
 	// synced is true once this owner has seen the lists of the VM's current incarnation under its own token.
 	synced bool
+	// unknownSinceMS is when the answer to a start last showed an incarnation whose lists this owner hasn't seen.
+	unknownSinceMS int64
 	// token is the fencing token of calls to the VM's incarnation, 0 for the ownership's own; tokenDue is set while a higher one is needed.
 	token    int64
 	tokenDue bool
