An answer that waited proves nothing of the time since its call was sent

What callers would have seen: two runs of a lasting task at once for 3 and 8 s.

Cause: whether a copy of a start may still be executed was compared with the moment at which a poll's answer, or a list of machines, was handled. It tells of the time at which its call was sent; a busy owner or a slow list makes that seconds earlier, and meanwhile the VM restarts and executes the copy.

Evidence: both cases of the new test fail without it. Why it works: both are compared with the time of sending.

--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -76,10 +76,10 @@
 
 // endBegunRuns ends the runs that certainly began on a VM before a list of machines was read that shows its machine as down. The VM may start again under its id and execute unanswered starts then, so those are kept as long as they may be executed.
 func (ct *Controller) endBegunRuns(vm *vmState, readMS int64) {
-	before, nowMS := len(vm.runs), ct.ck.Now()
+	before := len(vm.runs)
 	ct.recordCrash(vm, func(rn *run) bool { return rn.startedMS >= readMS })
 	for _, rn := range vm.runs {
-		confirmed := rn.phase == phaseRunning && nowMS >= rn.mayStartUntilMS
+		confirmed := rn.phase == phaseRunning && readMS >= rn.mayStartUntilMS
 		tooLate := rn.mayStartUntilMS > 0 && readMS >= rn.mayStartUntilMS
 		if rn.startedMS < readMS && (rn.settled || confirmed || tooLate) {
 			ct.giveUpRun(rn, proofMachineDown)
--- a/internal/scheduling/jobcontrol/longlease.go
+++ b/internal/scheduling/jobcontrol/longlease.go
@@ -36,10 +36,10 @@
 	vm.leaseUntilMS = max(vm.leaseUntilMS, ct.ck.Now()+ct.longestLeaseOverMS())
 }
 
-// mayRunUntilMS returns until when a silent VM may go on with a run of which a copy of the start is unanswered, 0 if none is, or the VM has answered since it can't be executed any more. The VM's next incarnation may execute it, and calls that were made for the clock of the one before, of which each grants the longest lease. The starts of an earlier owner were most likely answered, so their runs don't wait for that.
+// mayRunUntilMS returns until when a silent VM may go on with a run of which a copy of the start is unanswered, 0 if none is, or the VM has answered a poll that was sent since it can't be executed any more. The VM's next incarnation may execute it, and calls that were made for the clock of the one before, of which each grants the longest lease. The starts of an earlier owner were most likely answered, so their runs don't wait for that.
 func (ct *Controller) mayRunUntilMS(rn *run) int64 {
 	switch {
-	case rn.mayStartUntilMS <= rn.vm.answeredMS:
+	case rn.mayStartUntilMS <= rn.vm.listedMS:
 		return 0
 	case rn.token < ct.token:
 		return rn.mayStartUntilMS
--- a/internal/scheduling/jobcontrol/longlease_test.go
+++ b/internal/scheduling/jobcontrol/longlease_test.go
@@ -207,3 +207,51 @@
 		})
 	}
 }
+
+// An answer, or a list of machines, that waited for the owner tells nothing of the time since its call was sent.
+func TestAnswerThatWaitedDoesNotEndTheDoubtOfALaterCopy(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// tell lets the owner hear, 1.5 s later, of the time before the VM restarted and executed the copy.
+		tell func(fl *fleet, host string, restart func())
+	}{
+		{"answered poll", func(fl *fleet, host string, restart func()) {
+			lr, sentMS := fl.nextPoll(host), fl.ck.Now()
+			lk, vd := fl.workers[host].Poll(lr)
+			fl.ck.Advance(100)
+			restart()
+			fl.ck.Advance(1500)
+			fl.ct.HandleWaitingPoll(host, sentMS, sentMS+stepMS, lk, vd)
+			fl.unresponsive[host] = true
+		}},
+		{"list of machines", func(fl *fleet, host string, restart func()) {
+			fl.crash(host)
+			fl.run(200)
+			readMS, list := fl.ck.Now(), fl.machinesWithDown()
+			fl.run(200)
+			restart()
+			fl.run(1700)
+			fl.ct.SetMachines(readMS, list)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fl := newFleet(t, hostedVM("a"), hostedVM("b"))
+			fl.setBehavior(60_000, workpb.End_END_UNKNOWN)
+			fl.run(oldClockMS)
+			od := fl.holdStart(jobOf("j1", lastingStep(1)))
+			host := od.GetVm()
+			fl.ct.HandleRepeated(od)
+			fl.ct.HandleOutcome(od, fl.workers[host].Answer(od))
+			fl.run(11_000)
+			tc.tell(fl, host, func() {
+				fl.workers[host].Restart()
+				fl.ck.Advance(500)
+				fl.workers[host].Order(od)
+			})
+			for range 8000 / stepMS {
+				fl.run(stepMS)
+				qt.Assert(t, fl.workers["a"].Running()+fl.workers["b"].Running() <= 1, qt.IsTrue)
+			}
+		})
+	}
+}
--- a/internal/scheduling/jobcontrol/poll.go
+++ b/internal/scheduling/jobcontrol/poll.go
@@ -185,7 +185,7 @@
 	if vm.answeredMS == 0 {
 		ct.expectInheritedLeases(vm, lk.GetClockMs())
 	}
-	vm.answeredMS, vm.answeredAddress = nowMS, vm.polledAddress
+	vm.answeredMS, vm.listedMS, vm.answeredAddress = nowMS, max(vm.listedMS, sentMS), vm.polledAddress
 	vm.unlistedReads = 0
 	if lk.GetBornMs() != 0 && lk.GetBornMs() != vm.startMS {
 		if vm.startMS != 0 {
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -61,7 +61,9 @@
 	// leaseUntilMS is when every run there has certainly ended unless its lease is renewed.
 	leaseUntilMS int64
 	// grantedMS is when this owner made a call with a deadline last.
-	grantedMS  int64
+	grantedMS int64
+	// listedMS is when the last poll that the VM answered was sent, answeredMS when its answer was handled.
+	listedMS   int64
 	answeredMS int64
 	// polledAddress is where the VM was polled last, answeredAddress where it answered last, or where an earlier owner's runs were started.
 	polledAddress, answeredAddress string
