Random histories: take a VM's lease from the VM itself

The histories kept a lease of their own for each VM, the highest deadline of all accepted calls. A VM grants at most its longest lease, so after a restart that copy could lie far beyond the real one: an end whose lease had lapsed would have counted as one that the owner must keep.

--- a/internal/scheduling/jobcontrol/history_test.go
+++ b/internal/scheduling/jobcontrol/history_test.go
@@ -89,8 +89,6 @@
 	incarnation int
 	// knownIncarnation is the incarnation of which the owner has heard.
 	knownIncarnation int
-	// leaseMS is the VM's lease on its clock.
-	leaseMS int64
 }
 
 func newHistory(pl *historyPlan) *history {
--- a/internal/scheduling/jobcontrol/historycalls_test.go
+++ b/internal/scheduling/jobcontrol/historycalls_test.go
@@ -176,9 +176,6 @@
 	hs.executing = so
 	oc := ht.wk.Answer(so.od)
 	hs.executing = nil
-	if oc.GetVerdict() == workpb.Verdict_ACCEPTED {
-		ht.leaseMS = max(ht.leaseMS, so.od.GetLeaseUntilMs())
-	}
 	return oc
 }
 
@@ -273,7 +270,6 @@
 	}
 	lk, vd := ht.wk.Poll(lr)
 	if vd == workpb.Verdict_ACCEPTED {
-		ht.leaseMS = max(ht.leaseMS, lr.GetLeaseUntilMs())
 		hs.noteAcknowledged(ht, lr.GetAcknowledged())
 	}
 	return lk, vd
--- a/internal/scheduling/jobcontrol/historycheck_test.go
+++ b/internal/scheduling/jobcontrol/historycheck_test.go
@@ -229,7 +229,7 @@
 // noteLapsedLeases marks the ends of the VMs whose lease has lapsed: such an end doesn't count if it is acknowledged later.
 func (hs *history) noteLapsedLeases() {
 	for _, te := range hs.ends {
-		if !te.counted && te.ht.wk.ClockMS() >= te.ht.leaseMS {
+		if !te.counted && te.ht.wk.ClockMS() >= te.ht.wk.LeaseUntilMS() {
 			te.lapsed = true
 		}
 	}
--- a/internal/scheduling/jobcontrol/historyfaults_test.go
+++ b/internal/scheduling/jobcontrol/historyfaults_test.go
@@ -102,7 +102,7 @@
 // stopHost ends everything on a VM, which may start again under its id.
 func (hs *history) stopHost(ht *host) {
 	ht.wk.Restart()
-	ht.down, ht.leaseMS = true, 0
+	ht.down = true
 	ht.incarnation++
 	hs.forgetEnds(ht)
 }
