Simulated VMs extend their lease by starts that they hold or refuse as old

The VMs of the tests took the deadline of a start only when the start began a run. Real ones take it from every start that isn't fenced or too late, also from a repeated copy and from one for an older run, so leases ended earlier in the tests than they may. Nothing gets weaker: leases only get longer, so runs go on longer and fewer ends lapse.

--- a/internal/testbed/workertest/workertest.go
+++ b/internal/testbed/workertest/workertest.go
@@ -181,9 +181,11 @@
 
 func (wk *Worker) start(ky key, od *workpb.Order) workpb.Verdict {
 	if _, ok := wk.running[ky]; ok {
+		wk.extendLease(od.GetLeaseUntilMs())
 		return workpb.Verdict_ACCEPTED
 	}
 	if ky.run <= wk.highestRun[ky.task] {
+		wk.extendLease(od.GetLeaseUntilMs())
 		return workpb.Verdict_STALE_RUN
 	}
 	if od.GetLeaseUntilMs() <= wk.ClockMS() {
