Random histories: VMs restart while starts are under way and fall silent

Silences end after 5,020 ms, starts are under way for 40 ms, VMs are as old as the history, runs take 4.3 s, and nothing makes a silence follow a restart.

The new kind has VMs that have run for up to 40 s each and one VM more. The VM to which the next start is sent restarts while it is under way, and is then silent for 4 to 30 s, mostly within 100 ms of accepting it. Calls may take 250 ms, owners change during the silences, and tasks take 5 to 20 s or last. It has a random source of its own, so the seeds of the other kinds draw what they drew.

--- a/internal/scheduling/jobcontrol/history_test.go
+++ b/internal/scheduling/jobcontrol/history_test.go
@@ -60,6 +60,8 @@
 	nextListMS                int64
 	// token is the highest fencing token of the owner so far.
 	token int64
+	// restarts holds the restarts that happen while the next starts are under way.
+	restarts []fault
 	// events counts the owner's log events by name.
 	events map[string]int
 	checks
@@ -89,18 +91,23 @@
 	incarnation int
 	// knownIncarnation is the incarnation of which the owner has heard.
 	knownIncarnation int
+	// silentMS is for how long the VM is silent after the next start that it accepts, 0 if it goes on answering.
+	silentMS int64
 }
 
 func newHistory(pl *historyPlan) *history {
 	hs := &history{
-		pl: pl, ck: clock.NewFake(historyStartMS), lg: event.Discard(), registry: map[string]*workpb.VM{}, jobs: map[string]*workpb.Job{},
+		pl: pl, ck: clock.NewFake(historyStartMS - pl.ageMS()), lg: event.Discard(), registry: map[string]*workpb.VM{}, jobs: map[string]*workpb.Job{},
 		cancelled: map[string]bool{}, stored: storedRows{}, service: "s", services: map[string]bool{"s": true},
 		evacuated: map[string]bool{}, forgotten: map[string]workpb.State{}, events: map[string]int{}, capCPU: pl.capCPU,
 	}
 	hs.lg.OnEvent(func(name string, _ []any) { hs.events[name]++ })
 	hs.checks = newChecks()
-	for _, vm := range pl.vms {
+	for at, vm := range pl.vms {
 		hs.addHost(proto.Clone(vm).(*workpb.VM))
+		if at < len(pl.agesMS) {
+			hs.ck.Advance(pl.agesMS[at])
+		}
 	}
 	hs.startOwner()
 	return hs
@@ -141,7 +148,7 @@
 	if hs.draw(percentAll, "fails", task, run) < 4 {
 		return hs.draw(500, "fails-after", task, run), workpb.End_END_FAILED
 	}
-	workMS := 50 + hs.draw(hs.pl.maxWorkMS, "takes", task, run)
+	workMS := 50 + hs.draw(hs.pl.workBoundMS(nm.Job()), "takes", task, run)
 	if hs.pl.paced && !st.GetGang() {
 		workMS = hs.pacedWorkMS(task)
 	}
@@ -233,7 +240,7 @@
 
 // quiet reports whether all faults are over, and every job has ended and nothing is left of it.
 func (hs *history) quiet() bool {
-	if hs.ck.Now() < historyStartMS+faultSpanMS+maxFaultMS+maxLateMS || hs.ct == nil {
+	if hs.ck.Now() < historyStartMS+hs.pl.faultsOverMS() || hs.ct == nil {
 		return false
 	}
 	for id := range hs.jobs {
--- a/internal/scheduling/jobcontrol/historycalls_test.go
+++ b/internal/scheduling/jobcontrol/historycalls_test.go
@@ -128,12 +128,13 @@
 		hs.after(minLateMS+hs.draw(maxLateMS-minLateMS, "late", call), func() { execute() })
 		hs.answerCopy(so, answerTimeoutMS, outcome(workpb.Verdict_IN_DOUBT))
 	case hs.hits(lostAnswers, call):
-		hs.after(hs.draw(maxLatencyMS, "arrives", call), func() { execute() })
+		hs.after(hs.arrivalMS(call), func() { execute() })
 		hs.answerCopy(so, answerTimeoutMS, outcome(workpb.Verdict_IN_DOUBT))
 	default:
-		hs.after(hs.draw(maxLatencyMS, "arrives", call), func() { hs.answerCopy(so, hs.latency(call), execute()) })
+		hs.after(hs.arrivalMS(call), func() { hs.answerCopy(so, hs.latency(call), execute()) })
 	}
 	if so.od.GetVerb() == workpb.Verb_START {
+		hs.restartBeneath(ht)
 		hs.toOwner(repeatAfterMS, func() { hs.repeat(so) })
 	}
 }
@@ -176,6 +177,9 @@
 	hs.executing = so
 	oc := ht.wk.Answer(so.od)
 	hs.executing = nil
+	if so.od.GetVerb() == workpb.Verb_START && oc.GetVerdict() == workpb.Verdict_ACCEPTED {
+		hs.silenceAfterStart(ht)
+	}
 	return oc
 }
 
@@ -249,7 +253,7 @@
 	case ht == nil || ht.cut || (lost && hs.draw(2, "unexecuted", call) == 0):
 		answer(answerTimeoutMS, nil, workpb.Verdict_IN_DOUBT)
 	default:
-		hs.after(hs.draw(maxLatencyMS, "arrives", call), func() {
+		hs.after(hs.arrivalMS(call), func() {
 			lk, vd := hs.executePoll(lr)
 			if lost || vd == workpb.Verdict_IN_DOUBT {
 				answer(answerTimeoutMS, nil, workpb.Verdict_IN_DOUBT)
--- a/internal/scheduling/jobcontrol/historyfaults_test.go
+++ b/internal/scheduling/jobcontrol/historyfaults_test.go
@@ -26,6 +26,8 @@
 		hs.disturbJob(ft)
 	case changedQueue:
 		hs.changeQueue()
+	case restartUnderWay:
+		hs.restarts = append(hs.restarts, ft)
 	case silentVM, restartedVM, changedVM, replacedVM, leavingVM, unregisteredVM:
 		if ht := hs.hosts[ft.target%len(hs.hosts)]; !ht.gone && !ht.down {
 			hs.disturbVM(ht, ft)
--- a/internal/scheduling/jobcontrol/historypace_test.go
+++ b/internal/scheduling/jobcontrol/historypace_test.go
@@ -14,9 +14,9 @@
 	minSiblings      = 2
 )
 
-// lastsMS returns when a history must have ended; a third of the VMs being four times slower takes longer.
+// lastsMS returns when a history must have ended; a third of the VMs being four times slower takes longer, and so do long tasks.
 func (pl *historyPlan) lastsMS() int64 {
-	if pl.paced {
+	if pl.paced || pl.restarts {
 		return slowHostPercent * maxHistoryMS / percentAll
 	}
 	return maxHistoryMS
--- a/internal/scheduling/jobcontrol/historyplan_test.go
+++ b/internal/scheduling/jobcontrol/historyplan_test.go
@@ -67,6 +67,10 @@
 	maxWorkMS int64
 	// paced is set if VMs and tasks differ in speed, and the rules let what is learned of that decide.
 	paced bool
+	// restarts is set if VMs restart while starts are under way; longWorkMS then bounds how long the planned jobs' runs take, and agesMS is how long each VM has run when the next one begins, or the history.
+	restarts   bool
+	longWorkMS int64
+	agesMS     []int64
 }
 
 const (
