Red test: an end of a new incarnation is dropped by a poll that was under way

A VM restarts while a start and a poll that acknowledges ends 1 and 2 are under way. The next incarnation executes the start, the run ends as its number 1, and then it executes the poll and drops that end, which it has never listed. The owner takes the run for vanished and starts the task again. Nothing tells the owner of the restart before it sends the poll, so the guards of acknowledgements (failed polls, a VM that isn't synced) don't hold it back.

--- a/internal/scheduling/jobcontrol/acknowledge_test.go
+++ b/internal/scheduling/jobcontrol/acknowledge_test.go
@@ -61,3 +61,41 @@
 		qt.Assert(t, lr.GetAcknowledged(), qt.Equals, int64(0))
 	}
 }
+
+// acknowledgingPoll runs the fleet until a poll acknowledges ends, and returns that poll before it is executed.
+func (fl *fleet) acknowledgingPoll() *workpb.LookRequest {
+	for range 100 {
+		fl.ck.Advance(stepMS)
+		for _, lr := range fl.ct.DuePolls() {
+			if lr.GetAcknowledged() > 0 {
+				return lr
+			}
+			fl.poll(lr)
+		}
+		fl.step()
+	}
+	fl.t.Fatal("no poll acknowledges an end")
+	return nil
+}
+
+// A VM that restarts while a start and a poll are under way ends the run before it executes the poll, which drops that end unread.
+func TestEndOfANewIncarnationIsNotAcknowledgedByAPollThatWasUnderWay(t *testing.T) {
+	fl := newFleet(t, vmOf("a"))
+	fl.setBehavior(100, workpb.End_END_DONE)
+	fl.submit(jobOf("j1", stepOf(1)))
+	lr := fl.acknowledgingPoll()
+	fl.holdStarts = true
+	fl.submit(jobOf("j2", stepOf(1)))
+	fl.run(2 * stepMS)
+	fl.holdStarts = false
+	fl.workers["a"].Restart()
+	for _, od := range fl.held {
+		fl.ct.HandleOutcome(od, fl.workers["a"].Answer(od))
+	}
+	fl.ck.Advance(200)
+	fl.poll(lr)
+	fl.register("a")
+	fl.run(20_000)
+	qt.Assert(t, fl.state("j2"), qt.Equals, workpb.State_COMPLETED)
+	qt.Assert(t, fl.starts["j2.0.0.0"], qt.Equals, 1)
+}
