A VM stays known after an answer without a clock

Such an answer shows no restart, only that none can be excluded: leases are counted as long ones, but a VM whose answers never hold a clock would be unusable after each start until the next poll. The simulated VM reports a clock of 0 as 1, as the client of the platform's VMs does.

--- a/internal/scheduling/jobcontrol/longlease.go
+++ b/internal/scheduling/jobcontrol/longlease.go
@@ -57,6 +57,9 @@
 	ct.lg.Warn("start-on-restarted-vm", "vm", vm.id, "task", od.GetTask(), "run", od.GetRun(), "token", od.GetToken(),
 		"lease-ms", leaseMS, "clock-ms", oc.GetClockMs(), "born", od.GetVmBornMs())
 	ct.expectLongLeases(vm)
+	if oc.GetClockMs() <= 0 {
+		return
+	}
 	// Nothing is known of this incarnation until it has been polled: no poll must extend its leases, or acknowledge ends by the numbers of the one before.
 	vm.synced, vm.unknownSinceMS = false, ct.ck.Now()
 	vm.nextPollMS = ct.ck.Now()
--- a/internal/testbed/workertest/workertest.go
+++ b/internal/testbed/workertest/workertest.go
@@ -143,9 +143,9 @@
 	wk.Record(wk.reg.GetId(), ky.task, ky.run, false, end)
 }
 
-// Answer executes an order like Order and returns the VM's clock with the verdict.
+// Answer executes an order like Order and returns the VM's clock with the verdict, 1 for 0 since that stands for none.
 func (wk *Worker) Answer(od *workpb.Order) *workpb.Outcome {
-	return &workpb.Outcome{Verdict: wk.Order(od), ClockMs: wk.ClockMS()}
+	return &workpb.Outcome{Verdict: wk.Order(od), ClockMs: max(wk.ClockMS(), 1)}
 }
 
 // Order executes an order, unless its fencing token is older than the newest seen.
@@ -210,7 +210,7 @@
 		return nil, workpb.Verdict_FENCED
 	}
 	wk.token = lr.GetToken()
-	lk := &workpb.Look{BornMs: wk.reg.GetBornMs(), ClockMs: wk.ClockMS()}
+	lk := &workpb.Look{BornMs: wk.reg.GetBornMs(), ClockMs: max(wk.ClockMS(), 1)}
 	wk.extendLease(lr.GetLeaseUntilMs())
 	for ky, rn := range wk.running {
 		row := &workpb.RunningRun{Task: ky.task, Run: ky.run, Percent: wk.progress(rn), Gauge: wk.Gauge(ky.task)}
