Connections and what requests hold are bounded by listener

What callers saw: clients that send large bodies, tiny chunks or endless heads and stay connected ended a process, which ran out of memory.

Cause: each connection was bounded (256 KB of body, 1 MB of head), their number and sum were not, nor how long a body may take, nor what the kernel holds for connections that aren't read.

connguard bounds them for each listener (callers, readiness, metrics, calls of other entries), by the memory, descriptors and processor share of the settings: connections; bytes of requests beyond 16 KB each, as received and once decoded; the rate at which those are read. Heads have the pages' limit of 16 KB, a request arrives within 30 s, messages of other entries have 256 KB at most, and the kernel's buffers 16 KB. When a limit is reached, the connection goes that has kept the process waiting with the most for the longest; a request that is whole is not cut off, and a small one doesn't count, so ordinary callers still get through. A submission without room once decoded is refused (entry-overloaded, 503 with Retry-After) before anything of it is stored. Each closed connection is counted and logged, 150 lines a second at most.

--- a/internal/membership/peer/peer.go
+++ b/internal/membership/peer/peer.go
@@ -9,8 +9,10 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/fulmarloft/fulmarloft/internal/clock"
 	"github.com/fulmarloft/fulmarloft/internal/observability/metric"
@@ -25,7 +27,9 @@
 	client *tls.Config
 	rg     *metric.Registry
 	mux    *drpcmux.Mux
-	dial   func(ctx context.Context, address string) (net.Conn, error)
+	// maxMessageBytes bounds the messages that are received, 0 for the default of drpc.
+	maxMessageBytes int
+	dial            func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -63,6 +67,9 @@
 	pr.dial = dial
 }
 
+// SetMaxMessageBytes bounds the messages that Serve receives; it must be called before Serve.
+func (pr *Peer) SetMaxMessageBytes(bytes int) { pr.maxMessageBytes = bytes }
+
 // Mux returns the mux on which services for other entries must be registered before Serve is called.
 func (pr *Peer) Mux() *drpcmux.Mux { return pr.mux }
 
@@ -72,7 +79,8 @@
 	defer conns.Wait()
 	stop := context.AfterFunc(ctx, func() { _ = ls.Close() })
 	defer stop()
-	sv := drpcserver.New(pr.mux)
+	reader := drpcwire.ReaderOptions{MaximumBufferSize: pr.maxMessageBytes}
+	sv := drpcserver.NewWithOptions(pr.mux, drpcserver.Options{Manager: drpcmanager.Options{Reader: reader}})
 	for {
 		raw, err := ls.Accept()
 		if ctx.Err() != nil {
--- /dev/null
+++ b/internal/request/connguard/pace.go
@@ -0,0 +1,26 @@
+package connguard
+
+import "time"
+
+// pace limits the rate of the bytes that count: reading and decoding many large bodies at once would leave no processor time for other requests. Its fields belong to the guard's lock.
+type pace struct {
+	// bytesPerS is the rate, 0 for no limit; as many bytes may come at once after a pause.
+	bytesPerS int64
+	// usedMS is until when the rate is used up, in milliseconds of the guard's clock.
+	usedMS int64
+}
+
+const (
+	msPerS = 1000
+	// burstMS is the time whose bytes may come at once.
+	burstMS = 1000
+)
+
+// take takes up the time of some bytes and returns how long to wait before more are read.
+func (pc *pace) take(nowMS, bytes int64) time.Duration {
+	if pc.bytesPerS == 0 {
+		return 0
+	}
+	pc.usedMS = max(pc.usedMS, nowMS-burstMS) + bytes*msPerS/pc.bytesPerS
+	return time.Duration(max(pc.usedMS-nowMS, 0)) * time.Millisecond
+}
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -42,6 +42,8 @@
 	MethodUnsupported Code = 120
 	// The request id or idempotency key was used for a different request.
 	IDReused Code = 121
+	// The requests that the entry has in hand hold as much memory as they may.
+	EntryOverloaded Code = 122
 
 	// It is unknown whether the request ran.
 	MayHaveRun     Code = 200
@@ -128,6 +130,7 @@
 	DeadlinePassed:    {"deadline-passed", http.StatusGatewayTimeout},
 	MethodUnsupported: {"method-unsupported", http.StatusMethodNotAllowed},
 	IDReused:          {"id-reused", http.StatusUnprocessableEntity},
+	EntryOverloaded:   {"entry-overloaded", http.StatusServiceUnavailable},
 
 	MayHaveRun:       {"may-have-run", http.StatusBadGateway},
 	AnswerBroken:     {"answer-broken", http.StatusBadGateway},
