--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -22,6 +22,7 @@
 	"row-without-checkpoints":     "Part {part} of the progress of job {job} has {bytes} bytes, more than the store takes; it is stored without checkpoints.",
 	"stored-occurrences-unusable": "The stored list of completed occurrences of job {job} is unusable.",
 	"progress-misplaced":          "The row {key} of table {table} holds progress that belongs elsewhere; it is ignored.",
+	"connection-closed":           "A connection at {address} was closed for want of {reason}; {connections} were open and their requests held {held-bytes} bytes beyond what each may.",
 	"commit-failed":               "The owner could not store {rows} rows; its last renewal was {silent-ms} ms before.",
 	"drain-cut-short":             "Entry {name} stopped with {in-flight} requests in flight.",
 	"drain-incomplete":            "The entry stopped before its last calls had ended.",
