Bytes around the smallest chunks count ninefold at the rate of bodies

Clients that were closed came back with bodies in chunks of one byte; at 12.8 MB a second these took all of the processor.

The lines around chunks cost far more time than data. What is received beyond the head and what the handler has read of the body now counts eight times more.

--- a/internal/request/connguard/conn.go
+++ b/internal/request/connguard/conn.go
@@ -28,6 +28,8 @@
 	sinceMS int64
 	// receivedBytes is what came of the present request, heldBytes what it holds besides.
 	receivedBytes, heldBytes int64
+	// deliveredBytes is what the handler has read of the body, overheadBytes what was received besides, beyond the free bytes.
+	deliveredBytes, overheadBytes int64
 	// wait is how long the next read waits; it belongs to the reader.
 	wait time.Duration
 }
@@ -45,6 +47,13 @@
 // counted returns the received bytes beyond the free ones.
 func (cn *conn) counted() int64 { return max(cn.receivedBytes-cn.gd.limits.FreeBytes, 0) }
 
+// newOverhead returns by how much the bytes that were received besides the body have grown since the last call.
+func (cn *conn) newOverhead() int64 {
+	before := cn.overheadBytes
+	cn.overheadBytes = max(before, cn.counted()-cn.deliveredBytes)
+	return cn.overheadBytes - before
+}
+
 // cost returns what the connection has cost so far: what it holds, an empty one included, times how long it has held it.
 func (cn *conn) cost(nowMS int64) int64 {
 	return (cn.receivedBytes + cn.gd.limits.FreeBytes + 1) * (nowMS - cn.sinceMS + 1)
--- a/internal/request/connguard/connguard.go
+++ b/internal/request/connguard/connguard.go
@@ -103,7 +103,7 @@
 	})
 }
 
-// body is the body of a request, whose end is recorded.
+// body is the body of a request, whose progress and end are recorded.
 type body struct {
 	io.ReadCloser
 	ctx context.Context
@@ -111,6 +111,9 @@
 
 func (bd body) Read(buf []byte) (int, error) {
 	count, err := bd.ReadCloser.Read(buf)
+	if cn, ok := bd.ctx.Value(contextKey{}).(*conn); ok && count > 0 {
+		cn.gd.deliver(cn, int64(count))
+	}
 	if errors.Is(err, io.EOF) {
 		RequestReceived(bd.ctx)
 	}
@@ -222,7 +225,7 @@
 	added := cn.counted() - before
 	gd.heldBytes += added
 	victims := gd.makeRoom()
-	wait := gd.pace.take(gd.ck.Now(), added)
+	wait := gd.pace.take(gd.ck.Now(), added+overheadCost*cn.newOverhead())
 	gd.mu.Unlock()
 	for _, victim := range victims {
 		gd.close(victim.Conn, BytesExhausted)
@@ -233,6 +236,13 @@
 	return wait
 }
 
+// deliver counts bytes of a body that its handler has read.
+func (gd *Guard) deliver(cn *conn, bytes int64) {
+	gd.mu.Lock()
+	defer gd.mu.Unlock()
+	cn.deliveredBytes += bytes
+}
+
 // hold counts bytes besides the received ones if there is room for them, closing connections with unfinished requests if need be.
 func (gd *Guard) hold(cn *conn, bytes int64) bool {
 	gd.mu.Lock()
@@ -305,7 +315,7 @@
 		if gd.conns[cn] {
 			gd.heldBytes -= cn.counted() + cn.heldBytes
 		}
-		cn.receivedBytes, cn.heldBytes = 0, 0
+		cn.receivedBytes, cn.heldBytes, cn.deliveredBytes, cn.overheadBytes = 0, 0, 0, 0
 		cn.begin(idle, gd.ck.Now())
 	case http.StateClosed, http.StateHijacked:
 		gd.forget(cn)
--- a/internal/request/connguard/pace.go
+++ b/internal/request/connguard/pace.go
@@ -14,6 +14,8 @@
 	msPerS = 1000
 	// burstMS is the time whose bytes may come at once.
 	burstMS = 1000
+	// overheadCost is what a byte costs that is received beyond the head and the body itself: reading the lines around the smallest chunks takes many times as long as reading their data.
+	overheadCost = 8
 )
 
 // take takes up the time of some bytes and returns how long to wait before more are read.
