The test of a job given up for unanswered starts fails without its fix

As committed it dropped the next start that came while the VM was silent, so it passed without the fix, too; found when it was played on the code without it. Now it fails there (state FAILED) and passes with the fix, both played.

--- a/internal/scheduling/jobcontrol/longlease_test.go
+++ b/internal/scheduling/jobcontrol/longlease_test.go
@@ -116,7 +116,7 @@
 	fl.run(oldClockMS)
 	fl.submit(jobOf("j1", stepOf(1)))
 	for range 3 {
-		fl.holdStarts, fl.held = true, nil
+		fl.holdStarts = true
 		for range 40_000 / stepMS {
 			if len(fl.held) == 0 {
 				fl.run(stepMS)
@@ -126,11 +126,13 @@
 			break
 		}
 		od := fl.held[0]
+		fl.held = nil
 		fl.ct.Cordon(od.GetVm(), true)
 		fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
 		fl.crash(od.GetVm())
 		fl.run(15_000)
 		fl.startAgain(od.GetVm())
+		fl.register(od.GetVm())
 		fl.run(1000)
 	}
 	qt.Assert(t, fl.state("j1") == workpb.State_FAILED, qt.IsFalse)
