A read of a large body waits 2 s at most for the rate of bodies

Each read took up time of the rate, also those of connections that were closed since, and nothing bounded the sum: a crowd that keeps coming back left a wait behind, in which a large body of an ordinary caller would have been held up after the crowd had gone. The new test failed before.

--- a/internal/request/connguard/pace.go
+++ b/internal/request/connguard/pace.go
@@ -14,6 +14,8 @@
 	msPerS = 1000
 	// burstMS is the time whose bytes may come at once.
 	burstMS = 1000
+	// maxWaitMS bounds how long one read waits: connections that were closed have taken up time that nobody uses.
+	maxWaitMS = 2000
 	// overheadCost is what a byte costs that is received beyond the head and the body itself: reading the lines around the smallest chunks takes many times as long as reading their data.
 	overheadCost = 8
 )
@@ -23,6 +25,7 @@
 	if pc.bytesPerS == 0 {
 		return 0
 	}
-	pc.usedMS = max(pc.usedMS, nowMS-burstMS) + bytes*msPerS/pc.bytesPerS
+	usedMS := max(pc.usedMS, nowMS-burstMS) + bytes*msPerS/pc.bytesPerS
+	pc.usedMS = min(usedMS, nowMS+maxWaitMS)
 	return time.Duration(max(pc.usedMS-nowMS, 0)) * time.Millisecond
 }
--- a/internal/request/connguard/pace_internal_test.go
+++ b/internal/request/connguard/pace_internal_test.go
@@ -28,3 +28,13 @@
 	whole := &conn{gd: New(nil, Limits{FreeBytes: 100}), receivedBytes: 50_000, deliveredBytes: 49_950}
 	qt.Check(t, whole.newOverhead(), qt.Equals, int64(0))
 }
+
+// Clients that keep coming back must not leave a wait behind that lasts after they have gone.
+func TestPaceDoesNotLetOneReadWaitForAllThatCameBefore(t *testing.T) {
+	pc := pace{bytesPerS: 1000}
+	for range 100 {
+		pc.take(10_000, 1000)
+	}
+	qt.Check(t, pc.take(10_000, 1000) <= maxWaitMS*time.Millisecond, qt.IsTrue)
+	qt.Check(t, pc.take(10_000+maxWaitMS+burstMS, 1000), qt.Equals, time.Duration(0))
+}
