--- a/review/standin-3/entry.go
+++ b/review/standin-3/entry.go
@@ -141,6 +141,13 @@
 	_ = ep.cmd.Process.Signal(sig)
 }
 
+// pid returns the id of the process.
+func (ep *entryProcess) pid() int {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	return ep.cmd.Process.Pid
+}
+
 // kill ends the process at once.
 func (ep *entryProcess) kill() {
 	ep.signal(syscall.SIGCONT)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,13 +18,15 @@
 // play runs a case in a world and returns what broke the rule, empty if it held; an error means that the case couldn't run.
 type play struct {
 	minions, entries int
-	run              func(wd *world) (string, error)
+	// cpu is the size of each minion in thousandths of a core.
+	cpu int64
+	run func(wd *world) (string, error)
 }
 
 var plays = map[string]play{
-	"crashes": {14, 2, playCrashes},
-	"pace":    {3, 2, playPace},
-	"cancel":  {4, 3, playCancel},
+	"pace":    {3, 2, 8000, playPace},
+	"cancel":  {4, 3, 8000, playCancel},
+	"backlog": {9, 3, 32_000, playBacklog},
 }
 
 func main() {
@@ -45,7 +47,7 @@
 	if err != nil {
 		seed = 1
 	}
-	wd, err := newWorld(program, seed, pl.minions, pl.entries)
+	wd, err := newWorld(program, seed, pl)
 	if wd != nil && len(wd.entries) > 0 {
 		defer wd.close()
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -23,17 +23,21 @@
 
 	mu       sync.Mutex
 	accepted map[string]time.Time
-	answers  []string
+	// killed is how often processes were killed for their memory.
+	killed int
+	// watchers are the goroutines that may start processes.
+	watchers sync.WaitGroup
 }
 
 const (
 	serviceName = "service"
-	minionCPU   = 8000
 	// prefixPlain and prefixAdvised are the paths of the queues without and with advice.
 	prefixPlain   = "/plain/"
 	prefixAdvised = "/advised/"
 	maxAttempts   = 4
 	callTimeout   = 3 * time.Second
+	// maxRecorded is the number of runs that a record lists.
+	maxRecorded = 400
 )
 
 // route returns a queue of the configuration.
@@ -55,7 +59,7 @@
 }
 
 // newWorld starts the platform with some minions, two a rack, and some entries.
-func newWorld(program string, seed int64, minions, entries int) (*world, error) {
+func newWorld(program string, seed int64, pl play) (*world, error) {
 	dir, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
@@ -69,13 +73,13 @@
 	if wd.fl.advice, err = serve(wd.fl.adviceHandler()); err != nil {
 		return nil, err
 	}
-	for at := range minions {
-		if _, err := wd.fl.add(serviceName, fmt.Sprintf("r%d", at/2), "a", minionCPU); err != nil {
+	for at := range pl.minions {
+		if _, err := wd.fl.add(serviceName, fmt.Sprintf("r%d", at/2), "a", pl.cpu); err != nil {
 			return nil, err
 		}
 	}
 	go wd.fl.tick(wd.stop)
-	for at := range entries {
+	for at := range pl.entries {
 		ep, err := newEntry(dir, program, fmt.Sprintf("edge-a-%d", at+1), wd.st, wd.fl)
 		if err != nil {
 			return nil, err
@@ -151,6 +155,7 @@
 // close ends all processes.
 func (wd *world) close() {
 	close(wd.stop)
+	wd.watchers.Wait()
 	for _, ep := range wd.entries {
 		if ep.cmd != nil {
 			ep.kill()
@@ -167,7 +172,11 @@
 	defer wd.fl.mu.Unlock()
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s\n\nEvents, in seconds:\n%s\n\nRuns (task, run, minion, from, to, end, end acknowledged):\n", verdict, strings.Join(wd.fl.notes, "\n"))
-	for _, sr := range wd.fl.seen {
+	for at, sr := range wd.fl.seen {
+		if at == maxRecorded {
+			fmt.Fprintf(&text, "and %d more runs\n", len(wd.fl.seen)-at)
+			break
+		}
 		to := "-"
 		if !sr.to.IsZero() {
 			to = fmt.Sprintf("%.3f", sr.to.Sub(wd.fl.began).Seconds())
