A cancellation is answered with 410 only once nothing can store the job

Cause: Intake.Cancel read that there was no row and wrote nothing. A read proves nothing about commits that are under way, which require only that the row is absent or has the version that it had.

Why it works: the refused row that the cancellation writes under the version that it read makes the condition of each earlier commit false, for good and under any owner; a refused row that was there is written anew. Later submissions replace it like any refusal. Without the row the answer is 503 or 504 with Retry-After. A job that is accepted or ends between the read and the commit is read again. Rows that hold no first attempt are deleted 30 s after they were seen, not 150.

--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -39,8 +39,6 @@
 	cancelSuffix = ".cancel"
 	// idDigits are the digits of job ids.
 	idDigits = "0123456789abcdef"
-	// cancelAttempts is how many times Cancel tries its commit, so that a commit that the store did not apply is repeated.
-	cancelAttempts = 2
 	// firstTimeoutMS is how long the first commit of a submission waits for its answer before the commit is repeated; secondTimeoutMS covers a store that is sixty times slower than normal.
 	firstTimeoutMS  = 400
 	secondTimeoutMS = 1100
@@ -288,11 +286,7 @@
 	if ok && stored == nil {
 		return code.TableInDoubt.New("cannot decode row %s", rw.Key())
 	}
-	refused, err := proto.Marshal(&workpb.Job{Id: jb.GetId(), Refused: true, FirstTriedMs: stored.GetFirstTriedMs()})
-	if err != nil {
-		return code.TableInDoubt.Wrap(err)
-	}
-	current, err := in.commitWithTimeout(ctx, in.jobTx(jb, rw.Version(), refused), firstTimeoutMS)
+	current, err := in.forbid(ctx, jb.GetId(), stored, rw.Version(), firstTimeoutMS)
 	switch {
 	case err == nil:
 		return code.TableUnavailable.New("submission withdrawn: its commit got no answer")
@@ -303,6 +297,18 @@
 	}
 }
 
+// forbid writes a job as refused under the version of its row, 0 for none, so that the version check of each commit of a submission that is under way fails. refused is the refusal that is there already, whose content is kept, or nil. It returns the current rows on a conflict.
+func (in *Intake) forbid(ctx context.Context, id string, refused *workpb.Job, version, timeoutMS int64) ([]rowstore.Row, error) {
+	if refused == nil {
+		refused = &workpb.Job{Id: id, Refused: true}
+	}
+	raw, err := proto.Marshal(refused)
+	if err != nil {
+		return nil, code.Internal.Wrap(err)
+	}
+	return in.commitWithTimeout(ctx, in.jobTx(refused, version, raw), timeoutMS)
+}
+
 // accepted reports whether rows hold an accepted job.
 func accepted(list []rowstore.Row) bool {
 	stored, _ := storedJob(list)
@@ -324,34 +330,36 @@
 	return nil, 0
 }
 
-// Cancel stores that a job is cancelled, unless it has ended. An error with code.JobUnknown means that the job does not exist.
-func (in *Intake) Cancel(ctx context.Context, id string) error {
-	stored, version, err := in.get(ctx, id)
-	if err != nil || Final(stored.GetEnded()) {
-		return err
+// get returns a stored job and its row version.
+func (in *Intake) get(ctx context.Context, id string) (*workpb.Job, int64, error) {
+	stored, version, err := in.stored(ctx, id)
+	if err != nil {
+		return nil, 0, err
 	}
-	tx := rowstore.NewTx(Partition(id)).Require(JobsTable, id, version).Put(JobsTable, CancelKey(id), []byte{1})
-	for range cancelAttempts {
-		_, _, err = in.st.Commit(ctx, tx)
-		if err == nil {
-			return nil
-		}
+	if stored == nil || stored.GetRefused() {
+		return nil, 0, code.JobUnknown.New("job %q does not exist", id)
 	}
-	return err
+	return stored, version, nil
 }
 
-// get returns a stored job, which some time after its end is found in another table, and its row version.
-func (in *Intake) get(ctx context.Context, id string) (*workpb.Job, int64, error) {
-	for _, table := range []string{JobsTable, EndedTable} {
-		rw, ok, err := in.st.Get(ctx, table, Partition(id), id)
-		if err != nil {
-			return nil, 0, err
-		}
-		if stored, version := storedJob([]rowstore.Row{rw}); ok && stored != nil && !stored.GetRefused() {
-			return stored, version, nil
-		}
+// stored returns a job, which some time after its end is found in another table, or its refusal, and the row version; it returns nil and the version of the unreadable row, 0 for none, if there is neither.
+func (in *Intake) stored(ctx context.Context, id string) (*workpb.Job, int64, error) {
+	rw, _, err := in.st.Get(ctx, JobsTable, Partition(id), id)
+	if err != nil {
+		return nil, 0, err
+	}
+	jb, version := storedJob([]rowstore.Row{rw})
+	if jb != nil && !jb.GetRefused() {
+		return jb, version, nil
+	}
+	rw, _, err = in.st.Get(ctx, EndedTable, Partition(id), id)
+	if err != nil {
+		return nil, 0, err
+	}
+	if ended, endedVersion := storedJob([]rowstore.Row{rw}); ended != nil {
+		return ended, endedVersion, nil
 	}
-	return nil, 0, code.JobUnknown.New("job %q does not exist", id)
+	return jb, version, nil
 }
 
 // State returns a job's state. An error with code.JobUnknown means that the job does not exist.
--- a/internal/scheduling/intake/interleave_test.go
+++ b/internal/scheduling/intake/interleave_test.go
@@ -31,6 +31,9 @@
 	notRun    map[int64]bool
 	// refusedStep is that of the newest commit that stored a refusal which was reported; acceptedBy is the submission that the job was accepted from, 0 for none.
 	refusedStep, acceptedBy int64
+	// cancels is set if cancellations begin as well, unknown counts those that were answered with "no such job".
+	cancels bool
+	unknown int
 }
 
 type submissionKey struct{}
@@ -76,9 +79,14 @@
 		il.st.ApplyLate()
 		il.check()
 	case 1:
-		if il.depth < maxDepth {
-			il.submit()
+		if il.depth >= maxDepth {
+			return
 		}
+		if il.cancels && il.rnd.IntN(3) == 0 {
+			il.cancel()
+			return
+		}
+		il.submit()
 	}
 }
 
--- a/internal/scheduling/jobrunner/cleaner.go
+++ b/internal/scheduling/jobrunner/cleaner.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmarloft/fulmarloft/internal/membership/sendcheck"
+	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/retention"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
@@ -24,9 +25,11 @@
 	shown *retention.Retention
 	// moved holds the jobs moved to the table of ended jobs until that table has been loaded.
 	moved map[string]bool
-	// refused holds the refused jobs whose rows are still stored, with the newest version of each; refusedRows tells when they are due.
+	// refused holds the refused jobs whose rows are still stored, with the newest version of each; refusedRows and guardRows tell when they are due.
 	refused     map[string]refusedRow
 	refusedRows *retention.Retention
+	// guardRows holds the refused jobs whose rows tell no first attempt: they only guard against commits under way.
+	guardRows *retention.Retention
 	// turn counts the runs, so that the kinds of rows take turns.
 	turn int
 	// removing is set while the rows of a partition are being deleted or shortened.
@@ -39,11 +42,15 @@
 type refusedRow struct {
 	version int64
 	seenMS  int64
+	// kept is the retention that tells when the row is due.
+	kept *retention.Retention
 }
 
 const (
 	// minRefusedRetentionMS is how long the row of a refused job is kept at least after its last refusal: callers that come back find the time of their first attempt there, at most 10 s later, or some seconds more if the store or their zone is away.
 	minRefusedRetentionMS = 60_000
+	// guardRetentionMS is how long a row is kept that guards against commits under way, which the store may apply some seconds after they were sent.
+	guardRetentionMS = 30_000
 	// refusedTurns is the number of runs of which one removes rows of refused jobs first.
 	refusedTurns = 4
 	// cleanupIntervalMS is how often rows are deleted, cleanupBatch the maximum number of jobs at once, with three rows each; both limit the store calls that compete with those made for callers.
@@ -59,18 +66,22 @@
 )
 
 func newRowCleaner(rn *Runner, retentionMS int64) *rowCleaner {
-	refusedRetentionMS := retentionMS
+	refusedMS, guardMS := retentionMS, retentionMS
 	if retentionMS > 0 {
-		refusedRetentionMS = max(retentionMS, minRefusedRetentionMS)
+		refusedMS, guardMS = max(retentionMS, minRefusedRetentionMS), guardRetentionMS
 	}
-	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), refused: map[string]refusedRow{}, refusedRows: retention.New(refusedRetentionMS), whole: retention.New(shortenAfterMS), shown: retention.New(showAfterMS), moved: map[string]bool{}}
+	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), refused: map[string]refusedRow{}, refusedRows: retention.New(refusedMS), guardRows: retention.New(guardMS), whole: retention.New(shortenAfterMS), shown: retention.New(showAfterMS), moved: map[string]bool{}}
 }
 
-// addRefused schedules the deletion of a refused job's row, which keeps a late submission from taking effect and holds the time of the first attempt. A row that is written anew is kept for the whole time again.
-func (rc *rowCleaner) addRefused(id string, version int64) {
+// addRefused schedules the deletion of a refused job's row, which keeps a late submission from taking effect and may hold the time of the first attempt. A row that is written anew is kept for the whole time again.
+func (rc *rowCleaner) addRefused(jb *workpb.Job, version int64) {
 	nowMS := rc.rn.ck.Now()
-	rc.refused[id] = refusedRow{version, nowMS}
-	rc.refusedRows.RecordEnded(intake.Partition(id), id, nowMS)
+	kept := rc.refusedRows
+	if jb.GetFirstTriedMs() == 0 {
+		kept = rc.guardRows
+	}
+	rc.refused[jb.GetId()] = refusedRow{version, nowMS, kept}
+	kept.RecordEnded(intake.Partition(jb.GetId()), jb.GetId(), nowMS)
 }
 
 // dropRefused forgets the refusal of a job that has been accepted since, so that its row isn't deleted before its time.
@@ -126,15 +137,24 @@
 	}
 }
 
-// removeRefused deletes the rows of refused jobs that are due in one partition, on condition that they are unchanged: a job may have been accepted in place of its refusal without this owner having heard of it.
+// removeRefused deletes rows of refused jobs that are due, of one kind in one partition.
 func (rc *rowCleaner) removeRefused(ctx context.Context, nowMS int64) {
-	partition, due := rc.refusedRows.TakeDue(nowMS, cleanupBatch)
+	for _, kept := range []*retention.Retention{rc.guardRows, rc.refusedRows} {
+		if !rc.removing {
+			rc.removeRefusedOf(ctx, kept, nowMS)
+		}
+	}
+}
+
+// removeRefusedOf deletes the rows of refused jobs that are due in one partition, on condition that they are unchanged: a job may have been accepted in place of its refusal without this owner having heard of it.
+func (rc *rowCleaner) removeRefusedOf(ctx context.Context, kept *retention.Retention, nowMS int64) {
+	partition, due := kept.TakeDue(nowMS, cleanupBatch)
 	tx := rowstore.NewTx(partition)
 	var ids []string
 	for _, id := range due {
 		// An id is recorded once for each time its row was written; only the last one counts.
 		row, ok := rc.refused[id]
-		if !ok || !rc.refusedRows.Due(row.seenMS, nowMS) {
+		if !ok || row.kept != kept || !kept.Due(row.seenMS, nowMS) {
 			continue
 		}
 		tx.Require(intake.JobsTable, id, row.version).Remove(intake.JobsTable, id)
@@ -143,12 +163,12 @@
 	if len(ids) > 0 {
 		rc.removing = true
 		rc.hurry(due, nowMS)
-		go rc.commitRefused(ctx, tx, ids)
+		go rc.commitRefused(ctx, tx, ids, kept)
 	}
 }
 
 // commitRefused deletes rows of refused jobs; if some have changed, the others are tried again.
-func (rc *rowCleaner) commitRefused(ctx context.Context, tx *rowstore.Tx, ids []string) {
+func (rc *rowCleaner) commitRefused(ctx context.Context, tx *rowstore.Tx, ids []string, kept *retention.Retention) {
 	_, current, err := rc.rn.deps.Store.Commit(ctx, tx)
 	rc.rn.post(ctx, func() {
 		rc.removing = false
@@ -166,7 +186,7 @@
 				delete(rc.refused, rw.Key())
 			}
 		}
-		rc.refusedRows.Requeue(tx.Partition(), ids, rc.rn.ck.Now())
+		kept.Requeue(tx.Partition(), ids, rc.rn.ck.Now())
 		rc.rn.lg.Fail("refusals-unremoved", err, "part", tx.Partition(), "jobs", len(ids))
 	})
 }
--- a/internal/scheduling/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		if jb.GetRefused() {
-			rn.cleaner.addRefused(jb.GetId(), rw.Version())
+			rn.cleaner.addRefused(jb, rw.Version())
 			rn.ct.RecordRefused(jb)
 			continue
 		}
