A detached call keeps its checks and not the end of its caller

Cause: sendcheck.With put the end of the context to which a check was added into the check itself. intake detaches its calls from their callers with context.WithoutCancel, but the check still failed once the caller had left, so none of its calls was sent.

--- a/internal/membership/sendcheck/sendcheck_test.go
+++ b/internal/membership/sendcheck/sendcheck_test.go
@@ -24,3 +24,20 @@
 	cancel()
 	qt.Check(t, sendcheck.Allowed(ctx), qt.IsFalse)
 }
+
+// A call that is carried through after its caller has left must still be checked, and end with its own context.
+func TestDetachedContextKeepsItsChecks(t *testing.T) {
+	allowed := true
+	caller, leave := context.WithCancel(context.Background())
+	ctx := sendcheck.With(caller, func() bool { return allowed })
+	ctx = sendcheck.With(ctx, func() bool { return true })
+	detached, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	leave()
+	qt.Check(t, sendcheck.Allowed(ctx), qt.IsFalse)
+	qt.Check(t, sendcheck.Allowed(detached), qt.IsTrue)
+	allowed = false
+	qt.Check(t, sendcheck.Allowed(detached), qt.IsFalse)
+	allowed = true
+	cancel()
+	qt.Check(t, sendcheck.Allowed(detached), qt.IsFalse)
+}
