Orders of paces are repeated while one of them may be executed late

Cause: setPace noted an order as the run's pace when it made it, and HandleOutcome dropped the outcome. An unanswered order that its VM executed after newer ones was never corrected, once the owner believed in the end of the range.

Why it works: orderedpace knows whether a run certainly has its pace, which an order proves that was accepted with no other under way or in doubt (13 s after the last unanswered one). Until then the order is repeated, at most once a second a run, so that a late order counts for about that time in either direction; nothing is sent where nothing is in doubt. A new owner orders each inherited run its pace once, from what the runs' CPU use shows.

--- a/internal/scheduling/jobcontrol/controller.go
+++ b/internal/scheduling/jobcontrol/controller.go
@@ -10,6 +10,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/observability/event"
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/orderedpace"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/sizefairness"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/taskpace"
@@ -301,7 +302,7 @@
 func (ct *Controller) newRun(vm *vmState, tk *task, number int64, ph phase) *run {
 	return &run{
 		key: runKey{tk.name().String(), number}, vm: vm, st: tk.st, index: tk.index, team: tk.job().row.GetTeam(),
-		need: tk.st.need(), capUse: tk.st.capUse(), phase: ph, token: ct.tokenOf(vm), startedMS: ct.ck.Now(), progressMS: ct.ck.Now(), sentPace: fullPercent,
+		need: tk.st.need(), capUse: tk.st.capUse(), phase: ph, token: ct.tokenOf(vm), startedMS: ct.ck.Now(), progressMS: ct.ck.Now(), pace: orderedpace.New(fullPercent),
 		onProbation: tk.crashes.probation,
 	}
 }
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -209,6 +209,7 @@
 			rn.stoppedMS = ct.ck.Now()
 		}
 	case workpb.Verb_PACE:
+		ct.handlePaceVerdict(rn, od.GetPercent(), vd)
 	}
 }
 
--- a/internal/scheduling/jobcontrol/fleet_test.go
+++ b/internal/scheduling/jobcontrol/fleet_test.go
@@ -19,6 +19,8 @@
 const (
 	runLeaseMS = 5000
 	stepMS     = 20
+	// unanswered is no verdict.
+	unanswered workpb.Verdict = -1
 )
 
 // fleet runs a controller against simulated VMs and checks invariants at every start.
@@ -35,6 +37,11 @@
 	// held collects the starts that are neither executed nor answered while holdStarts is set.
 	holdStarts bool
 	held       []*workpb.Order
+	// late selects orders that get no answer and wait in lateOrders until executeLate executes them.
+	late       func(od *workpb.Order) bool
+	lateOrders []*workpb.Order
+	// refuse returns the verdict with which an order is refused, ACCEPTED for none, or unanswered if the test answers it.
+	refuse func(od *workpb.Order) workpb.Verdict
 	// beforeOrder is called before an order is executed.
 	beforeOrder func(od *workpb.Order)
 	stored      storedRows
@@ -63,6 +70,8 @@
 		runningOn: map[string]string{}, doneTasks: map[string]bool{}, starts: map[string]int{},
 	}
 	fl.loseAnswer = func(*workpb.Order) bool { return false }
+	fl.late = func(*workpb.Order) bool { return false }
+	fl.refuse = func(*workpb.Order) workpb.Verdict { return workpb.Verdict_ACCEPTED }
 	fl.beforeOrder = func(*workpb.Order) {}
 	fl.limitBatch = func() {}
 	fl.check = func(*jobcontrol.Batch) {}
@@ -208,6 +217,17 @@
 			fl.held = append(fl.held, od)
 			continue
 		}
+		if vd := fl.refuse(od); vd != workpb.Verdict_ACCEPTED {
+			if vd != unanswered {
+				fl.ct.HandleOutcome(od, outcome(vd))
+			}
+			continue
+		}
+		if fl.late(od) {
+			fl.lateOrders = append(fl.lateOrders, od)
+			fl.ct.HandleOutcome(od, outcome(workpb.Verdict_IN_DOUBT))
+			continue
+		}
 		oc := wk.Answer(od)
 		if fl.loseAnswer(od) {
 			oc = outcome(workpb.Verdict_IN_DOUBT)
@@ -216,6 +236,14 @@
 	}
 }
 
+// executeLate executes the orders that were left unanswered.
+func (fl *fleet) executeLate() {
+	for _, od := range fl.lateOrders {
+		fl.workers[od.GetVm()].Order(od)
+	}
+	fl.lateOrders = nil
+}
+
 // outcome returns the outcome of an order without the VM's clock.
 func outcome(vd workpb.Verdict) *workpb.Outcome { return &workpb.Outcome{Verdict: vd} }
 
--- a/internal/scheduling/jobcontrol/lifecycle.go
+++ b/internal/scheduling/jobcontrol/lifecycle.go
@@ -160,6 +160,8 @@
 	ct.expectLongLeases(vm)
 	for _, rn := range vm.runs {
 		rn.stoppedMS = 0
+		// A run that the new incarnation lists has begun there anew, at full pace.
+		rn.pace.Forget()
 	}
 	ct.restoreLateStarts(vm)
 }
--- a/internal/scheduling/jobcontrol/pace_test.go
+++ b/internal/scheduling/jobcontrol/pace_test.go
@@ -11,19 +11,19 @@
 
 const tailTargetMS = 100
 
-// newSharedVM runs a latency-sensitive task and a best-effort batch task on one VM. The batch task adds the interference, in proportion to its pace, to the other task's tail latency.
+// newSharedVM runs a latency-sensitive task and a best-effort batch task on one VM. The batch task uses its CPU time, and adds the interference to the other task's tail latency, in proportion to its pace.
 func newSharedVM(t *testing.T, interference func() int64) *fleet {
 	fl := newFleet(t, vmOf("a"))
 	wk := fl.workers["a"]
 	wk.Behave = func(string, int64) (int64, workpb.End) { return 0, workpb.End_END_UNKNOWN }
 	wk.Gauge = func(task string) int64 {
-		if strings.HasPrefix(task, "fill") {
-			return 0
-		}
 		pace, ok := wk.Pace["fill.0.0.0"]
 		if !ok {
 			pace = 100
 		}
+		if strings.HasPrefix(task, "fill") {
+			return stepOf(1).GetCpuMilli() * pace / 100
+		}
 		return 40 + interference()*pace/100
 	}
 	service := stepOf(1)
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -126,6 +126,8 @@
 	case workpb.Phase_INTENDED:
 		rn := ct.allocate(ct.restoreHost(hostOf(pg, tr)), tk, phaseInDoubt)
 		rn.token, rn.settled = 0, tr.GetSettled()
+		rn.pace.Forget()
+		rn.vm.paceInherited = rn.vm.paceInherited || rn.bestEffort()
 		if !rn.settled {
 			rn.mayStartUntilMS = ct.ck.Now() + inDoubtMS
 		}
--- a/internal/scheduling/jobcontrol/vm.go
+++ b/internal/scheduling/jobcontrol/vm.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
+	"github.com/fulmarloft/fulmarloft/internal/scheduling/orderedpace"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/size"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/startwindow"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/suspicion"
@@ -100,6 +101,8 @@
 	machineStatus string
 	// pace is the pace last set for best-effort tasks on the VM, in percent; 100 is unthrottled.
 	pace int64
+	// paceInherited is set while the VM may have best-effort tasks at a pace that an earlier owner has set.
+	paceInherited bool
 }
 
 type runKey struct {
@@ -176,8 +179,8 @@
 	savedPercent int64
 	// gauge is the tail latency in milliseconds for a latency-sensitive task, else the CPU use in thousandths of a core.
 	gauge int64
-	// sentPace is the pace last ordered from the VM, in percent.
-	sentPace   int64
+	// pace is what the VM was ordered; it matters for best-effort runs only.
+	pace       orderedpace.Pace
 	stopSentMS int64
 	stoppedMS  int64
 }
