Signals that end a process have a channel of their own

Cause: one channel with room for one carried all signals, and os/signal drops what finds no room. While one SIGHUP was handled, the next filled it.

Why it works: of SIGTERM and SIGINT, one that finds no room finds another that stops the process waiting in its place.

--- a/cmd/fulmarloft/platform.go
+++ b/cmd/fulmarloft/platform.go
@@ -26,23 +26,32 @@
 		return err
 	}
 	stop := make(chan struct{})
-	go watchSignals(lg, stop)
+	watchSignals(stop, func() { reloadSettings(lg) })
 	return edge.New(st, ck, lg).Run(stop)
 }
 
-// watchSignals closes stop on SIGTERM or SIGINT and validates the settings file on SIGHUP. Changed settings take effect at the next start.
-func watchSignals(lg *event.Log, stop chan<- struct{}) {
-	ch := make(chan os.Signal, 1)
-	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range ch {
-		if sig != syscall.SIGHUP {
-			close(stop)
-			return
+// watchSignals closes stop on SIGTERM or SIGINT, and calls reload on SIGHUP. Each kind has its own channel: signals that come while reload runs must not take the place of the one that stops the process.
+func watchSignals(stop chan<- struct{}, reload func()) {
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		<-ends
+		close(stop)
+	}()
+	go func() {
+		for range reloads {
+			reload()
 		}
-		if _, err := boot.Load(os.Getenv(boot.PathVariable)); err != nil {
-			lg.Fail("settings-refused", err)
-			continue
-		}
-		lg.Info("settings-checked")
+	}()
+}
+
+// reloadSettings validates the settings file; changed settings take effect at the next start.
+func reloadSettings(lg *event.Log) {
+	if _, err := boot.Load(os.Getenv(boot.PathVariable)); err != nil {
+		lg.Fail("settings-refused", err)
+		return
 	}
+	lg.Info("settings-checked")
 }
