Rows of ended jobs are deleted only as the owner knows them

What callers would see: an id that is used again within seconds of the end of its retention, and whose job is accepted, is unknown under the next owner.

Cause: the deletion had no condition, so that a copy without an answer, performed after its repetition, took the new job's row and mark with it.

Why it works: each deletion requires the version of the row that the owner read, heard of or wrote, and so do its repetitions; any newer row makes the condition of the late copy false.

--- a/internal/scheduling/jobrunner/cleaner.go
+++ b/internal/scheduling/jobrunner/cleaner.go
@@ -10,6 +10,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/intake"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/retention"
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
+	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
 // rowCleaner deletes the rows of jobs whose retention period has ended: the job rows first and the progress afterwards, so that no successor mistakes an ended job for one that never ran.
@@ -18,6 +19,8 @@
 type rowCleaner struct {
 	rn *Runner
 	rt *retention.Retention
+	// rows holds the versions of the rows to delete.
+	rows *jobRows
 	// whole holds the ended jobs whose rows are still whole.
 	whole     *retention.Retention
 	nextRunMS int64
@@ -70,7 +73,7 @@
 	if retentionMS > 0 {
 		refusedMS, guardMS = max(retentionMS, minRefusedRetentionMS), guardRetentionMS
 	}
-	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), refused: map[string]refusedRow{}, refusedRows: retention.New(refusedMS), guardRows: retention.New(guardMS), whole: retention.New(shortenAfterMS), shown: retention.New(showAfterMS), moved: map[string]bool{}}
+	return &rowCleaner{rn: rn, rt: retention.New(retentionMS), rows: newJobRows(), refused: map[string]refusedRow{}, refusedRows: retention.New(refusedMS), guardRows: retention.New(guardMS), whole: retention.New(shortenAfterMS), shown: retention.New(showAfterMS), moved: map[string]bool{}}
 }
 
 // addRefused schedules the deletion of a refused job's row, which keeps a late submission from taking effect and may hold the time of the first attempt. A row that is written anew is kept for the whole time again.
@@ -194,18 +197,23 @@
 // removeRows deletes the rows that are due in one partition.
 func (rc *rowCleaner) removeRows(ctx context.Context, nowMS int64) {
 	partition, due := rc.rt.TakeDue(nowMS, cleanupBatch)
+	tx := rowstore.NewTx(partition)
 	var ids []string
 	for _, id := range due {
-		if rc.rn.ct.Forget(id) {
+		switch {
+		case rc.rows.reused(id):
+			rc.rows.deleted(id)
+		case rc.rn.ct.Forget(id):
+			rc.rows.addDeletion(tx, id)
 			ids = append(ids, id)
-			continue
+		default:
+			rc.rt.RecordEnded(partition, id, nowMS)
 		}
-		rc.rt.RecordEnded(partition, id, nowMS)
 	}
 	if len(ids) > 0 {
 		rc.removing = true
 		rc.hurry(due, nowMS)
-		go rc.removeJobs(ctx, partition, ids)
+		go rc.commitRemoval(ctx, tx, ids)
 	}
 }
 
@@ -247,7 +255,7 @@
 
 // commitShortRows writes short rows; the progress of their jobs, which they replace, is deleted some time after.
 func (rc *rowCleaner) commitShortRows(ctx context.Context, tx *rowstore.Tx, ids []string) {
-	_, _, err := rc.rn.deps.Store.Commit(ctx, tx)
+	version, _, err := rc.rn.deps.Store.Commit(ctx, tx)
 	rc.rn.post(ctx, func() {
 		rc.removing = false
 		if err != nil {
@@ -257,6 +265,7 @@
 		}
 		for _, id := range ids {
 			rc.rn.ct.RowShortened(id)
+			rc.rows.setEnded(id, version)
 			rc.shown.RecordEnded("", id, rc.rn.ck.Now())
 			if rc.moved != nil {
 				rc.moved[id] = true
@@ -265,24 +274,24 @@
 	})
 }
 
-// removeJobs deletes the job and cancellation rows; rows that no longer exist are not an error.
-func (rc *rowCleaner) removeJobs(ctx context.Context, partition string, ids []string) {
-	tx := rowstore.NewTx(partition)
-	for _, id := range ids {
-		tx.Remove(intake.JobsTable, id)
-		tx.Remove(intake.JobsTable, intake.CancelKey(id))
-		tx.Remove(intake.EndedTable, id)
-	}
-	_, _, err := rc.rn.deps.Store.Commit(ctx, tx)
+// commitRemoval deletes the rows of jobs; what wasn't deleted is tried again, but for rows that have changed.
+func (rc *rowCleaner) commitRemoval(ctx context.Context, tx *rowstore.Tx, ids []string) {
+	_, current, err := rc.rn.deps.Store.Commit(ctx, tx)
 	rc.rn.post(ctx, func() {
 		rc.removing = false
 		if err != nil {
-			rc.rn.lg.Fail("rows-unremoved", err, "part", partition, "jobs", len(ids))
-			rc.rt.Requeue(partition, ids, rc.rn.ck.Now())
+			rc.rn.lg.Fail("rows-unremoved", err, "part", tx.Partition(), "jobs", len(ids))
+			if code.Of(err) == code.Conflict {
+				ids = rc.rows.retry(ids, current)
+			}
+			rc.rt.Requeue(tx.Partition(), ids, rc.rn.ck.Now())
 			return
 		}
+		for _, id := range ids {
+			rc.rows.deleted(id)
+		}
 		rc.addProgress(ids)
-		rc.rn.lg.Info("rows-removed", "part", partition, "jobs", len(ids))
+		rc.rn.lg.Info("rows-removed", "part", tx.Partition(), "jobs", len(ids))
 	})
 }
 
--- a/internal/scheduling/jobrunner/follow.go
+++ b/internal/scheduling/jobrunner/follow.go
@@ -141,6 +141,7 @@
 			continue
 		}
 		rn.cleaner.dropRefused(jb.GetId())
+		rn.cleaner.rows.setWhole(jb.GetId(), rw.Version())
 		if progress != nil {
 			rn.ct.Restore(jb, progress[jb.GetId()])
 			continue
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -263,6 +263,7 @@
 			continue
 		}
 		if !rn.cleaner.moved[jb.GetId()] {
+			rn.cleaner.rows.setEnded(jb.GetId(), rw.Version())
 			rn.ct.Restore(jb, nil)
 		}
 	}
