Cancellations of unknown jobs may use 1 % of the store's writes at an entry

What callers would see: since such a cancellation writes a row, a flood of them with one valid key could use all writes of the store, and submissions would get 503.

Why it works: a token bucket at each entry, with the rate of the settings (platform.writes_per_s) and ten seconds saved up. Beyond it the answer is 503 with Retry-After, and nothing is written. Stored jobs are cancelled as before.

Evidence: TestFloodOfCancellationsOfUnknownJobs, 4,000 calls in 20 s at one entry: 120 to 186 writes are allowed at 600 writes a second, the rest is told to come back; TestCancellationAnswers.

--- a/internal/scheduling/intake/cancel_test.go
+++ b/internal/scheduling/intake/cancel_test.go
@@ -253,3 +253,29 @@
 	qt.Check(t, st.ApplyLate(), qt.Equals, 0)
 	qt.Check(t, st.Keys(intake.JobsTable), qt.Equals, jobID)
 }
+
+// A flood of cancellations of jobs that never were may write rows at a small part of the store's rate only; the others must be told to come back, and cancellations of stored jobs must not be held up.
+func TestFloodOfCancellationsOfUnknownJobs(t *testing.T) {
+	const writesPerS, calls, seconds = 600, 200, 20
+	ck := clock.NewFake(0)
+	st := rowstoretest.New(ck)
+	in := intake.New(st.Rowstore()).WithStoreRate(ck, writesPerS)
+	qt.Assert(t, in.Submit(context.Background(), triedAt(1000)), qt.IsNil)
+	writes := 0
+	st.SetCommitOutcome(func(*rowstore.Tx) rowstoretest.Outcome {
+		writes++
+		return rowstoretest.Served
+	})
+	answered := map[code.Code]int{}
+	for second := range seconds {
+		for at := range calls {
+			err := in.Cancel(context.Background(), fmt.Sprintf("%08x%08x", second, at))
+			answered[code.Of(err)]++
+		}
+		ck.Advance(1000)
+	}
+	qt.Check(t, in.Cancel(context.Background(), jobID), qt.IsNil)
+	qt.Check(t, answered[code.JobUnknown], qt.Equals, writes-1)
+	qt.Check(t, answered[code.JobUnknown]+answered[code.TableBudget], qt.Equals, calls*seconds)
+	qt.Check(t, writes >= seconds*writesPerS/100 && writes <= (seconds+11)*writesPerS/100, qt.IsTrue, qt.Commentf("%d writes", writes))
+}
--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -22,6 +22,8 @@
 	st *rowstore.Store
 	// versions tells which rows were written before a call began.
 	versions *seenversion.Tracker
+	// mayForbid reports whether a cancellation of an unknown job may write its row.
+	mayForbid func() bool
 
 	mu          sync.Mutex
 	finalStates map[string]workpb.State
@@ -57,7 +59,7 @@
 // New returns an intake that uses the store.
 func New(st *rowstore.Store) *Intake {
 	versions := seenversion.New()
-	return &Intake{st: versions.Store(st), versions: versions, finalStates: map[string]workpb.State{}}
+	return &Intake{st: versions.Store(st), versions: versions, mayForbid: func() bool { return true }, finalStates: map[string]workpb.State{}}
 }
 
 // WithVersions sets the tracker of a store that the intake uses like the rest of the process, so that it knows of the versions in answers to all calls.
