An entry defers to stronger ones anew with each release of the ownership

Cause: a weak entry leaves a free row to stronger ones for 0.3 s, counted from the first poll that saw it free. It polls each 0.8 s: when it saw the row free twice, released by two owners in turn, it took the time between for its deferral and took over at once.

Why it works: a new version of the row shows that it was owned in between, and begins the deferral anew, within which the strong ones see the row.

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -242,6 +242,10 @@
 	if ow.rowChanged || startMS-ow.lastReadMS > maxReadGapMS {
 		ow.unchangedSinceMS = nowMS
 	}
+	if ow.rowChanged {
+		// The row was owned since it was free last, by an owner that this entry hasn't seen.
+		ow.freeSinceMS = 0
+	}
 	switch {
 	case ow.row == nil:
 		ow.tokenSinceMS = nowMS - unknownTermMS
--- a/internal/membership/ownership/ownership_test.go
+++ b/internal/membership/ownership/ownership_test.go
@@ -17,8 +17,11 @@
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
-// pollMS is the poll interval of close watchers.
-const pollMS = 250
+// pollMS is the poll interval of close watchers, relaxedPollMS that of the others.
+const (
+	pollMS        = 250
+	relaxedPollMS = 800
+)
 
 // pair is two competing entries on one store.
 type pair struct {
@@ -130,6 +133,23 @@
 	qt.Assert(t, pr.watch(t, pr.two, 900), qt.IsTrue)
 }
 
+// Review case 11: in a series of restarts a weak entry took the ownership over at once from a strong one. It had begun to defer when an earlier owner released the row, and counted that time for the next release, since it hadn't seen the row owned in between.
+func TestDeferralBeginsAnewWithEachRelease(t *testing.T) {
+	pr := newPair()
+	qt.Assert(t, pr.one.Register(context.Background()), qt.IsNil)
+	qt.Assert(t, pr.two.Register(context.Background()), qt.IsNil)
+	qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+	for range 3 {
+		qt.Assert(t, pr.one.Release(context.Background()), qt.IsNil)
+		qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+		qt.Assert(t, poll(t, pr.one), qt.IsTrue)
+		pr.ck.Advance(relaxedPollMS)
+	}
+	qt.Assert(t, pr.one.Release(context.Background()), qt.IsNil)
+	qt.Assert(t, poll(t, pr.two), qt.IsFalse)
+	qt.Assert(t, pr.watch(t, pr.two, 900), qt.IsTrue)
+}
+
 // A commit that the store accepted without answering must not wait for its whole timeout once the store answers again.
 func TestCommitSurvivesAnUnresponsiveStore(t *testing.T) {
 	const recoveryMS = 400
