All entries of the strongest class see a free ownership before weaker ones

Cause: only the four entries that rank first read the row each 250 ms. The fifth and sixth strong one read it each 800 ms, and weaker entries defer for 300 ms.

Why it works: where weaker entries exist, up to twelve of the strongest class read the row more often than the deferral. Fleets of equal entries read as before.

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -92,6 +92,8 @@
 	msPerS    = 1000
 	// closeWatchers is the number of entries that poll at short intervals: enough that some remain after the loss of a zone.
 	closeWatchers = 4
+	// strongWatchers is that number for the strongest entries where weaker ones exist, so that one of them sees a free row before a weaker one has deferred to it for long enough.
+	strongWatchers = 12
 	// closePollIntervalMS is the poll interval of close watchers, relaxedPollIntervalMS that of the others, whose reads must be less than maxReadGapMS apart.
 	closePollIntervalMS   = 250
 	relaxedPollIntervalMS = 800
@@ -171,6 +173,16 @@
 	// strongerClasses counts the distinct strengths above this one, ahead the candidates that rank before this entry.
 	strongerClasses int
 	ahead           int
+	// weakerExists is set if a candidate is weaker than this entry.
+	weakerExists bool
+}
+
+// watchesClosely reports whether an entry of this rank polls the row at short intervals.
+func (rk rank) watchesClosely() bool {
+	if rk.strongerClasses == 0 && rk.weakerExists {
+		return rk.ahead < strongWatchers
+	}
+	return rk.ahead < closeWatchers
 }
 
 // readRank reads the candidates and returns this entry's rank among them; entries of equal strength are ordered by a hash of their names, which spreads the first ones over the availability zones.
@@ -188,6 +200,8 @@
 			rk.ahead++
 		case cd.GetStrength() == ow.strength && nameHash(name) < nameHash(ow.entry):
 			rk.ahead++
+		case cd.GetStrength() < ow.strength:
+			rk.weakerExists = true
 		}
 	}
 	rk.strongerClasses = len(stronger)
@@ -215,7 +229,7 @@
 	nowMS := ow.ck.Now()
 	if ow.rankedMS == 0 || nowMS-ow.rankedMS >= rankIntervalMS {
 		rk, err := ow.readRank(ctx)
-		ow.closeWatcher = err != nil || rk.ahead < closeWatchers
+		ow.closeWatcher = err != nil || rk.watchesClosely()
 		ow.rankedMS = nowMS
 	}
 	if ow.closeWatcher || !ow.rowChanged {
--- a/internal/membership/ownership/ownership_test.go
+++ b/internal/membership/ownership/ownership_test.go
@@ -385,3 +385,45 @@
 	qt.Assert(t, pr.one.Commit(context.Background(), put("b")), qt.IsNil)
 	qt.Check(t, pr.one.Held(), qt.IsTrue)
 }
+
+// All entries of the strongest class must poll more often than weaker ones defer to them, or a weaker one takes over while the four that rank first are stopping. Where all entries are alike, four that poll often are enough.
+func TestStrongEntriesPollMoreOftenThanWeakerOnesDefer(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		strong, weak int
+		// wantStrong and wantWeak are how many entries of each class poll at short intervals.
+		wantStrong, wantWeak int
+	}{
+		{"all alike", 8, 0, 4, 0},
+		{"few strong ones", 2, 8, 2, 2},
+		{"six strong ones", 6, 8, 6, 0},
+		{"many strong ones", 20, 8, 12, 0},
+	} {
+		ck := clock.NewFake(1000)
+		st := rowstoretest.New(ck)
+		classes := map[int64][]*ownership.Ownership{}
+		register := func(count int, strength int64) {
+			for at := range count {
+				name := fmt.Sprintf("%d-%d", strength, at)
+				ow := ownership.New(st.Rowstore(), ck, name, name+".1", strength)
+				qt.Assert(t, ow.Register(t.Context()), qt.IsNil)
+				classes[strength] = append(classes[strength], ow)
+			}
+		}
+		register(tc.strong, 9)
+		register(tc.weak, 2)
+		watching := func(strength int64) (count int) {
+			for _, ow := range classes[strength] {
+				_ = poll(t, ow)
+				if ow.PollIntervalMS(t.Context()) == pollMS {
+					count++
+				}
+			}
+			return count
+		}
+		owner := ownership.New(st.Rowstore(), ck, "owner", "owner.1", 9)
+		qt.Assert(t, poll(t, owner), qt.IsTrue)
+		qt.Check(t, watching(9), qt.Equals, tc.wantStrong, qt.Commentf(tc.name))
+		qt.Check(t, watching(2), qt.Equals, tc.wantWeak, qt.Commentf(tc.name))
+	}
+}
