A refusal that doesn't name its job doesn't end a cancellation's call

Found in reading: Intake.forbid took the id from the refused row that it rewrites, and a row without one, written by another program, made the call panic (its connection breaks, the process goes on). The id is that of the call now. TestCancellationReplacesAnOddRefusal panicked before.

--- a/internal/scheduling/intake/cancel_test.go
+++ b/internal/scheduling/intake/cancel_test.go
@@ -279,3 +279,15 @@
 	qt.Check(t, answered[code.JobUnknown]+answered[code.TableBudget], qt.Equals, calls*seconds)
 	qt.Check(t, writes >= seconds*writesPerS/100 && writes <= (seconds+11)*writesPerS/100, qt.IsTrue, qt.Commentf("%d writes", writes))
 }
+
+// A refused row that doesn't name its job, written by another program, must not end the call: the row that replaces it does.
+func TestCancellationReplacesAnOddRefusal(t *testing.T) {
+	st := rowstoretest.New(clock.NewFake(0))
+	raw, err := proto.Marshal(&workpb.Job{Refused: true, FirstTriedMs: 700})
+	qt.Assert(t, err, qt.IsNil)
+	st.Put(intake.JobsTable, intake.Partition(jobID), jobID, raw)
+	qt.Check(t, code.Of(intake.New(st.Rowstore()).Cancel(context.Background(), jobID)), qt.Equals, code.JobUnknown)
+	row := storedRow(t, st)
+	qt.Check(t, row.GetId(), qt.Equals, jobID)
+	qt.Check(t, row.GetFirstTriedMs(), qt.Equals, int64(700))
+}
--- a/internal/scheduling/intake/intake.go
+++ b/internal/scheduling/intake/intake.go
@@ -301,8 +301,8 @@
 
 // forbid writes a job as refused under the version of its row, 0 for none, so that the version check of each commit of a submission that is under way fails. refused is the refusal that is there already, whose content is kept, or nil. It returns the current rows on a conflict.
 func (in *Intake) forbid(ctx context.Context, id string, refused *workpb.Job, version, timeoutMS int64) ([]rowstore.Row, error) {
-	if refused == nil {
-		refused = &workpb.Job{Id: id, Refused: true}
+	if refused.GetId() != id {
+		refused = &workpb.Job{Id: id, Refused: true, FirstTriedMs: refused.GetFirstTriedMs()}
 	}
 	raw, err := proto.Marshal(refused)
 	if err != nil {
