--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -121,6 +121,8 @@
 	"status-unwritten":            "The entry could not write its status.",
 	"slow-run-moved":              "Run {run} of task {task} on VM {vm} is at {percent} percent after {age-ms} ms and would take another {rest-ms} ms; elsewhere the task takes {expected-ms} ms, so it is moved.",
 	"start-on-restarted-vm":       "VM {vm} started run {run} of task {task} in a later incarnation than that for which the start was made: its clock was at {clock-ms} ms, and the start asked for a lease of {lease-ms} ms.",
+	"unknown-job-cancelled":       "A cancellation was answered with 410: the job was not stored, and no submission under way can store it.",
+	"pace-unconfirmed":            "The order of pace {percent} percent for run {run} of task {task} on VM {vm} was not accepted ({verdict}) and is repeated.",
 	"start-in-doubt":              "The start of run {run} of task {task} on VM {vm} got no answer; it may have run.",
 	"start-refused":               "VM {vm} did not start run {run} of task {task}: {verdict}.",
 	"start-unadmitted":            "The start of run {run} of task {task} on VM {vm} was stopped, since the VM had changed or listed other runs.",
