A renewer that may act again leaves the first commit to the runner

Cause: a stopped owner begins nothing while it first probes the store. When that probe ends without success it goes on, and its commit and the renewer's, overdue by then, begin in the same instant.

Why it works: when renewals may begin again, an overdue one becomes due 100 ms later, and the runner's commit comes first unless it is busy.

--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -201,13 +201,13 @@
 		if rn.stopRequestedMS == 0 && closed(stop) {
 			// Whichever of several ready cases was chosen, nothing is begun after a stop.
 			rn.stopRequestedMS, stop = rn.ck.Now(), nil
-			rn.renewer.stopped.Store(true)
+			rn.renewer.setStopped(true)
 			go rn.probeStore(ctx)
 		}
 		if rn.handoverDue() {
 			return rn.finish()
 		}
-		rn.renewer.stopped.Store(rn.awaitsProbe())
+		rn.renewer.setStopped(rn.awaitsProbe())
 		if rn.awaitsProbe() {
 			continue
 		}
@@ -261,7 +261,7 @@
 func (rn *Runner) finish() error {
 	wait, cancel := rn.ck.WithTimeout(context.Background(), finishTimeoutMS)
 	defer cancel()
-	rn.renewer.stopped.Store(true)
+	rn.renewer.setStopped(true)
 	for (rn.committing || !rn.renewer.idle()) && !rn.ownershipLost {
 		select {
 		case fn := <-rn.events:
--- a/internal/scheduling/jobrunner/renewer.go
+++ b/internal/scheduling/jobrunner/renewer.go
@@ -22,6 +22,8 @@
 	overdueRenewalMS = 450
 	// minRenewerSleepMS is the minimum time between two checks whether a renewal is due.
 	minRenewerSleepMS = 50
+	// resumeDelayMS is how long a renewer that may act again leaves an overdue renewal to the runner's next commit.
+	resumeDelayMS = 100
 	// maxBusyMS is how long the runner's goroutine may be busy with one piece of work before its ownership is left to expire. The leases of runs must last twice as long: a poll's answer may wait for one such piece, and the next poll for another.
 	maxBusyMS = 1800
 )
@@ -39,6 +41,14 @@
 // recordCommit records that a commit begins.
 func (rw *renewer) recordCommit() { rw.commitMS.Store(rw.rn.ck.Now()) }
 
+// setStopped sets whether no renewal may begin. Once renewals may begin again, the runner commits at once if it isn't busy, so that one which has become overdue meanwhile isn't due yet.
+func (rw *renewer) setStopped(stopped bool) {
+	if !stopped && rw.stopped.Load() {
+		rw.commitMS.Store(max(rw.commitMS.Load(), rw.rn.ck.Now()-overdueRenewalMS+resumeDelayMS))
+	}
+	rw.stopped.Store(stopped)
+}
+
 // begin waits until no other commit is under way and records that one begins.
 func (rw *renewer) begin() {
 	rw.committing <- struct{}{}
