--- a/internal/scheduling/intake/cancel_test.go
+++ b/internal/scheduling/intake/cancel_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// A job that is handed in again after its cancellation must be stored at once by each entry that has heard from the store since, with its first attempt counted from now; any other one asks its caller to come back once.
+// A job that is submitted again after its cancellation must be stored at once by each entry that has heard from the store since, with its first attempt counted from now; any other one asks its caller to come back once.
 func TestJobIsTakenAgainAfterItsCancellation(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
@@ -240,7 +240,7 @@
 	qt.Check(t, rw.Value(), qt.DeepEquals, []byte{0xff})
 }
 
-// The mark of a cancellation whose commits are applied late must not cancel a job that was handed in anew after the first one's rows were deleted.
+// The mark of a cancellation whose commits are applied late must not cancel a job that was submitted anew after the first one's rows were deleted.
 func TestLateCancellationSparesALaterJob(t *testing.T) {
 	st := rowstoretest.New(clock.NewFake(0))
 	in := intake.New(st.Rowstore())
--- a/internal/scheduling/jobrunner/jobrows.go
+++ b/internal/scheduling/jobrunner/jobrows.go
@@ -5,7 +5,7 @@
 	"github.com/fulmarloft/fulmarloft/internal/store/rowstore"
 )
 
-// jobRows holds the versions of the stored rows of jobs, on which their deletion is conditional: a deletion without an answer may be performed late, when another job has been handed in under the id.
+// jobRows holds the versions of the stored rows of jobs, on which their deletion is conditional: a deletion without an answer may be performed late, when another job has been submitted under the id.
 type jobRows struct {
 	// whole holds the versions of the rows of accepted jobs, ended those of the short rows that replace them.
 	whole, ended map[string]int64
@@ -32,7 +32,7 @@
 	jr.ended[id] = version
 }
 
-// reused reports whether a job was handed in under the id of one whose deletion has been sent.
+// reused reports whether a job was submitted under the id of one whose deletion has been sent.
 func (jr *jobRows) reused(id string) bool {
 	_, deleting := jr.deleting[id]
 	return deleting && (jr.whole[id] != 0 || jr.ended[id] != 0)
@@ -70,7 +70,7 @@
 // deleted forgets a deletion that was applied or is needless.
 func (jr *jobRows) deleted(id string) { delete(jr.deleting, id) }
 
-// retry returns which deletions must be sent again after one of a transaction's conditions failed. The others are needless: their rows are gone, or belong to a job that was handed in since.
+// retry returns which deletions must be sent again after one of a transaction's conditions failed. The others are needless: their rows are gone, or belong to a job that was submitted since.
 func (jr *jobRows) retry(ids []string, current []rowstore.Row) []string {
 	versions := map[rowKey]int64{}
 	for _, rw := range current {
--- a/internal/scheduling/jobrunner/latedeletion_test.go
+++ b/internal/scheduling/jobrunner/latedeletion_test.go
@@ -26,12 +26,12 @@
 	return false
 }
 
-// The deletion of an ended job's rows may be performed late, after its repetition was answered and another job was handed in under the id: that one must stay stored in each of its states, under the next owner too.
-func TestLateDeletionSparesAJobHandedInAnew(t *testing.T) {
+// The deletion of an ended job's rows may be performed late, after its repetition was answered and another job was submitted under the id: that one must stay stored in each of its states, under the next owner too.
+func TestLateDeletionSparesAJobSubmittedAnew(t *testing.T) {
 	for _, tc := range []struct {
 		name        string
 		retentionMS int64
-		// workMS is how long the tasks of the second job take, lateMS how long after it was handed in the deletion is performed.
+		// workMS is how long the tasks of the second job take, lateMS how long after it was submitted the deletion is performed.
 		workMS, lateMS int64
 		want           workpb.State
 	}{
