An order of a pace from before its VM's restart proves nothing

Found in reading: an order that was under way when the pace was forgotten counted as proof once it was accepted, though an earlier incarnation of the VM may have executed it, and the run of the new one kept its full pace. TestOrderFromBeforeProvesNothing failed before.

--- a/internal/scheduling/orderedpace/orderedpace.go
+++ b/internal/scheduling/orderedpace/orderedpace.go
@@ -55,6 +55,6 @@
 
 // Forget records that the run may have any pace, ordered by an earlier owner or lost with an incarnation of its VM; an order is due at once.
 func (pc *Pace) Forget() {
-	pc.uncertain = true
+	pc.uncertain, pc.alone = true, false
 	pc.sentMS -= repeatIntervalMS
 }
--- a/internal/scheduling/orderedpace/orderedpace_test.go
+++ b/internal/scheduling/orderedpace/orderedpace_test.go
@@ -29,6 +29,15 @@
 	qt.Check(t, pc.Due(33, 60_000), qt.IsTrue)
 }
 
+// An order that was sent before the pace was forgotten, to a VM that has restarted since, proves nothing when it is accepted.
+func TestOrderFromBeforeProvesNothing(t *testing.T) {
+	pc := orderedpace.New(100)
+	pc.Ordered(33, 0)
+	pc.Forget()
+	pc.Accepted()
+	qt.Check(t, pc.Due(33, 2000), qt.IsTrue)
+}
+
 // An unanswered order must be followed by others until one was accepted after the last moment at which it may be executed, and by none after that.
 func TestOrdersInDoubtAreRepeated(t *testing.T) {
 	for _, tc := range []struct {
