A weak owner hands over to a stronger entry that asks for the ownership

Cause: nothing gives the ownership back. No candidate asks either.

Fix: a stronger entry that polls the row asks for the ownership in a row of its own, written anew each 500 ms. The owner hands over, as at a stop, once the same process has asked for 3 s without a pause and all partitions can be read; a restore under way ends as well. A transfer followed by a term under 10 s doubles the time, counted in the ownership's row; an entry that was overloaded doesn't ask for a minute and more; weaker entries leave a row that was released to a stronger one for 0.7 s more. Equals never ask. One read each 500 ms by the owner; writes only while a weaker entry owns.

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -16,7 +16,7 @@
 	"github.com/fulmarloft/fulmarloft/pkg/code"
 )
 
-// Ownership is one entry's view of the ownership row; only Committing, Held, Relays, RemainingMS, Restoring, SinceRenewalMS and Token are safe to call concurrently with other methods.
+// Ownership is one entry's view of the ownership row; only Committing, Held, ReadTransferRequest, Relays, RemainingMS, Restoring, SinceRenewalMS and Token are safe to call concurrently with other methods.
 type Ownership struct {
 	st          *rowstore.Store
 	ck          *clock.Clock
@@ -39,6 +39,8 @@
 	freeSinceMS int64
 	deferForMS  int64
 	lastReadMS  int64
+	// lastReadTookMS is the duration of the last read of the row.
+	lastReadTookMS int64
 	// tokenSinceMS is when this entry first saw the current token; predecessorMS is for how long it had seen the token of the owner before it.
 	tokenSinceMS  int64
 	predecessorMS int64
@@ -46,12 +48,15 @@
 	releasedMS int64
 	// rowChanged is set when the last poll found a new version of the row.
 	rowChanged bool
-	// closeWatcher is set for an entry that polls the row at short intervals, as decided at rankedMS.
+	// closeWatcher is set for an entry that polls the row at short intervals, as decided at rankedMS; ahead is how many candidates ranked before it then.
 	closeWatcher bool
+	ahead        int
 	rankedMS     int64
-	renewedMS    atomic.Int64
-	held         atomic.Bool
-	token        atomic.Int64
+	// transfer is this entry's request to a weaker owner.
+	transfer  transferState
+	renewedMS atomic.Int64
+	held      atomic.Bool
+	token     atomic.Int64
 	// restoring and restoredBytes are stored with the next commits.
 	restoring     bool
 	restoredBytes int64
@@ -221,18 +226,23 @@
 	if err != nil {
 		return 0, err
 	}
-	return ow.ru.DeferMS(rk.strongerClasses), nil
+	deferMS := ow.ru.DeferMS(rk.strongerClasses)
+	if ow.row.GetReleasedToStrength() > ow.strength {
+		deferMS += takeover.TransferDeferMS
+	}
+	return deferMS, nil
 }
 
-// PollIntervalMS returns the time until the next poll: close watchers always poll at short intervals, other entries only while the row seems unchanged.
+// PollIntervalMS returns the time until the next poll: close watchers, and an entry that asks for the ownership, always poll at short intervals, other entries only while the row seems unchanged.
 func (ow *Ownership) PollIntervalMS(ctx context.Context) int64 {
 	nowMS := ow.ck.Now()
 	if ow.rankedMS == 0 || nowMS-ow.rankedMS >= rankIntervalMS {
 		rk, err := ow.readRank(ctx)
 		ow.closeWatcher = err != nil || rk.watchesClosely()
+		ow.ahead = rk.ahead
 		ow.rankedMS = nowMS
 	}
-	if ow.closeWatcher || !ow.rowChanged {
+	if ow.closeWatcher || ow.transfer.requested || !ow.rowChanged {
 		return closePollIntervalMS
 	}
 	return relaxedPollIntervalMS
@@ -266,7 +276,8 @@
 	case row.GetToken() != ow.row.GetToken():
 		ow.tokenSinceMS = nowMS
 	}
-	ow.row, ow.version, ow.lastReadMS = row, rw.Version(), nowMS
+	ow.row, ow.version = row, rw.Version()
+	ow.lastReadMS, ow.lastReadTookMS = nowMS, nowMS-startMS
 	ow.ru.Observe(row)
 	ow.noteRestore(row)
 	if !ow.isFree(startMS, ow.ru.ExpiryMS(nowMS-startMS)) || !ow.ru.MayTry(nowMS) {
@@ -300,7 +311,10 @@
 
 // takeOver writes this entry into the row with a new fencing token.
 func (ow *Ownership) takeOver(ctx context.Context) (bool, error) {
-	next := &workpb.Ownership{Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.version + 1, Sequence: 1, Restoring: true}
+	next := &workpb.Ownership{
+		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.version + 1, Sequence: 1, Restoring: true, Strength: ow.strength,
+		Transferred: ow.isTransfer(), ShortTransfers: ow.shortTransfers(),
+	}
 	startMS := ow.ck.Now()
 	tx := rowstore.NewTx(Partition)
 	if err := ow.addRenewal(tx, next); err != nil {
@@ -341,18 +355,30 @@
 //
 // It returns code.LeaseLapsed when another entry owns the row, and code.TableRefused when the store refused the changes for their content and none of them is applied; after any other error the same changes must be committed again until they are applied.
 func (ow *Ownership) Commit(ctx context.Context, fill func(*rowstore.Tx)) error {
-	next := &workpb.Ownership{
-		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.row.GetToken(), Sequence: ow.row.GetSequence() + 1,
-		Restoring: ow.restoring, RestoredBytes: ow.restoredBytes,
-	}
+	next := ow.nextRow()
+	next.Restoring, next.RestoredBytes = ow.restoring, ow.restoredBytes
 	return ow.commit(ctx, fill, next)
 }
 
-// Release gives up the ownership, so that another entry need not wait for the lease to expire.
-func (ow *Ownership) Release(ctx context.Context) error {
+// nextRow returns the row of this owner's next commit.
+func (ow *Ownership) nextRow() *workpb.Ownership {
 	next := &workpb.Ownership{
-		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.row.GetToken(), Sequence: ow.row.GetSequence() + 1, Released: true,
+		Entry: ow.entry, Incarnation: ow.incarnation, Token: ow.row.GetToken(), Sequence: ow.row.GetSequence() + 1, Strength: ow.strength,
+		Transferred: ow.row.GetTransferred(), ShortTransfers: ow.row.GetShortTransfers(),
 	}
+	if ow.hasLasted() {
+		next.Transferred, next.ShortTransfers = false, 0
+	}
+	return next
+}
+
+// Release gives up the ownership, so that another entry need not wait for the lease to expire.
+func (ow *Ownership) Release(ctx context.Context) error { return ow.ReleaseTo(ctx, 0) }
+
+// ReleaseTo gives up the ownership at the request of an entry of the given strength, to which weaker ones defer for longer; 0 stands for no request.
+func (ow *Ownership) ReleaseTo(ctx context.Context, strength int64) error {
+	next := ow.nextRow()
+	next.Released, next.ReleasedToStrength = true, strength
 	ow.held.Store(false)
 	ow.restore.Store(nil)
 	return ow.commit(ctx, func(*rowstore.Tx) {}, next)
--- a/internal/membership/takeover/takeover.go
+++ b/internal/membership/takeover/takeover.go
@@ -11,6 +11,9 @@
 	// failures counts the terms in a row that ended without lasting; until untilMS the entry leaves the ownership to others.
 	failures int
 	untilMS  int64
+	// yields counts the overloads in a row after which the entry gave up the ownership; until requestUntilMS it doesn't ask a weaker owner for it.
+	yields         int
+	requestUntilMS int64
 	// token and firstBytes are those of the restoring owner when it was first seen, progressed is set once it has read more.
 	token      int64
 	firstBytes int64
@@ -50,8 +53,14 @@
 	// On a link that doesn't carry the fleet's calls an owner schedules for termFactor times the term of a predecessor that gave it up before it yields, unless that one lasted for longTermMS.
 	termFactor = 2
 	longTermMS = 600_000
+	// minRequestBackoffMS to maxRequestBackoffMS is for how long an entry that was overloaded leaves the ownership to weaker ones.
+	minRequestBackoffMS = 60_000
+	maxRequestBackoffMS = 600_000
 )
 
+// TransferDeferMS is how much longer entries defer to a stronger one at whose request the row was released; it exceeds the interval between that one's polls.
+const TransferDeferMS = 700
+
 // New returns the rule of an entry without failures; linkBytesPerS is the rate of its link, 0 if it is unknown, and random returns numbers from 0 up to 1.
 func New(linkBytesPerS int64, random func() float64) *Rule {
 	return &Rule{linkBytesPerS: linkBytesPerS, random: random}
@@ -107,6 +116,18 @@
 	ru.untilMS = nowMS + int64(float64(backoffMS)*(1-jitterPart*ru.random()))
 }
 
+// RecordYield records that this entry gave up the ownership because it was overloaded, after it had scheduled for termMS.
+func (ru *Rule) RecordYield(nowMS, termMS int64) {
+	if termMS >= longTermMS {
+		ru.yields = 0
+	}
+	ru.requestUntilMS = nowMS + min(int64(minRequestBackoffMS)<<min(ru.yields, maxBackoffDoublings), maxRequestBackoffMS)
+	ru.yields++
+}
+
+// MayRequest reports whether this entry may ask a weaker owner for the ownership.
+func (ru *Rule) MayRequest(nowMS int64) bool { return ru.MayTry(nowMS) && nowMS >= ru.requestUntilMS }
+
 // MayYield reports whether an overloaded owner gives up the ownership after it has scheduled for termMS, as another entry may do better. One whose predecessor's term was short keeps it for longer, so that a load too high for every entry doesn't pass the ownership around. If its link doesn't carry the fleet's calls, only a stronger entry is likely to do better, and it keeps the ownership for longer than a predecessor that gave it up after releasedMS, 0 if it was lost.
 func (ru *Rule) MayYield(termMS, predecessorMS, releasedMS int64, linkLimited, strongerExists bool) bool {
 	leastMS := int64(minTermMS)
--- a/internal/membership/takeover/takeover_test.go
+++ b/internal/membership/takeover/takeover_test.go
@@ -100,3 +100,22 @@
 		qt.Check(t, ru.MayYield(tc.termMS, tc.predecessorMS, tc.releasedMS, tc.linkLimited, tc.stronger), qt.Equals, tc.want, qt.Commentf(tc.name))
 	}
 }
+
+// An entry that was overloaded must leave the ownership to weaker ones for longer each time, without keeping from a free row, so that it isn't passed to and fro.
+func TestOverloadedEntryAsksEverLater(t *testing.T) {
+	ru := takeover.New(0, half)
+	nowMS := int64(1000)
+	qt.Check(t, ru.MayRequest(nowMS), qt.IsTrue)
+	for _, tc := range []struct {
+		termMS int64
+		wantMS int64
+	}{{30_000, 60_000}, {30_000, 120_000}, {30_000, 240_000}, {30_000, 480_000}, {30_000, 600_000}, {30_000, 600_000}, {600_000, 60_000}} {
+		ru.RecordYield(nowMS, tc.termMS)
+		qt.Check(t, ru.MayTry(nowMS), qt.IsTrue)
+		qt.Check(t, ru.MayRequest(nowMS+tc.wantMS-1), qt.IsFalse)
+		qt.Check(t, ru.MayRequest(nowMS+tc.wantMS), qt.IsTrue)
+		nowMS += tc.wantMS
+	}
+	ru.RecordTerm(nowMS, 0)
+	qt.Check(t, ru.MayRequest(nowMS+1), qt.IsFalse)
+}
--- a/internal/observability/explain/subject.go
+++ b/internal/observability/explain/subject.go
@@ -21,7 +21,7 @@
 
 // ownerEvents concern every job that is scheduled at the time.
 var ownerEvents = map[string]bool{
-	"ownership-taken": true, "ownership-released": true, "ownership-unreleased": true, "ownership-yielded": true,
+	"ownership-taken": true, "ownership-released": true, "ownership-unreleased": true, "ownership-yielded": true, "transfer-due": true,
 	"scheduling-started": true, "scheduling-ended": true, "scheduling-lost": true, "first-start-accepted": true,
 	"commit-failed": true, "renewal-failed": true, "restore-read-failed": true, "restore-progress": true, "takeover-unfinished": true, "jobs-rebuilt": true, "jobs-table-outage": true,
 }
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -80,6 +80,7 @@
 	scheduleStartMS int64
 
 	renewer    *renewer
+	transfers  *transferWatcher
 	committing bool
 	// guard limits the commits after one was refused; ownerTurn is set when the owner's rows were the last that could be stored alone.
 	guard         *commitguard.Guard
@@ -155,6 +156,7 @@
 	rn.bulk = rn.newBulkReader(deps.LinkBytesPerS)
 	rn.bulk.OnFailure = func(err error) { rn.lg.Fail("restore-read-failed", err) }
 	rn.renewer = newRenewer(rn)
+	rn.transfers = newTransferWatcher(rn)
 	rn.guard = commitguard.New(maxProgressRows)
 	rn.waves = newWaves(rn)
 	rn.pools = newPoolResizer(rn)
@@ -163,7 +165,7 @@
 	return rn
 }
 
-// Run schedules until the context ends, the entry yields or another entry becomes the owner.
+// Run schedules until the context ends, the entry yields, a stronger one asks for the ownership or another one becomes the owner.
 func (rn *Runner) Run(ctx context.Context) error {
 	stop := ctx.Done()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -172,8 +174,9 @@
 	defer cancel()
 	defer rn.deps.Relays.Update(nil, false)
 	rn.applyRules()
+	go rn.transfers.run(ctx)
 	sn, err := rn.restore(ctx, stop)
-	if err != nil {
+	if err != nil || rn.transfers.isDue() {
 		return err
 	}
 	rn.renewer.progressed()
@@ -216,6 +219,9 @@
 			rn.yielded = true
 			return rn.finish()
 		}
+		if rn.transfers.isDue() {
+			return rn.finish()
+		}
 	}
 	return code.LeaseLapsed.New("another entry owns scheduling now")
 }
--- a/internal/scheduling/jobrunner/restore.go
+++ b/internal/scheduling/jobrunner/restore.go
@@ -39,7 +39,7 @@
 	endedRetryMS = 1000
 )
 
-// restore loads the stored rows, unless stop is closed before. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
+// restore loads the stored rows, unless stop is closed or a transfer is due before. It renews the ownership meanwhile, since reading may take longer than the lease: a successor would have to read as much.
 func (rn *Runner) restore(ctx context.Context, stop <-chan struct{}) (*snapshot, error) {
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -71,6 +71,10 @@
 			}
 			rn.ow.EndRestore()
 			return rs.sn, nil
+		case <-rn.transfers.due:
+			// No renewal is under way, so the ownership can be released at once.
+			stopTimer()
+			return nil, nil
 		case <-renewal:
 			rn.ow.ReportRestore(rn.bulk.Bytes())
 			if nowMS := rn.ck.Now(); nowMS-loggedMS >= progressLogMS {
--- a/internal/scheduling/jobrunner/scheduler.go
+++ b/internal/scheduling/jobrunner/scheduler.go
@@ -63,10 +63,24 @@
 			sc.runAsOwner(ctx)
 			continue
 		}
+		if err == nil && sc.deps.Rules() != nil {
+			sc.requestTransfer(ctx)
+		}
 		_ = sc.ck.Sleep(ctx, sc.ow.PollIntervalMS(ctx))
 	}
 }
 
+// requestTransfer asks a weaker owner for the ownership. A conflict only means that another entry has asked meanwhile.
+func (sc *Scheduler) requestTransfer(ctx context.Context) {
+	begun, err := sc.ow.RequestTransfer(ctx)
+	switch {
+	case err != nil && code.Of(err) != code.Conflict:
+		sc.lg.Fail("transfer-request-failed", err)
+	case err == nil && begun:
+		sc.lg.Info("transfer-requested", "strength", sc.ow.Strength())
+	}
+}
+
 // register registers this entry as a candidate and waits a moment for others that start at the same time.
 func (sc *Scheduler) register(ctx context.Context) {
 	for range maxRegisterTries {
@@ -116,11 +130,12 @@
 	}
 	if rn.yielded {
 		sc.lg.Info("ownership-yielded", "token", sc.ow.Token(), "held-ms", sc.ck.Now()-rn.startMS)
+		sc.ow.RecordYield(sc.ck.Now() - rn.scheduleStartMS)
 		sc.backoffUntilMS = sc.ck.Now() + yieldBackoffMS
 	}
 	out, cancel := sc.ck.WithTimeout(context.Background(), releaseTimeoutMS)
 	defer cancel()
-	if err := sc.ow.Release(out); err != nil {
+	if err := sc.ow.ReleaseTo(out, rn.transfers.releasedTo()); err != nil {
 		sc.lg.Fail("ownership-unreleased", err)
 		return
 	}
