A restarted weak owner leaves its row to stronger entries for longer

What callers saw: all entries lose power while a weak one owns scheduling. It takes its row again 0.3 s after its start, restores for 2 s, and serves badly until a stronger entry gets the ownership.

Cause: the row of an earlier process of the same entry counts as free at once, while all others must see it unchanged for 1.2 s.

Fix: where stronger candidates are registered the entry leaves such a row to them for 1.8 s more: they have taken it by then if they are up.

TestRestartedWeakOwnerLeavesItsRowToStrongerEntries fails without the case in deferral ("both start at once" and "a little later": the weak one owns).

--- a/internal/membership/ownership/ownership.go
+++ b/internal/membership/ownership/ownership.go
@@ -227,8 +227,11 @@
 		return 0, err
 	}
 	deferMS := ow.ru.DeferMS(rk.strongerClasses)
-	if ow.row.GetReleasedToStrength() > ow.strength {
+	switch {
+	case ow.row.GetReleasedToStrength() > ow.strength:
 		deferMS += takeover.TransferDeferMS
+	case rk.strongerClasses > 0 && ow.isRowOfEarlierProcess():
+		deferMS += takeover.OwnRowDeferMS
 	}
 	return deferMS, nil
 }
@@ -303,10 +306,12 @@
 	if ow.version == 0 || ow.row.GetReleased() {
 		return true
 	}
-	if ow.row.GetEntry() == ow.entry {
-		return true
-	}
-	return nowMS-ow.unchangedSinceMS >= expiryMS
+	return ow.isRowOfEarlierProcess() || nowMS-ow.unchangedSinceMS >= expiryMS
+}
+
+// isRowOfEarlierProcess reports whether the row names an earlier process of this entry, or an earlier term of this one, as its owner.
+func (ow *Ownership) isRowOfEarlierProcess() bool {
+	return !ow.row.GetReleased() && ow.row.GetEntry() == ow.entry
 }
 
 // takeOver writes this entry into the row with a new fencing token.
--- a/internal/membership/ownership/transfer_test.go
+++ b/internal/membership/ownership/transfer_test.go
@@ -249,3 +249,45 @@
 	qt.Assert(t, fl.entries[0].Held(), qt.IsTrue)
 	qt.Check(t, fl.asking(), qt.Equals, "")
 }
+
+// When all entries lose power while a weak one owns scheduling, that one must leave its row to the stronger ones that start again with it, and take it if none does.
+func TestRestartedWeakOwnerLeavesItsRowToStrongerEntries(t *testing.T) {
+	const offsetMS = 50
+	for _, tc := range []struct {
+		name string
+		// lateMS is how much later the strong entry starts; registered is set if it is a candidate, up if it runs.
+		lateMS         int64
+		registered, up bool
+		want           string
+		maxMS          int64
+	}{
+		{"both start at once", 0, true, true, "two", 1600},
+		{"the strong one starts a little later", 300, true, true, "two", 1900},
+		{"the strong one is lost", 0, true, false, "one", 2400},
+		{"no stronger one", 0, false, false, "one", 0},
+	} {
+		ck := clock.NewFake(1000)
+		st := rowstoretest.New(ck).Rowstore()
+		qt.Assert(t, poll(t, ownership.New(st, ck, "one", "one.1", 1)), qt.IsTrue)
+		again := ownership.New(st, ck, "one", "one.2", 1)
+		strong := ownership.New(st, ck, "two", "two.2", 9)
+		qt.Assert(t, again.Register(t.Context()), qt.IsNil)
+		if tc.registered {
+			qt.Assert(t, strong.Register(t.Context()), qt.IsNil)
+		}
+		startMS, owner := ck.Now(), ""
+		for elapsedMS := int64(0); owner == "" && elapsedMS < 10_000; elapsedMS += offsetMS {
+			if elapsedMS%pollMS == 0 && poll(t, again) {
+				owner = "one"
+			}
+			if tc.up && elapsedMS >= tc.lateMS && (elapsedMS-tc.lateMS)%pollMS == 0 && owner == "" && poll(t, strong) {
+				owner = "two"
+			}
+			if owner == "" {
+				ck.Advance(offsetMS)
+			}
+		}
+		qt.Check(t, owner, qt.Equals, tc.want, qt.Commentf(tc.name))
+		qt.Check(t, ck.Now()-startMS <= tc.maxMS, qt.IsTrue, qt.Commentf("%s: after %d ms", tc.name, ck.Now()-startMS))
+	}
+}
--- a/internal/membership/takeover/takeover.go
+++ b/internal/membership/takeover/takeover.go
@@ -58,8 +58,12 @@
 	maxRequestBackoffMS = 600_000
 )
 
-// TransferDeferMS is how much longer entries defer to a stronger one at whose request the row was released; it exceeds the interval between that one's polls.
-const TransferDeferMS = 700
+const (
+	// TransferDeferMS is how much longer entries defer to a stronger one at whose request the row was released; it exceeds the interval between that one's polls.
+	TransferDeferMS = 700
+	// OwnRowDeferMS is how much longer a restarted entry leaves the row of its earlier process to stronger ones, which must first see it unchanged for expiryMS and may have started a little later.
+	OwnRowDeferMS = 1800
+)
 
 // New returns the rule of an entry without failures; linkBytesPerS is the rate of its link, 0 if it is unknown, and random returns numbers from 0 up to 1.
 func New(linkBytesPerS int64, random func() float64) *Rule {
