An owner whose link is full hands over to a stronger entry as well

Seen in a log: a weak owner on 10 Mbit/s read the request for its ownership in vain once (transfer-request-unread), as its calls to VMs filled the link. The read, and the probe of the partitions that a successor needs, were given up after 0.5 s each. An owner whose reads take longer never handed over: TestOwnerOnAFullLinkHandsOver (0.6 s each) failed. Both have 1 s now, less than the pause of 2 s after which an entry counts as lost. A hand-over that waits for the store is logged (transfer-delayed).

--- a/internal/observability/explain/sentences.go
+++ b/internal/observability/explain/sentences.go
@@ -134,6 +134,7 @@
 	"stored-task-unusable":        "The progress of job {job} names task {index} of step {step} a second time, or a run that no owner starts.",
 	"submission-refused":          "The submission to queue {queue}[ for team {team}] was refused, as the job would have waited {wait-ms} ms and ended too late (share level {share-level}, estimate {estimate-age-ms} ms old); the caller was told to come back after {retry-after-s} s.",
 	"takeover-unfinished":         "The takeover with token {token} ended before the entry scheduled, after it had read {restored-bytes} bytes; it was the failure number {failures} in a row, and the entry leaves the ownership to others for {wait-ms} ms.",
+	"transfer-delayed":            "The owner with token {token} is to hand over to a stronger entry, but goes on, since {unavailable} partitions of the store that a successor must read are unavailable.",
 	"transfer-due":                "The owner with token {token} and strength {own-strength} hands over to entry {entry} of strength {strength}, which has asked for the ownership for {asked-ms} ms.",
 	"transfer-request-failed":     "The entry could not ask a weaker owner for the ownership.",
 	"transfer-request-unread":     "The owner with token {token} could not read whether a stronger entry asks for the ownership.",
--- a/internal/scheduling/jobrunner/handover.go
+++ b/internal/scheduling/jobrunner/handover.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// probeTimeoutMS bounds the probe of the store, probeIntervalMS is the pause before a failed one is repeated.
+	// probeTimeoutMS bounds the probe of the store by an entry that is to stop, probeIntervalMS is the pause before a failed one is repeated.
 	probeTimeoutMS  = 500
 	probeIntervalMS = 250
 	// probeKey is the key of a row that doesn't exist.
@@ -31,7 +31,7 @@
 // probeStore reads a row of each partition that a restore reads, until all of these reads succeed or none does: an entry that can't reach the store at all can't schedule either.
 func (rn *Runner) probeStore(ctx context.Context) {
 	for ctx.Err() == nil {
-		failed, total := rn.probeOnce(ctx)
+		failed, total := rn.probeOnce(ctx, probeTimeoutMS)
 		done := failed == 0 || failed == total
 		rn.post(ctx, func() {
 			rn.probes++
@@ -45,9 +45,9 @@
 	}
 }
 
-// probeOnce returns how many of the partitions couldn't be read, and how many there are.
-func (rn *Runner) probeOnce(ctx context.Context) (failed, total int64) {
-	ctx, cancel := rn.ck.WithTimeout(ctx, probeTimeoutMS)
+// probeOnce returns how many of the partitions couldn't be read within a timeout, and how many there are.
+func (rn *Runner) probeOnce(ctx context.Context, timeoutMS int64) (failed, total int64) {
+	ctx, cancel := rn.ck.WithTimeout(ctx, timeoutMS)
 	defer cancel()
 	var probes sync.WaitGroup
 	var failures atomic.Int64
--- a/internal/scheduling/jobrunner/transfer.go
+++ b/internal/scheduling/jobrunner/transfer.go
@@ -16,9 +16,9 @@
 }
 
 const (
-	// transferCheckMS is how often the request for the ownership is read, transferReadMS bounds one read.
+	// transferCheckMS is how often the request for the ownership is read, transferReadMS bounds one read of it, and of the partitions that a successor needs.
 	transferCheckMS = 500
-	transferReadMS  = 500
+	transferReadMS  = 1000
 )
 
 func newTransferWatcher(rn *Runner) *transferWatcher {
@@ -43,10 +43,12 @@
 		if !tw.observe(ctx) {
 			continue
 		}
-		if unavailable, _ := tw.rn.probeOnce(ctx); unavailable == 0 {
+		unavailable, _ := tw.rn.probeOnce(ctx, transferReadMS)
+		if unavailable == 0 {
 			close(tw.due)
 			return
 		}
+		tw.rn.lg.Info("transfer-delayed", "token", tw.rn.ow.Token(), "unavailable", unavailable)
 	}
 }
 
--- a/internal/scheduling/jobrunner/transfer_test.go
+++ b/internal/scheduling/jobrunner/transfer_test.go
@@ -158,6 +158,18 @@
 	}
 }
 
+// A weak owner's link may be full of its calls to VMs, so that its reads of the store take long: it must hand over all the same.
+func TestOwnerOnAFullLinkHandsOver(t *testing.T) {
+	simulate(t, func(si *simulation) {
+		si.startOn("one", newPacedLink(si.ck, 10), weak)
+		si.wait(1000)
+		si.entries["one"].link.disturbStore(600, 0)
+		si.startOn("two", newPacedLink(si.ck, 200), strong)
+		si.wait(9000)
+		qt.Check(t, si.owner(), qt.Equals, "two")
+	})
+}
+
 // While a partition of the store can't be read no successor can restore, so an owner must not hand over to a stronger entry either.
 func TestOwnerDoesNotHandOverWhileTheStoreFails(t *testing.T) {
 	simulate(t, func(si *simulation) {
