One slow read doesn't end an entry's request for the ownership

Found in reading: an entry that asks and reads the row once in 0.2 s or more, or sees it unchanged for a moment, counted its request as ended. It then looked at the request as seldom as its rank says, 2 s and more behind twelve others, which the owner takes for the loss of the entry. Now only an owner that isn't weaker ends the request.

--- a/internal/membership/ownership/transfer.go
+++ b/internal/membership/ownership/transfer.go
@@ -43,12 +43,12 @@
 
 // RequestTransfer asks for the ownership if its owner is alive and weaker than this entry, and no other entry asks for it that is as strong; it reports whether this entry begins to ask. It must follow a poll, and is to be called after each one.
 func (ow *Ownership) RequestTransfer(ctx context.Context) (begun bool, err error) {
-	nowMS := ow.ck.Now()
-	if !ow.wantsTransfer(nowMS) {
+	if !ow.isStrongerThanOwner() {
 		ow.transfer.requested = false
 		return false, nil
 	}
-	if nowMS-ow.transfer.triedMS < ow.requestIntervalMS() {
+	nowMS := ow.ck.Now()
+	if !ow.isReadyToOwn(nowMS) || nowMS-ow.transfer.triedMS < ow.requestIntervalMS() {
 		return false, nil
 	}
 	ow.transfer.triedMS = nowMS
@@ -72,12 +72,14 @@
 	return begun, nil
 }
 
-// wantsTransfer reports whether this entry would serve better than the owner seen last, which renews its lease.
-func (ow *Ownership) wantsTransfer(nowMS int64) bool {
+// isStrongerThanOwner reports whether this entry is stronger than the owner seen last.
+func (ow *Ownership) isStrongerThanOwner() bool {
 	owner := ow.row.GetStrength()
-	if ow.row.GetReleased() || owner == 0 || owner >= ow.strength {
-		return false
-	}
+	return !ow.row.GetReleased() && owner > 0 && owner < ow.strength
+}
+
+// isReadyToOwn reports whether this entry may take over from an owner that renews its lease.
+func (ow *Ownership) isReadyToOwn(nowMS int64) bool {
 	return nowMS-ow.unchangedSinceMS < LeaseMS && ow.lastReadTookMS < maxRequestReadMS && ow.ru.MayRequest(nowMS)
 }
 
--- a/internal/membership/ownership/transfer_test.go
+++ b/internal/membership/ownership/transfer_test.go
@@ -291,3 +291,30 @@
 		qt.Check(t, ck.Now()-startMS <= tc.maxMS, qt.IsTrue, qt.Commentf("%s: after %d ms", tc.name, ck.Now()-startMS))
 	}
 }
+
+// One slow read must not end an entry's request: the owner would count its time anew.
+func TestRequestGoesOnAfterASlowRead(t *testing.T) {
+	fl := newFleet(t, 1, 9)
+	inner := fl.st.Rowstore()
+	slow := *inner
+	var readMS int64
+	slow.Read = func(ctx context.Context, table, partition, from, to string) (rowstore.Page, error) {
+		fl.ck.Advance(readMS)
+		return inner.Read(ctx, table, partition, from, to)
+	}
+	ow := ownership.New(&slow, fl.ck, "slow", "slow.1", 9)
+	ask := func() bool {
+		qt.Assert(t, fl.entries[0].Commit(t.Context(), put("a")), qt.IsNil)
+		qt.Assert(t, poll(t, ow), qt.IsFalse)
+		begun, err := ow.RequestTransfer(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		fl.ck.Advance(600)
+		return begun
+	}
+	qt.Check(t, ask(), qt.IsTrue)
+	readMS = 300
+	qt.Check(t, ask(), qt.IsFalse)
+	readMS = 0
+	qt.Check(t, ask(), qt.IsFalse)
+	qt.Check(t, fl.asking(), qt.Equals, "slow")
+}
