A transfer from class to class is no short term

Found in reading: where entries have three strengths, the middle one may get the ownership from the weakest and hand it over to the strongest soon after. Its short term counted like that of an entry that keeps restarting, and the next transfer took 6 s in place of 3. A term that ended with a hand-over to a still stronger entry doesn't count now. TestTransfersFromClassToClassAreNoShortTerms failed (1 for strength 3).

--- a/internal/membership/ownership/transfer.go
+++ b/internal/membership/ownership/transfer.go
@@ -145,9 +145,9 @@
 	return ow.row.GetReleased() && strength > 0 && strength <= ow.strength
 }
 
-// shortTransfers returns how many transfers were followed by a short term, that of the last owner included.
+// shortTransfers returns how many transfers were followed by a short term, that of the last owner included, unless it handed over to a still stronger entry.
 func (ow *Ownership) shortTransfers() int32 {
-	if ow.row.GetTransferred() {
+	if ow.row.GetTransferred() && ow.row.GetReleasedToStrength() == 0 {
 		return ow.row.GetShortTransfers() + 1
 	}
 	return ow.row.GetShortTransfers()
--- a/internal/membership/ownership/transfer_test.go
+++ b/internal/membership/ownership/transfer_test.go
@@ -292,6 +292,22 @@
 	}
 }
 
+// An owner that hands over to a still stronger entry soon after its own transfer has done nothing wrong: its short term must not delay later transfers.
+func TestTransfersFromClassToClassAreNoShortTerms(t *testing.T) {
+	ck := clock.NewFake(1000)
+	st := rowstoretest.New(ck).Rowstore()
+	previous := ownership.New(st, ck, "class-1", "1", 1)
+	qt.Assert(t, poll(t, previous), qt.IsTrue)
+	for strength := int64(2); strength < 5; strength++ {
+		next := ownership.New(st, ck, fmt.Sprintf("class-%d", strength), "1", strength)
+		qt.Assert(t, previous.ReleaseTo(t.Context(), strength), qt.IsNil)
+		qt.Assert(t, poll(t, next), qt.IsTrue)
+		qt.Check(t, next.ShortTransfers(), qt.Equals, int32(0), qt.Commentf("strength %d", strength))
+		ck.Advance(500)
+		previous = next
+	}
+}
+
 // One slow read must not end an entry's request: the owner would count its time anew.
 func TestRequestGoesOnAfterASlowRead(t *testing.T) {
 	fl := newFleet(t, 1, 9)
