Tasks that wait have no record

Cause: each task of an open step had a record of some 200 bytes, though those that wait differ in nothing but their index. Open tasks were bounded for one job and for all scheduled ones, not for all that run once.

Fix: a task gets its record once it is to be placed, is named by a VM or a stored row, or belongs to a gang that is placed. Before it is one bit among the step's unassigned tasks. Passes that only count waiting tasks make none.

--- a/internal/scheduling/jobcontrol/accounts_test.go
+++ b/internal/scheduling/jobcontrol/accounts_test.go
@@ -80,7 +80,11 @@
 			runs := 0
 			for _, st := range oc.steps {
 				onProbation := 0
-				for at, tk := range st.tasks {
+				for at := range st.taskCount() {
+					tk := st.tasks.peek(at)
+					if tk == nil {
+						tk = &task{st: st, index: at}
+					}
 					if tk.current != nil {
 						runs++
 					}
--- a/internal/scheduling/jobcontrol/choose.go
+++ b/internal/scheduling/jobcontrol/choose.go
@@ -201,14 +201,14 @@
 func (ct *Controller) begunCoreMSOf(oc *occurrence, onTime bool) int64 {
 	sum := int64(0)
 	for _, st := range oc.steps {
-		if st.row.GetLasting() || st.done == len(st.tasks) {
+		if st.row.GetLasting() || st.done == st.taskCount() {
 			continue
 		}
 		if onTime {
 			sum += ct.remainingCoreMS(st)
 			continue
 		}
-		for _, tk := range st.tasks {
+		for tk := range st.tasks.recorded() {
 			if tk.current != nil {
 				sum += tk.remainingMS() * st.row.GetCpuMilli() / milli
 			}
--- a/internal/scheduling/jobcontrol/demand.go
+++ b/internal/scheduling/jobcontrol/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"github.com/fulmarloft/fulmarloft/internal/pb/workpb"
 	"github.com/fulmarloft/fulmarloft/internal/scheduling/jobwork"
@@ -112,7 +111,7 @@
 			}
 			for _, st := range oc.steps {
 				if st.row.GetLasting() {
-					lasting[qu.GetService()] += int64(len(st.tasks)) * st.need().CoresMilli()
+					lasting[qu.GetService()] += int64(st.taskCount()) * st.need().CoresMilli()
 				}
 				minVMs[qu.GetService()] = max(minVMs[qu.GetService()], st.minVMs())
 			}
@@ -139,7 +138,7 @@
 // onTime reports whether an occurrence can still finish within its objective.
 func (oc *occurrence) onTime(qu *workpb.Queue, nowMS int64) bool {
 	for _, st := range oc.steps {
-		if st.done < len(st.tasks) && !st.row.GetLasting() && st.ready() {
+		if st.done < st.taskCount() && !st.row.GetLasting() && st.ready() {
 			return rank(st, qu, nowMS).tier <= tierOnTime
 		}
 	}
@@ -151,14 +150,22 @@
 	if st.assigned() > 0 {
 		return true
 	}
-	return st.hadRun && slices.ContainsFunc(st.tasks, func(tk *task) bool { return tk.first() != nil })
+	if !st.hadRun {
+		return false
+	}
+	for tk := range st.tasks.recorded() {
+		if tk.first() != nil {
+			return true
+		}
+	}
+	return false
 }
 
 // demandMilli returns the CPU capacity, in thousandths of a core, with which the rest of an occurrence's work would finish within its critical path.
 func (ct *Controller) demandMilli(oc *occurrence) int64 {
 	work, criticalPath := int64(0), int64(minCriticalPathMS)
 	for _, st := range oc.steps {
-		if st.row.GetLasting() || st.done == len(st.tasks) {
+		if st.row.GetLasting() || st.done == st.taskCount() {
 			continue
 		}
 		work += ct.remainingCoreMS(st)
@@ -176,12 +183,12 @@
 // remainingMS returns how long the step's remaining tasks take in sum, without those that match; except looks at nothing but the run that a task has.
 func (st *step) remainingMS(except func(*task) bool) int64 {
 	rest := int64(0)
-	if first, ok := st.unassigned.NextSet(0); ok && !except(st.tasks[first]) {
+	if first, ok := st.unassigned.NextSet(0); ok && !except(st.task(int(first))) {
 		// All tasks without a run match alike.
 		rest = int64(st.unassigned.Count()) * st.expectedTaskMS()
 	}
 	for index, ok := st.unassigned.NextClear(0); ok; index, ok = st.unassigned.NextClear(index + 1) {
-		if tk := st.tasks[index]; !tk.done && !except(tk) {
+		if tk := st.task(int(index)); !tk.done && !except(tk) {
 			rest += tk.remainingMS()
 		}
 	}
@@ -208,7 +215,7 @@
 // minVMs returns the minimum number of VMs that the step's waiting and running tasks need under its limit per VM.
 func (st *step) minVMs() int {
 	limit := int(st.row.GetMaxPerVm())
-	rest := len(st.tasks) - st.done
+	rest := st.taskCount() - st.done
 	if limit <= 0 || rest == 0 {
 		return min(rest, 1)
 	}
--- a/internal/scheduling/jobcontrol/end.go
+++ b/internal/scheduling/jobcontrol/end.go
@@ -83,7 +83,7 @@
 		return
 	}
 	if tk.st.row.GetGang() {
-		for _, member := range tk.st.tasks {
+		for member := range tk.st.allTasks() {
 			ct.markDone(member)
 		}
 	} else {
@@ -114,7 +114,7 @@
 		ct.markTask(tk)
 	}
 	ct.stopFirst(tk)
-	if tk.st.done == len(tk.st.tasks) {
+	if tk.st.done == tk.st.taskCount() {
 		ct.pace.ForgetStep(tk.st.name())
 	}
 }
@@ -139,7 +139,7 @@
 		}
 		st.failedRun = tk.run
 		st.failures++
-		for _, member := range st.tasks {
+		for member := range st.allTasks() {
 			member.failures = st.failures
 			ct.markTask(member)
 		}
@@ -163,7 +163,7 @@
 
 // stopGang stops the other members of a gang's run.
 func (ct *Controller) stopGang(st *step, number int64) {
-	for _, member := range st.tasks {
+	for member := range st.tasks.recorded() {
 		if member.current != nil && member.run == number && member.current.phase != phaseStopping {
 			ct.stop(member.current)
 		}
--- a/internal/scheduling/jobcontrol/job.go
+++ b/internal/scheduling/jobcontrol/job.go
@@ -65,7 +65,7 @@
 	oc     *occurrence
 	row    *workpb.Step
 	number int
-	tasks  []*task
+	tasks  stepTasks
 	// unassigned holds the indices of the tasks that neither have a run nor are done.
 	unassigned *bitset.BitSet
 	// hadRun is set once a task had a run.
@@ -145,10 +145,10 @@
 		return nil
 	}
 	st := oc.steps[nm.Step()]
-	if nm.Index() >= len(st.tasks) {
+	if nm.Index() >= st.taskCount() {
 		return nil
 	}
-	return st.tasks[nm.Index()]
+	return st.task(nm.Index())
 }
 
 func (jb *job) ended() bool { return intake.Final(jb.state) }
@@ -176,11 +176,11 @@
 	return jobwork.CoreMS(jb.row.GetSteps())
 }
 
-// eachTask calls fn for each task of the open occurrences.
+// eachTask calls fn for each task of the open occurrences that has a record.
 func (jb *job) eachTask(fn func(*task)) {
 	for _, oc := range jb.occurrences {
 		for _, st := range oc.steps {
-			for _, tk := range st.tasks {
+			for tk := range st.tasks.recorded() {
 				fn(tk)
 			}
 		}
@@ -190,7 +190,7 @@
 // ready reports whether all tasks of the steps that this step depends on are done.
 func (st *step) ready() bool {
 	for _, before := range st.row.GetAfter() {
-		if prev := st.oc.steps[before]; prev.done < len(prev.tasks) {
+		if prev := st.oc.steps[before]; prev.done < prev.taskCount() {
 			return false
 		}
 	}
@@ -202,10 +202,10 @@
 
 // unavailable counts the tasks that aren't available, leaving one out.
 func (st *step) unavailable(except *task) int {
-	count := 0
-	for _, tk := range st.tasks {
-		if tk != except && !tk.available() {
-			count++
+	count := st.taskCount()
+	for tk := range st.tasks.recorded() {
+		if tk == except || tk.available() {
+			count--
 		}
 	}
 	return count
@@ -244,7 +244,7 @@
 }
 
 // assigned returns the number of tasks that have a run or are done.
-func (st *step) assigned() int { return len(st.tasks) - int(st.unassigned.Count()) }
+func (st *step) assigned() int { return st.taskCount() - int(st.unassigned.Count()) }
 
 // setDone records that the task is done.
 func (tk *task) setDone() {
--- a/internal/scheduling/jobcontrol/occurrences.go
+++ b/internal/scheduling/jobcontrol/occurrences.go
@@ -73,11 +73,8 @@
 func (jb *job) addOccurrence() {
 	oc := &occurrence{jb: jb, number: jb.created, dueMS: jb.dueMS(jb.created)}
 	for at, row := range jb.row.GetSteps() {
-		st := &step{oc: oc, row: row, number: at, unassigned: bitset.New(uint(row.GetCount()))}
+		st := &step{oc: oc, row: row, number: at, tasks: stepTasks{count: int(row.GetCount())}, unassigned: bitset.New(uint(row.GetCount()))}
 		st.unassigned.FlipRange(0, uint(row.GetCount()))
-		for index := range int(row.GetCount()) {
-			st.tasks = append(st.tasks, &task{st: st, index: index})
-		}
 		oc.steps = append(oc.steps, st)
 	}
 	jb.occurrences = append(jb.occurrences, oc)
@@ -159,5 +156,5 @@
 
 // complete reports whether all tasks of the occurrence are done.
 func (oc *occurrence) complete() bool {
-	return !slices.ContainsFunc(oc.steps, func(st *step) bool { return st.done < len(st.tasks) })
+	return !slices.ContainsFunc(oc.steps, func(st *step) bool { return st.done < st.taskCount() })
 }
--- a/internal/scheduling/jobcontrol/occurrences_test.go
+++ b/internal/scheduling/jobcontrol/occurrences_test.go
@@ -90,7 +90,7 @@
 			jb.closeOccurrence(oc)
 		}
 	}
-	for _, tk := range jb.occurrences[0].steps[0].tasks {
+	for tk := range jb.occurrences[0].steps[0].allTasks() {
 		tk.run = math.MaxInt64
 	}
 	size := proto.Size(jb.part(firstPart).row())
--- a/internal/scheduling/jobcontrol/place.go
+++ b/internal/scheduling/jobcontrol/place.go
@@ -217,7 +217,7 @@
 
 func (ct *Controller) appendReady(list []candidate, oc *occurrence, qu *workpb.Queue, nowMS int64) []candidate {
 	for _, st := range oc.steps {
-		if st.done == len(st.tasks) || !st.waiting(nowMS) || !st.ready() {
+		if st.done == st.taskCount() || !st.waiting(nowMS) || !st.ready() {
 			continue
 		}
 		list = append(list, rank(st, qu, nowMS))
@@ -228,19 +228,39 @@
 // waiting reports whether a task of the step, or every task of a gang, may be given a run.
 func (st *step) waiting(nowMS int64) bool {
 	if st.row.GetGang() {
-		return !slices.ContainsFunc(st.tasks, func(tk *task) bool { return !tk.waiting(nowMS) })
+		for tk := range st.tasks.recorded() {
+			if !tk.waiting(nowMS) {
+				return false
+			}
+		}
+		return true
 	}
-	for range st.waitingTasks(nowMS) {
+	for range st.waitingIndices(nowMS) {
 		return true
 	}
 	return false
 }
 
-// waitingTasks yields the tasks that may be given a run, in order, without a look at those that have one.
+// waitingIndices yields the indices of the tasks that may be given a run, in order, without a look at those that have one.
+func (st *step) waitingIndices(nowMS int64) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for index, ok := st.unassigned.NextSet(0); ok; index, ok = st.unassigned.NextSet(index + 1) {
+			tk := st.tasks.peek(int(index))
+			if tk != nil && !tk.waiting(nowMS) {
+				continue
+			}
+			if !yield(int(index)) {
+				return
+			}
+		}
+	}
+}
+
+// waitingTasks yields the tasks of these indices.
 func (st *step) waitingTasks(nowMS int64) iter.Seq[*task] {
 	return func(yield func(*task) bool) {
-		for index, ok := st.unassigned.NextSet(0); ok; index, ok = st.unassigned.NextSet(index + 1) {
-			if tk := st.tasks[index]; tk.waiting(nowMS) && !yield(tk) {
+		for index := range st.waitingIndices(nowMS) {
+			if !yield(st.task(index)) {
 				return
 			}
 		}
@@ -340,16 +360,18 @@
 // placeGang plans the starts of all tasks of a step or of none.
 func (ct *Controller) placeGang(bt *Batch, st *step, pool []*vmState) {
 	number := int64(0)
-	need := size.Size{}
-	for _, tk := range st.tasks {
+	for tk := range st.tasks.recorded() {
 		number = max(number, tk.run)
+	}
+	need := size.Size{}
+	for range st.taskCount() {
 		need = need.Plus(st.capUse())
 	}
 	if !ct.mayUse(st.oc.jb.row.GetTeam(), need) {
 		return
 	}
-	planned := make([]*run, 0, len(st.tasks))
-	for _, tk := range st.tasks {
+	planned := make([]*run, 0, st.taskCount())
+	for tk := range st.allTasks() {
 		vm := chooseVM(tk, pool)
 		if vm == nil {
 			ct.cancelPlanned(planned)
@@ -369,8 +391,8 @@
 
 // latestCheckpoint returns the checkpoint of a gang that was reported last, by whichever member: it is valid for all of them.
 func (st *step) latestCheckpoint() string {
-	latest := st.tasks[0]
-	for _, tk := range st.tasks {
+	latest := &task{}
+	for tk := range st.tasks.recorded() {
 		if tk.checkpoint != "" && (latest.checkpoint == "" || tk.checkpointMS > latest.checkpointMS) {
 			latest = tk
 		}
@@ -487,11 +509,12 @@
 	if st.oc.runs == 0 {
 		return nil
 	}
-	at := slices.IndexFunc(st.tasks, func(tk *task) bool { return tk.current != nil })
-	if at < 0 {
-		return nil
+	for tk := range st.tasks.recorded() {
+		if tk.current != nil {
+			return tk
+		}
 	}
-	return st.tasks[at]
+	return nil
 }
 
 // colocationRack returns the rack that the step's tasks should share, or "" if they needn't share one.
--- a/internal/scheduling/jobcontrol/progress.go
+++ b/internal/scheduling/jobcontrol/progress.go
@@ -79,7 +79,7 @@
 	ct.waitingParts = append(ct.waitingParts, pt)
 }
 
-// eachTask calls fn for each task of the part in an open occurrence.
+// eachTask calls fn for each task of the part in an open occurrence that has a record.
 func (pt *progressPart) eachTask(fn func(*task)) {
 	jb := pt.jb
 	if jb.tasks == 0 {
@@ -91,9 +91,11 @@
 		oc := jb.occurrences[at]
 		for _, st := range oc.steps {
 			first := oc.firstTask() + jb.stepOffsets[st.number]
-			from, to := max(begin-first, 0), min(end-first, int64(len(st.tasks)))
+			from, to := max(begin-first, 0), min(end-first, int64(st.taskCount()))
 			for index := from; index < to; index++ {
-				fn(st.tasks[index])
+				if tk := st.tasks.peek(int(index)); tk != nil {
+					fn(tk)
+				}
 			}
 		}
 	}
--- a/internal/scheduling/jobcontrol/restore.go
+++ b/internal/scheduling/jobcontrol/restore.go
@@ -66,7 +66,7 @@
 	for _, oc := range slices.Clone(jb.occurrences) {
 		for _, st := range oc.steps {
 			if st.row.GetGang() && st.done > 0 {
-				ct.taskDone(st.tasks[0])
+				ct.taskDone(st.task(0))
 			}
 		}
 		if len(oc.steps) > 0 && oc.complete() {
--- a/internal/scheduling/jobcontrol/secondruns.go
+++ b/internal/scheduling/jobcontrol/secondruns.go
@@ -102,7 +102,7 @@
 
 // lastTasks reports whether the open tasks of a step are its last ones, and none of them waits.
 func (ct *Controller) lastTasks(st *step, nowMS int64) bool {
-	return ct.pace.LastTasks(len(st.tasks)-st.done, len(st.tasks)) && !st.waiting(nowMS)
+	return ct.pace.LastTasks(st.taskCount()-st.done, st.taskCount()) && !st.waiting(nowMS)
 }
 
 // startSecondRun plans a second run of a task on a VM. The first one is stored with the task, as one that may go on beside the next, and counts on its VM and for its team until it has ended.
--- a/internal/scheduling/jobcontrol/slowvms.go
+++ b/internal/scheduling/jobcontrol/slowvms.go
@@ -97,7 +97,7 @@
 
 // learns reports whether a run shows the speed of its VM.
 func (ct *Controller) learns(rn *run) bool {
-	return rn.st != nil && rn.phase == phaseRunning && rn.earlier.atMS > 0 && !rn.st.oc.jb.ended() && rn.st.done < len(rn.st.tasks) && ct.paced(rn.st)
+	return rn.st != nil && rn.phase == phaseRunning && rn.earlier.atMS > 0 && !rn.st.oc.jb.ended() && rn.st.done < rn.st.taskCount() && ct.paced(rn.st)
 }
 
 // learnProgress learns from the progress of a run that its VM lists.
--- a/internal/scheduling/jobcontrol/unplaceable.go
+++ b/internal/scheduling/jobcontrol/unplaceable.go
@@ -79,7 +79,7 @@
 func (ct *Controller) waitingWithinCap(st *step, nowMS int64) int {
 	count := 0
 	var sum size.Size
-	for range st.waitingTasks(nowMS) {
+	for range st.waitingIndices(nowMS) {
 		sum = sum.Plus(st.capUse())
 		if !ct.withinCap(st.oc.jb.row.GetTeam(), sum) {
 			break
@@ -91,7 +91,7 @@
 
 // copiesWithin returns how many more of the step's tasks fit into free resources of a VM that has some of them already, at most as many as the step has.
 func (st *step) copiesWithin(free size.Size, present int) int {
-	limit := len(st.tasks)
+	limit := st.taskCount()
 	if perVM := int(st.row.GetMaxPerVm()); perVM > 0 {
 		limit = min(limit, perVM-present)
 	}
--- a/internal/scheduling/jobcontrol/waits.go
+++ b/internal/scheduling/jobcontrol/waits.go
@@ -159,7 +159,7 @@
 func (oc *occurrence) openWork(except func(*task) bool) int64 {
 	workCoreMS := int64(0)
 	for _, st := range oc.steps {
-		if !st.row.GetLasting() && st.done < len(st.tasks) {
+		if !st.row.GetLasting() && st.done < st.taskCount() {
 			workCoreMS += st.remainingMS(except) * st.need().CoresMilli() / milli
 		}
 	}
@@ -170,11 +170,11 @@
 func (oc *occurrence) askForWaiting(nowMS int64, ask func(st *step, cores int64)) {
 	for _, st := range oc.steps {
 		need := st.need().CoresMilli()
-		if st.row.GetLasting() || st.done == len(st.tasks) || need == 0 || !st.ready() {
+		if st.row.GetLasting() || st.done == st.taskCount() || need == 0 || !st.ready() {
 			continue
 		}
 		waiting := int64(0)
-		for range st.waitingTasks(nowMS) {
+		for range st.waitingIndices(nowMS) {
 			waiting++
 		}
 		ask(st, waiting*need)
@@ -189,9 +189,9 @@
 		if st.row.GetLasting() || need == 0 {
 			continue
 		}
-		workCoreMS += st.expectedTaskMS() * int64(len(st.tasks)) * need / milli
+		workCoreMS += st.expectedTaskMS() * int64(st.taskCount()) * need / milli
 		if st.ready() {
-			ask(st, int64(len(st.tasks))*need)
+			ask(st, int64(st.taskCount())*need)
 		}
 	}
 	return workCoreMS
