--- a/internal/membership/ownership/transfer.go
+++ b/internal/membership/ownership/transfer.go
@@ -22,7 +22,7 @@
 	triedMS   int64
 }
 
-// The request lies in a partition of its own, so that it uses nothing of what the store serves for the owner's commits.
+// The request lies beside the candidates, so that it uses nothing of what the store serves for the partition of the owner's commits.
 const (
 	transfersTable     = "ownership-transfers"
 	transfersPartition = candidatesPartition
--- a/internal/scheduling/jobrunner/jobrunner.go
+++ b/internal/scheduling/jobrunner/jobrunner.go
@@ -177,6 +177,7 @@
 	go rn.transfers.run(ctx)
 	sn, err := rn.restore(ctx, stop)
 	if err != nil || rn.transfers.isDue() {
+		// Without an error, a stronger entry has asked for the ownership during the restore.
 		return err
 	}
 	rn.renewer.progressed()
